--- /dev/null
+++ b/damasktally/conf/__init__.py
@@ -0,0 +1,6 @@
+"""Load the settings of one host: global defaults, overridden by an INI file."""
+
+from damasktally.conf.loader import SettingsProblem, load_settings
+from damasktally.conf.settings import Settings
+
+__all__ = ["Settings", "SettingsProblem", "load_settings"]
--- /dev/null
+++ b/damasktally/conf/loader.py
@@ -0,0 +1,76 @@
+"""Read an INI file and list everything that is wrong with it at once."""
+
+from configparser import ConfigParser
+from configparser import Error as IniError
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from damasktally.conf.settings import Settings
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsProblem:
+    """Describe one fault of a settings file.
+
+    :param id: stable number of this kind of fault.
+    """
+
+    id: str
+    file: str
+    section: str
+    option: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        where = f"{self.file}: [{self.section}] {self.option}".rstrip()
+        return f"{self.id} {where}: {self.message} {self.remedy}"
+
+
+REMEDIES = {
+    "missing": ("conf.E002", "Add it."),
+    "extra_forbidden": ("conf.E003", "Remove it, or correct its name."),
+}
+OTHER_REMEDY = ("conf.E004", "Correct the value; docs/ref/settings.md lists each.")
+
+
+def load_settings(path: Path) -> Result[Settings, list[SettingsProblem]]:
+    """Load a settings file.
+
+    :returns: the settings, or every problem found.
+    """
+    parser = ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, IniError) as exc:
+        problem = SettingsProblem(
+            "conf.E001",
+            str(path),
+            "",
+            "",
+            f"The file cannot be read: {' '.join(str(exc).split())}.",
+            "Check the path and that it is an INI file.",
+        )
+        return Err([problem])
+    raw = {name: dict(parser.items(name)) for name in parser.sections()}
+    try:
+        return Ok(Settings.model_validate(raw))
+    except ValidationError as exc:
+        return Err([_problem(path, error) for error in exc.errors()])
+
+
+def _problem(path: Path, error: dict) -> SettingsProblem:
+    location = [str(part) for part in error["loc"]]
+    number, remedy = REMEDIES.get(error["type"], OTHER_REMEDY)
+    return SettingsProblem(
+        id=number,
+        file=str(path),
+        section=location[0] if location else "",
+        option=".".join(location[1:]),
+        message=f"{error['msg']}.",
+        remedy=remedy,
+    )
--- /dev/null
+++ b/damasktally/demo/fleet.py
@@ -0,0 +1,189 @@
+"""Start platform, backend servers and hosts in one process, on loopback."""
+
+import socket
+from dataclasses import dataclass, field
+
+from damasktally.clock import boot_time
+from damasktally.conf import Settings
+from damasktally.demo.backend import Behaviour, StandInServer
+from damasktally.demo.callers import Credentials
+from damasktally.demo.scenarios import Scenario
+from damasktally.escrow.ledger import BYTES_PER_MBIT, LINK_BURST_S
+from damasktally.host import Host
+from damasktally.platform.memory import MemoryStore
+from damasktally.platform.server import StandInPlatform
+from damasktally.proof.history import (
+    Accepted,
+    Drained,
+    History,
+    InForce,
+    LinkLimit,
+    RateLimit,
+    Stopped,
+    Withdrawn,
+)
+from damasktally.resources.commands import Commands
+
+CREDENTIAL = "a credential for the demo only"
+RESERVED = 0.1
+"""The fraction of a link that its spec leaves to others unless it says otherwise."""
+
+
+def free_port() -> int:
+    """Return a loopback port that nothing listens on at present."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def host_settings(
+    name: str, region: str, data_centre: str, platform_url: str, store_region: str
+) -> Settings:
+    """Return settings for a host on free loopback ports."""
+    return Settings.model_validate(
+        {
+            "host": {"name": name, "region": region, "data_centre": data_centre},
+            "caller": {"address": f"127.0.0.1:{free_port()}"},
+            "peer": {
+                "address": f"127.0.0.1:{free_port()}",
+                "credential": CREDENTIAL,
+            },
+            "admin": {"address": f"127.0.0.1:{free_port()}"},
+            "platform": {"url": platform_url, "region": store_region},
+        }
+    )
+
+
+@dataclass
+class DemoFleet:
+    """Own everything that the demo runs.
+
+    :param answer_bytes: size of the stand-in servers' answers.
+    """
+
+    scenario: Scenario
+    answer_bytes: int = 2_000
+    history: History = field(default_factory=History)
+    store: MemoryStore = field(default_factory=MemoryStore)
+    servers: dict[str, StandInServer] = field(default_factory=dict)
+    hosts: list[Host] = field(default_factory=list)
+    credentials: dict[str, Credentials] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.platform = StandInPlatform(self.store)
+        self.commands = Commands(self.store, "demo")
+
+    def start(self, host_count: int) -> None:
+        """Start platform and servers, apply the configuration, and start hosts."""
+        self.platform.start()
+        self._start_servers()
+        self.apply_configuration()
+        for number in range(host_count):
+            self._start_host(number)
+
+    def apply_configuration(self) -> None:
+        """Apply the scenario's objects and issue one key for each customer."""
+        for kind, name, spec in self.scenario.objects():
+            self.commands.apply(kind, name, spec)
+        for plan in self.scenario.customers:
+            issued = self.commands.issue_key(f"{plan.name}-key", plan.name)
+            held = Credentials(plan.name, issued.name, issued.secret)
+            self.credentials[plan.name] = held
+            for server in self.servers.values():
+                server.behaviour.secrets.add(issued.secret)
+            limit = RateLimit(plan.rate, plan.burst)
+            self.history.limits.customers[plan.name] = limit
+        self._note_links()
+
+    def withdraw(self, customer: str) -> None:
+        """Withdraw a customer's key."""
+        held = self.credentials[customer]
+        self.commands.withdraw_key(held.key)
+        self.history.add(Withdrawn(held.key, customer, boot_time()))
+        self._note_accepted()
+
+    def drain(self, server: str) -> None:
+        """Drain a backend server."""
+        self.commands.apply("Drain", f"drain-{server}", {"server": server})
+        self.history.add(Drained(server, boot_time()))
+        self._note_accepted()
+
+    def stop_host(self, host: Host) -> int:
+        """Stop a host as planned.
+
+        :returns: requests that were cut.
+        """
+        asked_at = boot_time()
+        report = host.stop()
+        self.hosts.remove(host)
+        self.history.add(Stopped(host.settings.host.name, asked_at, boot_time()))
+        return report.cut
+
+    def sample(self) -> None:
+        """Record which revision each host has in force."""
+        for host in self.hosts:
+            name = host.settings.host.name
+            self.history.add(InForce(name, host.view().revision, boot_time()))
+
+    def entries(self) -> list[str]:
+        """Return the addresses that callers ask."""
+        return [host.settings.caller.address for host in self.hosts]
+
+    def stop(self) -> None:
+        """End everything at once."""
+        for host in self.hosts:
+            host.kill()
+        for server in self.servers.values():
+            server.stop()
+        self.platform.stop()
+
+    def _start_servers(self) -> None:
+        limits = self.history.limits
+        for plan in self.scenario.servers:
+            behaviour = Behaviour(plan.work_s, self.answer_bytes)
+            server = StandInServer(plan.name, plan.slots, behaviour, self.history)
+            server.start()
+            self.servers[plan.name] = server
+            limits.slots[plan.name] = plan.slots
+            limits.region_of[plan.name] = plan.region
+            spec = {
+                "pool": plan.pool,
+                "address": server.address,
+                "region": plan.region,
+                "data_centre": plan.data_centre,
+                "slots": plan.slots,
+            }
+            self.commands.apply("BackendServer", plan.name, spec)
+
+    def _start_host(self, number: int) -> None:
+        centres = self.scenario.data_centres()
+        # Regions first, so that a few hosts already cover all of them.
+        order = [*centres[::2], *centres[1::2]]
+        centre, region = order[number % len(order)]
+        settings = host_settings(
+            f"host-{number:02d}",
+            region,
+            centre,
+            self.platform.url,
+            self.scenario.store_region,
+        )
+        host = Host.from_config(settings)
+        host.start()
+        self.hosts.append(host)
+        self.history.limits.region_of[settings.host.name] = region
+
+    def _note_links(self) -> None:
+        rate = self.scenario.link_mbit * BYTES_PER_MBIT * (1 - RESERVED)
+        limit = LinkLimit(rate, rate * LINK_BURST_S)
+        for source in self.scenario.regions:
+            for target in self.scenario.regions:
+                if source != target:
+                    self.history.limits.links[source, target] = limit
+
+    def _note_accepted(self) -> None:
+        # The command's own audit record is newer than the change it records.
+        newest = max(
+            obj.revision
+            for obj in self.store.list_objects(["Key", "Drain"]).items
+        )
+        self.history.add(Accepted(newest, boot_time()))
--- /dev/null
+++ b/damasktally/demo/scenarios.py
@@ -0,0 +1,192 @@
+"""Describe the two deployments as objects, at their sizes of today."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class ServerPlan:
+    """Describe a backend server before it has an address."""
+
+    name: str
+    pool: str
+    region: str
+    data_centre: str
+    slots: int
+    work_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerPlan:
+    """Describe a customer and the part of its rate that its callers ask for."""
+
+    name: str
+    rate: float
+    burst: float
+    weight: float
+    demand: float
+    region: str
+
+
+@dataclass
+class Scenario:
+    """Describe a deployment.
+
+    :param one_way_ms: latency between two regions.
+    :param link_mbit: cap of each directed link.
+    :param read_path: the path that callers refresh.
+    :param write_path: the path of requests that must run at most once.
+    """
+
+    name: str
+    regions: tuple[str, ...]
+    store_region: str
+    one_way_ms: float
+    link_mbit: float
+    read_path: str
+    write_path: str
+    latency_weight: float
+    headroom_weight: float
+    servers: list[ServerPlan] = field(default_factory=list)
+    customers: list[CustomerPlan] = field(default_factory=list)
+    read_pool: str = ""
+    upload_pool: str = ""
+
+    def data_centres(self) -> list[tuple[str, str]]:
+        """Return each data centre with its region."""
+        return [(f"{region}-{n}", region) for region in self.regions for n in (1, 2)]
+
+    def objects(self) -> list[tuple[str, str, dict]]:
+        """Return kind, name and spec of all objects but servers and keys."""
+        found: list[tuple[str, str, dict]] = []
+        for region in self.regions:
+            others = {o: self.one_way_ms for o in self.regions if o != region}
+            found.append(("Region", region, {"latency_ms": others}))
+        for number, (centre, region) in enumerate(self.data_centres(), start=1):
+            blocks = [f"10.{number}.0.0/16"]
+            spec = {"region": region, "client_blocks": blocks}
+            found.append(("DataCentre", centre, spec))
+        for source in self.regions:
+            for target in self.regions:
+                if source != target:
+                    spec = {
+                        "source": source,
+                        "target": target,
+                        "cap_mbit": self.link_mbit,
+                    }
+                    found.append(("Link", f"{source}-{target}", spec))
+        found.extend(self._routing())
+        for customer in self.customers:
+            spec = {
+                "rate": customer.rate,
+                "burst": customer.burst,
+                "weight": customer.weight,
+            }
+            found.append(("Customer", customer.name, spec))
+        return found
+
+    def _routing(self) -> list[tuple[str, str, dict]]:
+        policy = {
+            "latency_weight": self.latency_weight,
+            "headroom_weight": self.headroom_weight,
+            "lookup_lifetime_s": 2,
+        }
+        return [
+            ("SteeringPolicy", "default", policy),
+            ("Pool", self.read_pool, {}),
+            ("Pool", self.upload_pool, {}),
+            ("Route", "reads", {"prefix": self.read_path, "pool": self.read_pool}),
+            ("Route", "writes", {"prefix": self.write_path, "pool": self.read_pool}),
+            (
+                "Route",
+                "uploads",
+                {
+                    "prefix": "/uploads",
+                    "pool": self.upload_pool,
+                    "timeout_ms": 30_000,
+                },
+            ),
+            (
+                "Route",
+                "public",
+                {"prefix": "/public", "pool": self.read_pool, "open": True},
+            ),
+        ]
+
+
+def masa_madre() -> Scenario:
+    """Return Masa Madre Suscripciones' deployment."""
+    scenario = Scenario(
+        name="masa",
+        regions=("centro", "norte", "sur"),
+        store_region="centro",
+        one_way_ms=12.0,
+        link_mbit=4_000.0,
+        read_path="/baskets",
+        write_path="/payments",
+        latency_weight=2.0,
+        headroom_weight=1.0,
+        read_pool="suscripciones",
+        upload_pool="panaderos",
+    )
+    slots = (3, 4)
+    scenario.servers = _servers(scenario, "suscripciones", 34, slots, 0.004)
+    scenario.servers += _servers(scenario, "panaderos", 12, slots, 0.02)
+    scenario.customers = _customers(scenario)
+    return scenario
+
+
+def raiz_austral() -> Scenario:
+    """Return Raíz Austral Compromisos' deployment."""
+    scenario = Scenario(
+        name="raiz",
+        regions=("cuyo", "sur", "litoral"),
+        store_region="cuyo",
+        one_way_ms=35.0,
+        link_mbit=280.0,
+        read_path="/pledges",
+        write_path="/releases",
+        latency_weight=0.5,
+        headroom_weight=2.0,
+        read_pool="padron",
+        upload_pool="evidencias",
+    )
+    scenario.servers = _servers(scenario, "padron", 30, (3,), 0.006)
+    scenario.servers += _servers(scenario, "evidencias", 12, (3,), 0.03)
+    scenario.customers = _customers(scenario)
+    return scenario
+
+
+SCENARIOS = {"masa": masa_madre, "raiz": raiz_austral}
+
+
+def _servers(
+    scenario: Scenario, pool: str, count: int, slots: tuple[int, ...], work_s: float
+) -> list[ServerPlan]:
+    centres = scenario.data_centres()
+    return [
+        ServerPlan(
+            name=f"{pool}-{number:02d}",
+            pool=pool,
+            region=centres[number % len(centres)][1],
+            data_centre=centres[number % len(centres)][0],
+            slots=slots[number % len(slots)],
+            work_s=work_s,
+        )
+        for number in range(count)
+    ]
+
+
+def _customers(scenario: Scenario) -> list[CustomerPlan]:
+    """Return eight customers, a few of them large."""
+    rates = (30.0, 24.0, 18.0, 8.0, 6.0, 5.0, 4.0, 3.0)
+    return [
+        CustomerPlan(
+            name=f"c{number}",
+            rate=rate,
+            burst=max(8.0, rate),
+            weight=1.0,
+            demand=0.7,
+            region=scenario.regions[number % len(scenario.regions)],
+        )
+        for number, rate in enumerate(rates)
+    ]
--- /dev/null
+++ b/damasktally/escrow/__init__.py
@@ -0,0 +1,19 @@
+"""Split each hard limit into shares, so that the parts never exceed the whole.
+
+The scheme is escrow (the demarcation protocol of the literature): a host spends
+from its own share without asking anybody, and moves shares to other hosts by loans
+that the lender debits first. See ``docs/internals/escrow.md``.
+"""
+
+from damasktally.escrow.bucket import Bucket, Lease
+from damasktally.escrow.generations import GenerationWindow
+from damasktally.escrow.shares import RosterView, connection_share, slot_count
+
+__all__ = [
+    "Bucket",
+    "GenerationWindow",
+    "Lease",
+    "RosterView",
+    "connection_share",
+    "slot_count",
+]
--- /dev/null
+++ b/damasktally/escrow/bucket.py
@@ -0,0 +1,299 @@
+"""Hold one host's part of a token bucket, with loans to and from its peers."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from math import inf
+
+EPSILON_TOKENS = 1e-9
+"""Tolerance for sums of floats; it is never added to what may be spent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Describe a part of a bucket that moved to another host for a while.
+
+    :param rate: tokens a second.
+    :param depth: tokens of bucket depth.
+    :param until: when it ends, on the clock of the host that holds this record.
+    """
+
+    rate: float
+    depth: float
+    until: float
+
+
+@dataclass(slots=True)
+class _Borrowed:
+    sequence: int
+    lease: Lease
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Count tokens that accrue at a rate up to a depth.
+
+    The share of this host is itself a lease: it ends at ``own_until`` unless the
+    membership is confirmed again (fencing). Shares lent to a peer are subtracted
+    until the loan has expired, whether or not the answer reached the peer.
+
+    :param rate: tokens a second of this host's share.
+    :param depth: tokens that this host's share can hold.
+    :param now: seconds.
+    :param own_until: when the share ends unless it is confirmed again, in seconds.
+    """
+
+    rate: float = 0.0
+    depth: float = 0.0
+    now: float = 0.0
+    own_until: float = inf
+    tokens: float = 0.0
+    _lent: dict[str, list[Lease]] = field(default_factory=dict)
+    _borrowed: dict[str, _Borrowed] = field(default_factory=dict)
+    _rate_now: float = 0.0
+    _depth_now: float = 0.0
+    _next_change: float = inf
+
+    def __post_init__(self) -> None:
+        self._recompute()
+
+    def fill(self) -> None:
+        """Fill the bucket; only for budgets that are local to one process."""
+        self.tokens = self._depth_now
+
+    def take(self, amount: float, now: float) -> bool:
+        """Take tokens if there are enough.
+
+        :param amount: tokens.
+        :param now: seconds.
+        :returns: whether the tokens were taken.
+        """
+        self.advance(now)
+        if self.tokens < amount:
+            return False
+        self.tokens -= amount
+        return True
+
+    def take_up_to(self, amount: float, now: float) -> float:
+        """Take as many tokens as there are, at most ``amount``.
+
+        :returns: tokens taken.
+        """
+        self.advance(now)
+        taken = min(amount, max(0.0, self.tokens))
+        self.tokens -= taken
+        return taken
+
+    def refund(self, amount: float, now: float) -> None:
+        """Put back tokens that were taken and not used."""
+        self.advance(now)
+        self.tokens = min(self._depth_now, self.tokens + amount)
+
+    def wait_for(self, amount: float, now: float) -> float:
+        """Return the seconds until ``amount`` tokens will be here, or infinity."""
+        self.advance(now)
+        missing = amount - self.tokens
+        if missing <= 0:
+            return 0.0
+        if self._rate_now <= 0 or amount > self._depth_now:
+            return inf
+        return missing / self._rate_now
+
+    def set_share(self, rate: float, depth: float, now: float) -> None:
+        """Change this host's share; tokens above the new depth are dropped."""
+        if rate == self.rate and depth == self.depth:
+            return
+        self.advance(now)
+        self.rate = rate
+        self.depth = depth
+        self._recompute()
+
+    def confirm(self, until: float, now: float) -> None:
+        """Move the end of this host's share; it never moves back.
+
+        A bucket that was fenced starts again from what its loans hold.
+        """
+        if until <= self.own_until:
+            return
+        self.advance(now)
+        self.own_until = until
+        self._recompute()
+
+    def reset(self, now: float) -> None:
+        """Drop tokens, share and loans, as a new incarnation must."""
+        self.now = now
+        self.tokens = 0.0
+        self.rate = 0.0
+        self.depth = 0.0
+        self.own_until = now
+        self._borrowed.clear()
+        self._recompute()
+
+    def lend(
+        self, peer: str, ask: Lease, tokens: float, keep: float, now: float
+    ) -> tuple[Lease, float]:
+        """Debit a loan to a peer, as far as this host's share allows.
+
+        A loan replaces the peer's earlier one, so what is debited is the larger of
+        the two until the earlier one has expired: its answer may have been lost.
+
+        :param peer: identity of the borrower's incarnation.
+        :param ask: what the peer would like, its ``until`` on this host's clock.
+        :param tokens: tokens that the peer would like to have moved.
+        :param keep: tokens a second that this host keeps for its own callers.
+        :returns: the lease granted and the tokens moved with it.
+        """
+        self.advance(now)
+        until = min(ask.until, self.own_until)
+        own_rate, own_depth = self._own(now)
+        others = [self._lent_to(name, now) for name in self._lent if name != peer]
+        free_rate = own_rate - sum(lent.rate for lent in others)
+        free_depth = own_depth - sum(lent.depth for lent in others)
+        rate = max(0.0, min(ask.rate, free_rate - keep))
+        depth = max(0.0, min(ask.depth, free_depth))
+        held = self._lent_to(peer, now)
+        moved = min(tokens, self.tokens, depth)
+        moved = max(0.0, moved)
+        if until <= now or (rate <= 0 and depth <= 0):
+            return Lease(0.0, 0.0, now), 0.0
+        lease = Lease(rate, depth, until)
+        kept = [old for old in self._lent.get(peer, []) if old.until > now]
+        covered = rate >= held.rate and depth >= held.depth
+        if covered and all(old.until <= until for old in kept):
+            kept = []
+        self._lent[peer] = [*kept, lease]
+        self.tokens -= moved
+        self._recompute()
+        return lease, moved
+
+    def borrow(
+        self, peer: str, sequence: int, lease: Lease, tokens: float, now: float
+    ) -> bool:
+        """Add a loan that a peer granted; it replaces that peer's earlier loan.
+
+        :param sequence: number of the request that was answered; an answer that
+            arrives after a later one, or twice, is ignored.
+        :param lease: its ``until`` counts from when the request was sent.
+        :returns: whether the loan was applied.
+        """
+        self.advance(now)
+        held = self._borrowed.get(peer)
+        if held is not None and sequence <= held.sequence:
+            return False
+        self._borrowed[peer] = _Borrowed(sequence, lease)
+        if lease.until <= now:
+            tokens = 0.0
+        self.tokens += tokens
+        self._recompute()
+        return True
+
+    def overlent(self, now: float) -> bool:
+        """Tell whether more is lent than this host's share holds."""
+        self.advance(now)
+        own_rate, own_depth = self._own(now)
+        lent = [self._lent_to(name, now) for name in self._lent]
+        too_fast = sum(part.rate for part in lent) > own_rate + EPSILON_TOKENS
+        too_deep = sum(part.depth for part in lent) > own_depth + EPSILON_TOKENS
+        return too_fast or too_deep
+
+    def spare_rate(self, keep: float, now: float) -> float:
+        """Return the tokens a second that this host could lend."""
+        self.advance(now)
+        own_rate, _ = self._own(now)
+        lent = sum(self._lent_to(name, now).rate for name in self._lent)
+        return max(0.0, own_rate - lent - keep)
+
+    def spare_depth(self, now: float) -> float:
+        """Return the tokens of depth that this host could lend."""
+        self.advance(now)
+        _, own_depth = self._own(now)
+        lent = sum(self._lent_to(name, now).depth for name in self._lent)
+        return max(0.0, own_depth - lent)
+
+    @property
+    def rate_now(self) -> float:
+        """Return tokens a second with loans counted, as of the last call."""
+        return self._rate_now
+
+    @property
+    def depth_now(self) -> float:
+        """Return the depth with loans counted, as of the last call."""
+        return self._depth_now
+
+    def borrowed(self, now: float) -> dict[str, Lease]:
+        """Return the loans from each peer that have not expired."""
+        return {
+            peer: held.lease
+            for peer, held in self._borrowed.items()
+            if held.lease.until > now
+        }
+
+    def lent_out(self, now: float) -> bool:
+        """Tell whether any loan to a peer has not expired."""
+        self.advance(now)
+        return bool(self._lent)
+
+    def lent_rate(self) -> float:
+        """Return the tokens a second lent out, as of the last call."""
+        return sum(self._lent_to(name, self.now).rate for name in self._lent)
+
+    def advance(self, now: float) -> None:
+        """Accrue tokens up to ``now``, step by step over each lease's end."""
+        while self._next_change <= now:
+            self._accrue(self._next_change)
+            self._drop_expired()
+            self._recompute()
+        self._accrue(now)
+
+    def _accrue(self, to: float) -> None:
+        if to <= self.now:
+            return
+        gained = (to - self.now) * self._rate_now
+        self.tokens = min(self._depth_now, self.tokens + gained)
+        self.now = to
+
+    def _own(self, now: float) -> tuple[float, float]:
+        if self.own_until <= now:
+            return 0.0, 0.0
+        return self.rate, self.depth
+
+    def _lent_to(self, peer: str, now: float) -> Lease:
+        rate = 0.0
+        depth = 0.0
+        for lease in self._lent.get(peer, ()):
+            if lease.until > now:
+                rate = max(rate, lease.rate)
+                depth = max(depth, lease.depth)
+        return Lease(rate, depth, now)
+
+    def _drop_expired(self) -> None:
+        for peer in list(self._lent):
+            alive = [lease for lease in self._lent[peer] if lease.until > self.now]
+            if alive:
+                self._lent[peer] = alive
+            else:
+                del self._lent[peer]
+
+    def _recompute(self) -> None:
+        now = self.now
+        rate, depth = self._own(now)
+        for name in self._lent:
+            lent = self._lent_to(name, now)
+            rate -= lent.rate
+            depth -= lent.depth
+        for held in self._borrowed.values():
+            if held.lease.until > now:
+                rate += held.lease.rate
+                depth += held.lease.depth
+        self._rate_now = max(0.0, rate)
+        self._depth_now = max(0.0, depth)
+        self.tokens = min(self.tokens, self._depth_now)
+        ends = [end for end in self._ends() if end > now]
+        self._next_change = min(ends, default=inf)
+
+    def _ends(self) -> Iterator[float]:
+        yield self.own_until
+        for leases in self._lent.values():
+            for lease in leases:
+                yield lease.until
+        for held in self._borrowed.values():
+            yield held.lease.until
--- /dev/null
+++ b/damasktally/escrow/ledger.py
@@ -0,0 +1,224 @@
+"""Keep this host's part of every rate limit, and answer for it under one lock."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from threading import Condition
+
+from damasktally.clock import Clock
+from damasktally.escrow.bucket import Bucket
+from damasktally.escrow.demand import Demand
+from damasktally.escrow.generations import GenerationWindow
+from damasktally.resources.view import View
+
+BYTES_PER_MBIT = 125_000
+LINK_BURST_S = 0.05
+"""Seconds of a link's cap that its bucket holds."""
+
+
+def customer_limit(name: str) -> str:
+    """Return the name of a customer's limit."""
+    return f"customer:{name}"
+
+
+def link_limit(source: str, target: str) -> str:
+    """Return the name of a directed link's limit."""
+    return f"link:{source}>{target}"
+
+
+@dataclass(slots=True)
+class LimitEntry:
+    """Hold what this host knows of one limit.
+
+    :param rate: units a second of the whole fleet.
+    :param burst: units of the whole fleet.
+    """
+
+    bucket: Bucket
+    demand: Demand
+    rate: float = 0.0
+    burst: float = 0.0
+    link: tuple[str, str] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """Show one limit to operators.
+
+    :param share_rate: units a second of this host's own share.
+    :param rate: units a second with loans counted.
+    :param tokens: units that may be spent now.
+    :param forecast: units a second expected of this host's callers.
+    """
+
+    limit: str
+    fleet_rate: float
+    fleet_burst: float
+    share_rate: float
+    rate: float
+    tokens: float
+    forecast: float
+
+
+@dataclass
+class Ledger:
+    """Own the buckets of this host.
+
+    :param identity: this host's incarnation.
+    :param window: the roster generations that may be in use.
+    :param clock: seconds, never going back.
+    """
+
+    identity: str
+    window: GenerationWindow
+    clock: Clock
+    changed: Condition = field(default_factory=Condition)
+    entries: dict[str, LimitEntry] = field(default_factory=dict)
+    _own_until: float = float("-inf")
+
+    def take(self, limit: str, amount: float) -> bool:
+        """Take units of a limit; a limit that nobody set has none.
+
+        :returns: whether they were taken.
+        """
+        entry = self.entries.get(limit)
+        if entry is None:
+            return False
+        with self.changed:
+            entry.demand.offer(amount)
+            return entry.bucket.take(amount, self.clock())
+
+    def take_again(self, limit: str, amount: float) -> bool:
+        """Take units for a caller whose demand was counted already."""
+        entry = self.entries.get(limit)
+        if entry is None:
+            return False
+        with self.changed:
+            return entry.bucket.take(amount, self.clock())
+
+    def refund(self, limit: str, amount: float) -> None:
+        """Give back units that were taken and not used."""
+        entry = self.entries.get(limit)
+        if entry is None:
+            return
+        with self.changed:
+            entry.bucket.refund(amount, self.clock())
+
+    def retry_after(self, limit: str, amount: float) -> float:
+        """Return the seconds after which this host may have ``amount`` units."""
+        entry = self.entries.get(limit)
+        if entry is None:
+            return float("inf")
+        with self.changed:
+            return entry.bucket.wait_for(amount, self.clock())
+
+    def refresh(self, view: View) -> None:
+        """Compute every share again, after a change of view or of generations."""
+        with self.changed:
+            now = self.clock()
+            wanted = self._wanted_limits(view)
+            for name in [held for held in self.entries if held not in wanted]:
+                del self.entries[name]
+            weight = self.window.smallest(
+                lambda roster: roster.rate_weight(self.identity), now
+            )
+            for name, limit in wanted.items():
+                entry = self._entry(name, now)
+                entry.rate = limit.rate
+                entry.burst = limit.burst
+                entry.link = limit.link
+                part = weight if limit.link is None else self._link_part(limit, now)
+                entry.bucket.set_share(part * limit.rate, part * limit.burst, now)
+            self.changed.notify_all()
+
+    def confirm(self, until: float) -> None:
+        """Let this host spend its own shares until a time, in seconds."""
+        with self.changed:
+            now = self.clock()
+            self._own_until = max(self._own_until, until)
+            for entry in self.entries.values():
+                entry.bucket.confirm(self._own_until, now)
+
+    def start_incarnation(self, identity: str) -> None:
+        """Empty every bucket and forget the loans of an earlier incarnation."""
+        with self.changed:
+            self.identity = identity
+            self._own_until = float("-inf")
+            now = self.clock()
+            for entry in self.entries.values():
+                entry.bucket.reset(now)
+
+    def overlent(self) -> bool:
+        """Tell whether some loans do not fit the newest shares yet."""
+        with self.changed:
+            now = self.clock()
+            return any(entry.bucket.overlent(now) for entry in self.entries.values())
+
+    def lent(self) -> bool:
+        """Tell whether anything is lent to a peer."""
+        with self.changed:
+            now = self.clock()
+            return any(entry.bucket.lent_out(now) for entry in self.entries.values())
+
+    def update_demand(self) -> None:
+        """Bring the forecasts up to date."""
+        with self.changed:
+            now = self.clock()
+            for entry in self.entries.values():
+                entry.demand.update(now)
+
+    def report(self) -> list[LimitReport]:
+        """Return what this host holds of each limit."""
+        with self.changed:
+            now = self.clock()
+            return [_report(name, entry, now) for name, entry in self.entries.items()]
+
+    def _entry(self, name: str, now: float) -> LimitEntry:
+        entry = self.entries.get(name)
+        if entry is None:
+            bucket = Bucket(now=now, own_until=self._own_until)
+            entry = LimitEntry(bucket, Demand(at=now))
+            self.entries[name] = entry
+        return entry
+
+    def _link_part(self, limit: "_WantedLimit", now: float) -> float:
+        source, target = limit.link
+        return self.window.smallest(
+            lambda roster: roster.link_weight(self.identity, source, target), now
+        )
+
+    @staticmethod
+    def _wanted_limits(view: View) -> Mapping[str, "_WantedLimit"]:
+        wanted = {}
+        for name, customer in view.customers.items():
+            limit = _WantedLimit(customer.rate, customer.burst)
+            wanted[customer_limit(name)] = limit
+        for (source, target), link in view.links.items():
+            rate = link.cap_mbit * BYTES_PER_MBIT * (1 - link.reserved)
+            limit = _WantedLimit(rate, rate * LINK_BURST_S, (source, target))
+            wanted[link_limit(source, target)] = limit
+        return wanted
+
+
+@dataclass(frozen=True, slots=True)
+class _WantedLimit:
+    rate: float
+    burst: float
+    link: tuple[str, str] | None = None
+
+
+def _report(name: str, entry: LimitEntry, now: float) -> LimitReport:
+    entry.bucket.advance(now)
+    return LimitReport(
+        limit=name,
+        fleet_rate=entry.rate,
+        fleet_burst=entry.burst,
+        share_rate=entry.bucket.rate,
+        rate=entry.bucket.rate_now,
+        tokens=entry.bucket.tokens,
+        forecast=entry.demand.forecast,
+    )
+
+
+def limits_of(entries: Iterable[LimitReport], prefix: str) -> list[LimitReport]:
+    """Return the reports whose limit starts with a prefix."""
+    return [entry for entry in entries if entry.limit.startswith(prefix)]
--- /dev/null
+++ b/damasktally/escrow/slots.py
@@ -0,0 +1,232 @@
+"""Hold this host's part of every backend server's slots."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import count
+
+
+@dataclass(slots=True)
+class SlotLease:
+    """Record slots of one server that moved between two hosts.
+
+    :param lease: its name, unique for the lender.
+    :param peer: identity of the other side.
+    :param slots: how many.
+    :param until: when it ends, on the clock of the host that holds this record.
+    :param in_use: how many the borrower has filled.
+    :param idle_since: since when the borrower has filled none, in seconds.
+    """
+
+    lease: str
+    peer: str
+    slots: int
+    until: float
+    in_use: int = 0
+    idle_since: float = 0.0
+
+
+@dataclass(slots=True)
+class ServerSlots:
+    """Count the slots of one server that this host may fill.
+
+    :param own: slots of this host's share.
+    :param own_in_use: of these, how many are filled.
+    """
+
+    server: str
+    pool: str
+    own: int = 0
+    own_in_use: int = 0
+    lent: list[SlotLease] = field(default_factory=list)
+    borrowed: list[SlotLease] = field(default_factory=list)
+
+    @property
+    def in_use(self) -> int:
+        """Return how many requests of this host the server works on."""
+        return self.own_in_use + sum(lease.in_use for lease in self.borrowed)
+
+    def lent_slots(self, now: float) -> int:
+        """Return how many own slots are lent out."""
+        return sum(lease.slots for lease in self.lent if lease.until > now)
+
+    def free_own(self, now: float) -> int:
+        """Return how many own slots can be filled."""
+        return max(0, self.own - self.lent_slots(now) - self.own_in_use)
+
+    def free_borrowed(self, now: float, work_s: float) -> int:
+        """Return how many borrowed slots can be filled for ``work_s`` seconds."""
+        return sum(
+            lease.slots - lease.in_use
+            for lease in self.borrowed
+            if lease.until >= now + work_s
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class SlotHold:
+    """Prove that a slot was taken; it is given back exactly once.
+
+    :param lease: the borrowed lease it belongs to, or nothing for an own slot.
+    :param taken_at: seconds.
+    """
+
+    server: str
+    lease: SlotLease | None
+    taken_at: float
+
+
+@dataclass
+class SlotTable:
+    """Own this host's slots. The caller holds the dispatcher's lock.
+
+    :param own_until: when this host's shares end unless they are confirmed again.
+    :param longest_s: the longest time that one request may hold a slot, in seconds.
+    """
+
+    longest_s: float
+    own_until: float = float("-inf")
+    servers: dict[str, ServerSlots] = field(default_factory=dict)
+    _leases: count = field(default_factory=lambda: count(1))
+
+    def set_share(self, server: str, pool: str, own: int) -> None:
+        """Change how many slots of a server this host owns."""
+        entry = self.servers.get(server)
+        if entry is None and own == 0:
+            return
+        if entry is None:
+            entry = self.servers[server] = ServerSlots(server, pool)
+        entry.pool = pool
+        entry.own = own
+
+    def keep_only(self, servers: Iterable[str]) -> None:
+        """Drop servers that no longer exist, once nothing of theirs is in use."""
+        names = set(servers)
+        for name, entry in list(self.servers.items()):
+            if name not in names:
+                entry.own = 0
+            unused = entry.own == 0 and entry.in_use == 0
+            if unused and not entry.borrowed and not entry.lent:
+                del self.servers[name]
+
+    def free(self, server: str, now: float, work_s: float) -> int:
+        """Return how many slots of a server can be filled for ``work_s`` seconds."""
+        entry = self.servers.get(server)
+        if entry is None:
+            return 0
+        own = entry.free_own(now) if now < self.own_until else 0
+        return own + entry.free_borrowed(now, work_s)
+
+    def take(self, server: str, now: float, work_s: float) -> SlotHold | None:
+        """Fill a slot, an own one first.
+
+        :returns: the hold, or nothing when none is free.
+        """
+        entry = self.servers.get(server)
+        if entry is None:
+            return None
+        if now < self.own_until and entry.free_own(now) > 0:
+            entry.own_in_use += 1
+            return SlotHold(server, None, now)
+        for lease in entry.borrowed:
+            if lease.until >= now + work_s and lease.in_use < lease.slots:
+                lease.in_use += 1
+                return SlotHold(server, lease, now)
+        return None
+
+    def give_back(self, hold: SlotHold, now: float) -> None:
+        """Empty a slot that was filled."""
+        entry = self.servers[hold.server]
+        if hold.lease is None:
+            entry.own_in_use -= 1
+            return
+        hold.lease.in_use -= 1
+        if hold.lease.in_use == 0:
+            hold.lease.idle_since = now
+
+    def lend(
+        self, peer: str, pool: str, wanted: int, keep: int, now: float
+    ) -> list[SlotLease]:
+        """Debit idle slots of a pool for a peer.
+
+        The loan ends no later than work that this host could start itself would.
+
+        :param keep: idle slots of the pool that stay here.
+        """
+        if now >= self.own_until:
+            return []
+        idle = [
+            (entry.free_own(now), entry)
+            for entry in self.servers.values()
+            if entry.pool == pool and entry.free_own(now) > 0
+        ]
+        left = min(wanted, sum(free for free, _ in idle) - keep)
+        granted = []
+        for free, entry in sorted(idle, key=lambda item: -item[0]):
+            if left <= 0:
+                break
+            slots = min(free, left)
+            lease = SlotLease(
+                f"{entry.server}#{next(self._leases)}",
+                peer,
+                slots,
+                now + self.longest_s,
+            )
+            entry.lent.append(lease)
+            granted.append(lease)
+            left -= slots
+        return granted
+
+    def borrow(self, server: str, pool: str, lease: SlotLease) -> None:
+        """Add slots that a peer lent."""
+        entry = self.servers.get(server)
+        if entry is None:
+            entry = self.servers[server] = ServerSlots(server, pool)
+        entry.borrowed.append(lease)
+
+    def take_back(self, peer: str, leases: Iterable[str]) -> None:
+        """End loans that a peer returned."""
+        names = set(leases)
+        for entry in self.servers.values():
+            entry.lent = [
+                held
+                for held in entry.lent
+                if held.peer != peer or held.lease not in names
+            ]
+
+    def collect_returns(self, idle_s: float, now: float) -> dict[str, list[str]]:
+        """Drop borrowed leases that nothing uses and say whom they go back to.
+
+        :param idle_s: seconds without use after which a lease is returned.
+        :returns: leases by the lender's identity.
+        """
+        returned: dict[str, list[str]] = {}
+        for entry in self.servers.values():
+            kept = []
+            for lease in entry.borrowed:
+                if lease.in_use > 0 or now - lease.idle_since < idle_s:
+                    kept.append(lease)
+                else:
+                    returned.setdefault(lease.peer, []).append(lease.lease)
+            entry.borrowed = kept
+        return returned
+
+    def expire(self, now: float) -> None:
+        """Forget loans whose time is over."""
+        for entry in self.servers.values():
+            entry.lent = [lease for lease in entry.lent if lease.until > now]
+            entry.borrowed = [
+                lease
+                for lease in entry.borrowed
+                if lease.until > now or lease.in_use > 0
+            ]
+
+    def lent(self, now: float) -> bool:
+        """Tell whether any slot is lent to a peer."""
+        return any(entry.lent_slots(now) for entry in self.servers.values())
+
+    def overfull(self, now: float) -> bool:
+        """Tell whether more own slots are filled or lent than this host owns."""
+        return any(
+            entry.own_in_use + entry.lent_slots(now) > entry.own
+            for entry in self.servers.values()
+        )
--- /dev/null
+++ b/damasktally/events/catalogue.py
@@ -0,0 +1,89 @@
+"""Number every event that a host logs."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Describe one kind of event.
+
+    :param number: stable, never used again for another event.
+    :param name: a short name.
+    :param meaning: what happened.
+    :param action: what an operator does about it.
+    """
+
+    number: int
+    name: str
+    meaning: str
+    action: str
+
+
+HOST_STARTED = Event(100, "host-started", "The process serves.", "None.")
+HOST_LEAVING = Event(101, "host-leaving", "A planned stop began.", "None.")
+HOST_STOPPED = Event(
+    102,
+    "host-stopped",
+    "The process ended; the fields tell whether requests were cut.",
+    "If requests were cut, raise [forwarding] stop_wait_s.",
+)
+VIEW_CHANGED = Event(200, "view-changed", "A newer configuration is in force.", "None.")
+OBJECT_INVALID = Event(
+    201,
+    "object-invalid",
+    "A stored object does not validate; its last valid version stays in force.",
+    "Correct the object that the message names.",
+)
+ISOLATION_CHANGED = Event(
+    300,
+    "isolation-changed",
+    "What this host knows of the platform changed.",
+    "When it is 'isolated', mend the network to the platform's region.",
+)
+ROSTER_JOINED = Event(
+    400, "roster-joined", "This host was added to the roster.", "None."
+)
+ROSTER_REMOVED = Event(
+    401,
+    "roster-removed",
+    "This host removed members that a majority has not heard.",
+    "Check the hosts that are named.",
+)
+ROSTER_CHANGED = Event(
+    402, "roster-changed", "A new generation of the roster is known.", "None."
+)
+FENCED = Event(
+    403,
+    "fenced",
+    "This host's membership is not confirmed; it spends only what it borrowed.",
+    "Check the network to the platform and to the other hosts.",
+)
+UNFENCED = Event(404, "unfenced", "This host's membership is confirmed.", "None.")
+REJOINING = Event(
+    405,
+    "rejoining",
+    "This host was removed and joins as a new incarnation.",
+    "Check whether the process was paused.",
+)
+SERVER_EJECTED = Event(
+    500,
+    "server-ejected",
+    "A backend server failed repeatedly and gets no work for a while.",
+    "Check the server.",
+)
+AUDIT_GAP = Event(
+    600,
+    "audit-write-failed",
+    "An audit record could not be written yet; it is tried again.",
+    "None, unless it lasts: then check the platform.",
+)
+ACTOR_FAILED = Event(
+    900,
+    "actor-failed",
+    "A part of the host raised an error and went on.",
+    "Report it with the traceback.",
+)
+
+CATALOGUE = tuple(
+    value for value in list(globals().values()) if isinstance(value, Event)
+)
--- /dev/null
+++ b/damasktally/forwarding/caller_port.py
@@ -0,0 +1,294 @@
+"""Listen for callers: cheroot's server with a strict reader and streamed bodies."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from threading import Thread
+from uuid import uuid4
+
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+
+from damasktally.admission.keys import find_secret
+from damasktally.clock import Clock
+from damasktally.forwarding.attempt import TIMEOUT_HEADER, CallerRequest
+from damasktally.forwarding.exceptions import UpstreamError
+from damasktally.forwarding.messages import (
+    BodyBroken,
+    RequestBody,
+    StrictHeaderReader,
+    check_target,
+)
+from damasktally.forwarding.refusals import (
+    BAD_REQUEST,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+    Refusal,
+)
+
+MAX_HEAD_BYTES = 32_768
+HEAD_TIMEOUT_S = 10
+LONGEST_DEADLINE_S = 60.0
+SERVER_NAME = "damasktally"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+MAX_DRAINED_BYTES = 65_536
+"""Rest of a refused request's body that is read to keep the connection open."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerPortHooks:
+    """Say what the port does with requests.
+
+    :param handle: carries a request; see :class:`Forwarder`.
+    :param lookup: answers a look-up with a body and its life in seconds.
+    :param region_of: returns the region of a caller's address, or nothing.
+    :param closing: tells whether connections are to be closed after their answer.
+    """
+
+    handle: Callable[[CallerRequest, "GatewaySink"], Refusal | None]
+    lookup: Callable[[CallerRequest], tuple[bytes, int]]
+    region_of: Callable[[str], str]
+    closing: Callable[[], bool]
+    clock: Clock
+
+
+class GuardedRequest(HTTPRequest):
+    """Read a request with the strict reader, and leave its body unread."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self.header_reader = StrictHeaderReader()
+        self.body: RequestBody | None = None
+
+    def respond(self) -> None:
+        """Hand the request to the gateway."""
+        self.body = self._new_body()
+        self.rfile = self.conn.rfile
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuse a request that could not be read."""
+        self.close_connection = True
+        self.outheaders = [
+            (OUTCOME_HEADER.encode(), b"not-run"),
+            (REASON_HEADER.encode(), BAD_REQUEST.word.encode()),
+            (b"Content-Type", b"text/plain"),
+            (b"Content-Length", str(len(msg)).encode()),
+            (b"Connection", b"close"),
+        ]
+        head = [f"HTTP/1.1 {status}".encode()]
+        head += [name + b": " + value for name, value in self.outheaders]
+        try:
+            self.conn.wfile.write(b"\r\n".join(head) + b"\r\n\r\n" + msg.encode())
+        except OSError:
+            return
+
+    def _new_body(self) -> RequestBody:
+        expects = self.header_reader.expects_continue
+        before = self._send_continue if expects else None
+        if self.chunked_read:
+            return RequestBody(self.conn.rfile, None, before)
+        length = int(self.inheaders.get(b"Content-Length", 0))
+        return RequestBody(self.conn.rfile, length, before)
+
+    def _send_continue(self) -> None:
+        self.conn.wfile.write(CONTINUE)
+
+
+class GuardedConnection(HTTPConnection):
+    """Make requests of the guarded class."""
+
+    RequestHandlerClass = GuardedRequest
+
+
+class CallerServer(HTTPServer):
+    """Serve callers."""
+
+    ConnectionClass = GuardedConnection
+    protocol = "HTTP/1.1"
+    keep_alive_conn_limit = None
+    max_request_header_size = MAX_HEAD_BYTES
+    timeout = HEAD_TIMEOUT_S
+    expiration_interval = 0.5
+    shutdown_timeout = 5
+
+
+class GatewaySink:
+    """Write an answer through cheroot.
+
+    :param req: cheroot's request.
+    """
+
+    def __init__(self, req: GuardedRequest, request_id: str, closing: bool) -> None:
+        self._req = req
+        self._request_id = request_id
+        self._closing = closing
+        self._silent = req.method == b"HEAD"
+
+    @property
+    def started(self) -> bool:
+        """Tell whether the head was written."""
+        return self._req.sent_headers
+
+    def start(
+        self, status: str, headers: list[tuple[str, str]], length: int | None
+    ) -> None:
+        """Write status and headers."""
+        req = self._req
+        req.status = status.encode("latin-1", "replace")
+        out = [
+            (name.encode("latin-1", "replace"), value.encode("latin-1", "replace"))
+            for name, value in headers
+            if name.lower() != REQUEST_ID_HEADER.lower()
+        ]
+        out.append((REQUEST_ID_HEADER.encode(), self._request_id.encode()))
+        if length is not None:
+            out.append((b"Content-Length", str(length).encode()))
+        req.outheaders = out
+        if self._closing or not req.body.finished:
+            req.close_connection = True
+        req.ensure_headers_sent()
+
+    def write(self, data: bytes) -> None:
+        """Write bytes of the body."""
+        if data and not self._silent:
+            self._req.write(data)
+
+
+class CallerGateway(Gateway):
+    """Turn cheroot's request into ours and carry it."""
+
+    hooks: CallerPortHooks
+
+    def respond(self) -> None:
+        """Answer one request.
+
+        :raises ConnectionAbortedError: when an answer broke halfway, so that the
+            caller sees a cut connection instead of a whole answer.
+        """
+        request_id = uuid4().hex
+        sink = GatewaySink(self.req, request_id, self.hooks.closing())
+        try:
+            req = self._request(request_id)
+        except ValueError:
+            self._refuse(sink, Refusal(BAD_REQUEST), request_id)
+            return
+        if req.path == b"/v1/lookup":
+            self._lookup(req, sink)
+            return
+        try:
+            refusal = self.hooks.handle(req, sink)
+        except (UpstreamError, BodyBroken) as exc:
+            raise ConnectionAbortedError(exc.message) from exc
+        if refusal is not None:
+            self._refuse(sink, refusal, request_id)
+
+    def _request(self, request_id: str) -> CallerRequest:
+        raw = self.req
+        now = self.hooks.clock()
+        fields = raw.header_reader.fields
+        address = raw.conn.remote_addr or ""
+        return CallerRequest(
+            request_id=request_id,
+            method=raw.method.decode("ascii"),
+            target=raw.uri.decode("ascii"),
+            path=check_target(raw.uri),
+            headers=fields,
+            body=raw.body,
+            sock=raw.conn.socket,
+            region=self.hooks.region_of(address),
+            received_at=now,
+            deadline=now + _asked_timeout(fields),
+            secret=find_secret(fields),
+        )
+
+    def _lookup(self, req: CallerRequest, sink: GatewaySink) -> None:
+        body, lifetime_s = self.hooks.lookup(req)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Cache-Control", f"private, max-age={lifetime_s}"),
+        ]
+        sink.start("200 OK", headers, len(body))
+        sink.write(body)
+
+    def _refuse(self, sink: GatewaySink, refusal: Refusal, request_id: str) -> None:
+        reason = refusal.reason
+        headers = [
+            ("Content-Type", "application/json"),
+            (OUTCOME_HEADER, reason.outcome.value),
+            (REASON_HEADER, reason.word),
+        ]
+        wait_s = refusal.retry_after()
+        if wait_s is not None:
+            headers.append(("Retry-After", str(wait_s)))
+        if reason.status.startswith("401"):
+            headers.append(("WWW-Authenticate", "Bearer"))
+        if reason is BAD_REQUEST:
+            self.req.close_connection = True
+        else:
+            self._drain_small_body()
+        body = refusal.body(request_id)
+        sink.start(reason.status, headers, len(body))
+        sink.write(body)
+
+    def _drain_small_body(self) -> None:
+        """Read the rest of a small body, so that the connection can stay open."""
+        body = self.req.body
+        if body.chunked or body.finished or self.req.header_reader.expects_continue:
+            return
+        if body.length > MAX_DRAINED_BYTES:
+            return
+        try:
+            while body.read(MAX_DRAINED_BYTES):
+                pass
+        except BodyBroken:
+            self.req.close_connection = True
+
+
+class CallerPort:
+    """Bind, serve and close the callers' port.
+
+    :param address: host and port.
+    :param threads: requests that are carried at once.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], threads: int, hooks: CallerPortHooks
+    ) -> None:
+        gateway = type("BoundGateway", (CallerGateway,), {"hooks": hooks})
+        self._server = CallerServer(
+            address, gateway, minthreads=threads, server_name=SERVER_NAME
+        )
+        self._server.request_queue_size = 512
+
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        return self._server.bind_addr[1]
+
+    def start(self) -> None:
+        """Bind and serve in a thread."""
+        self._server.prepare()
+        self._server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        Thread(target=self._server.serve, name="caller-port", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop listening and close every connection."""
+        self._server.stop()
+
+
+def _asked_timeout(fields: list[tuple[str, str]]) -> float:
+    """Return the seconds that the caller allows, capped.
+
+    :raises ValueError: when the header is not a positive whole number.
+    """
+    for name, value in fields:
+        if name == TIMEOUT_HEADER.lower():
+            if not value.isdigit() or int(value) == 0:
+                raise ValueError("The timeout is not a positive number.")
+            return min(LONGEST_DEADLINE_S, int(value) / 1000)
+    return LONGEST_DEADLINE_S
--- /dev/null
+++ b/damasktally/forwarding/forwarder.py
@@ -0,0 +1,433 @@
+"""Decide and carry one request, from its head to its answer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from damasktally.admission import Admission, authenticate
+from damasktally.clock import Clock
+from damasktally.forwarding.attempt import AnswerSink, Attempt, CallerRequest
+from damasktally.forwarding.claims import MAX_KEY_CHARS, Claims, ClaimState
+from damasktally.forwarding.exceptions import (
+    AnswerLate,
+    CallerGone,
+    LinkBusy,
+    NotSent,
+    UpstreamError,
+)
+from damasktally.forwarding.explain import AttemptRecord, ExplainRing, RequestRecord
+from damasktally.forwarding.messages import BodyBroken
+from damasktally.forwarding.refusals import (
+    BAD_REQUEST,
+    BODY_CUT,
+    CALLER_GONE,
+    CLAIM_UNAVAILABLE,
+    CLAIMED,
+    CONNECT_FAILED,
+    DEADLINE,
+    ISOLATED,
+    LINK_FULL,
+    NO_ROUTE,
+    OVER_RATE,
+    REASON_OF_WORD,
+    SERVER_FAILED,
+    SERVER_TIMEOUT,
+    SHED,
+    TOO_MANY_IN_FLIGHT,
+    Reason,
+    Refusal,
+)
+from damasktally.forwarding.retry import RetryBudget
+from damasktally.forwarding.upstream import Connection, ConnectionPool
+from damasktally.platform import StoredObject
+from damasktally.resources.kinds import BackendServer, Customer, Pool, Route
+from damasktally.resources.view import View
+from damasktally.steering.dispatcher import Dispatcher, NoSlot, Waiter
+from damasktally.steering.pacer import Pacer, crossings
+
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
+MAX_ATTEMPTS = 3
+SHED_STATUS = 503
+LONGEST_GAP_S = 2.0
+"""Seconds between taking a slot and sending, connecting included."""
+IDEMPOTENCY_HEADER = "idempotency-key"
+ANYONE = ""
+"""The customer of requests on routes that are open to all."""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold what was decided before a server is chosen.
+
+    :param repeatable: whether the request may be sent more than once.
+    :param claim: the reserved idempotency key, if there is one.
+    """
+
+    route: Route
+    weight: float
+    repeatable: bool
+    claim: StoredObject | None = None
+
+
+@dataclass
+class Forwarder:
+    """Carry requests over what the other parts of a host own.
+
+    :param host: this host's name.
+    :param region: this host's region.
+    :param view: returns the view in force.
+    :param may_serve_keyed: tells whether withdrawn keys are known in time.
+    """
+
+    host: str
+    region: str
+    clock: Clock
+    view: Callable[[], View]
+    may_serve_keyed: Callable[[], bool]
+    admission: Admission
+    dispatcher: Dispatcher
+    pacer: Pacer
+    connections: ConnectionPool
+    claims: Claims
+    retries: RetryBudget
+    ring: ExplainRing
+    observe: Callable[[RequestRecord, float], None] = lambda record, now: None
+
+    def handle(self, req: CallerRequest, sink: AnswerSink) -> Refusal | None:
+        """Carry a request.
+
+        :returns: the refusal to send, or nothing when an answer was passed on.
+        :raises UpstreamError: when the answer broke after its head was written; the
+            caller's connection must be closed then.
+        """
+        record = RequestRecord(req.request_id, req.method)
+        try:
+            refusal = self._handle(req, sink, record)
+            record.outcome = refusal.reason.word if refusal else "answered"
+            return refusal
+        except UpstreamError as exc:
+            record.outcome = type(exc).__name__
+            raise
+        finally:
+            record.seconds = self.clock() - req.received_at
+            self.ring.add(record)
+            self.observe(record, self.clock())
+
+    def _handle(
+        self, req: CallerRequest, sink: AnswerSink, record: RequestRecord
+    ) -> Refusal | None:
+        view = self.view()
+        found = find_route(view, req.path)
+        if found is None:
+            return Refusal(NO_ROUTE)
+        record.route, route = found
+        req.deadline = min(req.deadline, req.received_at + route.timeout_ms / 1000)
+        if route.open:
+            return self._run(
+                req, sink, record, Plan(route, 1.0, _repeatable(req, route))
+            )
+        checked = self._check_key(view, req, record)
+        if isinstance(checked, Err):
+            return checked.err_value
+        customer = checked.ok_value
+        if isinstance(self.admission.enter(req.customer), Err):
+            return Refusal(TOO_MANY_IN_FLIGHT, 1.0)
+        try:
+            return self._run_keyed(req, sink, record, route, customer)
+        finally:
+            self.admission.leave(req.customer)
+
+    def _check_key(
+        self, view: View, req: CallerRequest, record: RequestRecord
+    ) -> Result[Customer, Refusal]:
+        if not self.may_serve_keyed():
+            return Err(Refusal(ISOLATED, 1.0))
+        named = authenticate(view, req.secret)
+        if isinstance(named, Err):
+            record.key = named.err_value.reason
+            return Err(Refusal(REASON_OF_WORD[record.key]))
+        record.key = "accepted"
+        record.customer = req.customer = named.ok_value
+        if req.secret in req.target:
+            return Err(Refusal(BAD_REQUEST))
+        return Ok(view.customers[req.customer])
+
+    def _run_keyed(
+        self,
+        req: CallerRequest,
+        sink: AnswerSink,
+        record: RequestRecord,
+        route: Route,
+        customer: Customer,
+    ) -> Refusal | None:
+        wait_s = self.view().policy(route.policy).max_wait_ms / 1000
+        wait_s = min(wait_s, req.deadline - self.clock())
+        admitted = self.admission.admit(req.customer, wait_s)
+        if isinstance(admitted, Err):
+            record.tokens = "short"
+            return Refusal(OVER_RATE, admitted.err_value.retry_after_s)
+        record.tokens = "taken"
+        claimed = self._reserve(req, route)
+        if isinstance(claimed, Err):
+            return claimed.err_value
+        repeatable = _repeatable(req, route)
+        plan = Plan(route, customer.weight, repeatable, claimed.ok_value)
+        refusal = self._run(req, sink, record, plan)
+        if plan.claim is not None and refusal is not None:
+            self._release_if_not_run(plan.claim, refusal.reason)
+        return refusal
+
+    def _reserve(
+        self, req: CallerRequest, route: Route
+    ) -> Result[StoredObject | None, Refusal]:
+        key = req.header(IDEMPOTENCY_HEADER)
+        if key is None or not route.claims or req.method in SAFE_METHODS:
+            return Ok(None)
+        if not key or len(key) > MAX_KEY_CHARS:
+            return Err(Refusal(BAD_REQUEST))
+        state, claim = self.claims.reserve(req.customer, key)
+        if state is ClaimState.TAKEN:
+            return Err(Refusal(CLAIMED))
+        if state is ClaimState.UNAVAILABLE:
+            return Err(Refusal(CLAIM_UNAVAILABLE, 1.0))
+        return Ok(claim)
+
+    def _release_if_not_run(self, claim: StoredObject, reason: Reason) -> None:
+        if reason.outcome.value == "not-run":
+            self.claims.release(claim)
+
+    def _run(
+        self,
+        req: CallerRequest,
+        sink: AnswerSink,
+        record: RequestRecord,
+        plan: Plan,
+    ) -> Refusal | None:
+        self.retries.counted()
+        tried: set[str] = set()
+        refusal: Refusal | None = None
+        for number in range(MAX_ATTEMPTS):
+            if number and not self._may_try_again(req, plan, refusal):
+                return refusal
+            waiter = self._waiter(req, plan, frozenset(tried))
+            hold = self._acquire(req, plan, waiter, record)
+            if isinstance(hold, NoSlot):
+                return refusal or _no_slot(hold)
+            refusal = self._attempt(req, sink, record, plan, waiter)
+            if refusal is None:
+                return None
+            tried.add(hold.server)
+        return refusal
+
+    def _may_try_again(self, req: CallerRequest, plan: Plan, refusal: Refusal) -> bool:
+        if req.body.started or refusal.reason in (CALLER_GONE, BODY_CUT):
+            return False
+        harmless = plan.repeatable or refusal.reason.outcome.value == "not-run"
+        return harmless and self.clock() < req.deadline and self.retries.spend()
+
+    def _waiter(self, req: CallerRequest, plan: Plan, avoid: frozenset[str]) -> Waiter:
+        return Waiter(
+            customer=req.customer or ANYONE,
+            weight=plan.weight,
+            work_s=max(0.0, req.deadline - self.clock()),
+            policy=self.view().policy(plan.route.policy),
+            avoid=avoid,
+        )
+
+    def _acquire(
+        self, req: CallerRequest, plan: Plan, waiter: Waiter, record: RequestRecord
+    ):
+        started = self.clock()
+        pool = self.view().pools.get(plan.route.pool, Pool())
+        wait_s = min(waiter.policy.max_wait_ms / 1000, req.deadline - started)
+        hold = self.dispatcher.acquire(
+            plan.route.pool, waiter, max(0.0, wait_s), pool.max_queue
+        )
+        record.waited_s += self.clock() - started
+        return hold
+
+    def _attempt(
+        self,
+        req: CallerRequest,
+        sink: AnswerSink,
+        record: RequestRecord,
+        plan: Plan,
+        waiter: Waiter,
+    ) -> Refusal | None:
+        """Send a request to the server whose slot it holds.
+
+        :returns: nothing when the answer was passed on, or why it was not.
+        """
+        name = waiter.hold.server
+        entry = AttemptRecord(name, reused_connection=False)
+        record.attempts.append(entry)
+        started = self.clock()
+        released = _Once(lambda: self.dispatcher.release(plan.route.pool, waiter))
+        try:
+            refusal = self._exchange(
+                req, sink, plan, name, entry, record, waiter, released
+            )
+            entry.result = refusal.reason.word if refusal else entry.result
+            return refusal
+        finally:
+            entry.seconds = self.clock() - started
+            released.run()
+
+    def _exchange(
+        self,
+        req: CallerRequest,
+        sink: AnswerSink,
+        plan: Plan,
+        name: str,
+        entry: AttemptRecord,
+        record: RequestRecord,
+        waiter: Waiter,
+        released: "_Once",
+    ) -> Refusal | None:
+        server = self.view().servers.get(name)
+        if server is None:
+            return Refusal(CONNECT_FAILED, 1.0)
+        pool = plan.route.pool
+        try:
+            conn = self._connect(name, server, plan, bool(len(record.attempts) > 1))
+        except NotSent:
+            self.dispatcher.eject_if_spare(pool, name)
+            return Refusal(CONNECT_FAILED, 1.0)
+        entry.reused_connection = conn.reused
+        attempt = self._new_attempt(req, conn, server, released)
+        if not self._still_allowed(req, waiter):
+            self.connections.give_back(conn)
+            return Refusal(DEADLINE, 1.0)
+        clean = False
+        try:
+            resp = attempt.send()
+            if self._was_shed(plan, attempt):
+                return Refusal(SHED, 1.0)
+            attempt.relay(resp, sink)
+            clean = resp.headers.get("connection", "").lower() != "close"
+            clean = clean and req.body.finished
+            self._note_success(name, attempt)
+            entry.result = str(attempt.status)
+            return None
+        except (UpstreamError, BodyBroken) as exc:
+            self._note_failure(pool, name, conn, exc)
+            if sink.started:
+                raise
+            return _refusal_of(exc, attempt.sent)
+        finally:
+            record.bytes_in += attempt.bytes_in
+            record.bytes_out += attempt.bytes_out
+            if clean:
+                self.connections.give_back(conn)
+            else:
+                self.connections.discard(conn)
+
+    def _connect(
+        self, name: str, server: BackendServer, plan: Plan, is_retry: bool
+    ) -> Connection:
+        return self.connections.take(
+            name,
+            server.address,
+            proven=not plan.repeatable,
+            fresh=is_retry,
+            crossing=server.region != self.region,
+        )
+
+    def _new_attempt(
+        self,
+        req: CallerRequest,
+        conn: Connection,
+        server: BackendServer,
+        released: "_Once",
+    ) -> Attempt:
+        view = self.view()
+        caller_region = req.region or self.region
+        outward = crossings(view, caller_region, self.region)
+        outward += crossings(view, self.region, server.region)
+        homeward = crossings(view, server.region, self.region)
+        homeward += crossings(view, self.region, caller_region)
+        return Attempt(
+            req,
+            self.host,
+            conn,
+            self.pacer,
+            outward,
+            homeward,
+            self.clock,
+            on_answered=released.run,
+        )
+
+    def _still_allowed(self, req: CallerRequest, waiter: Waiter) -> bool:
+        """Check again what was checked before a wait or a pause of this process."""
+        now = self.clock()
+        if now >= req.deadline or now > waiter.hold.taken_at + LONGEST_GAP_S:
+            return False
+        if not req.customer:
+            return True
+        known = authenticate(self.view(), req.secret)
+        return self.may_serve_keyed() and isinstance(known, Ok)
+
+    def _was_shed(self, plan: Plan, attempt: Attempt) -> bool:
+        pool = self.view().pools.get(plan.route.pool)
+        shed = attempt.status == SHED_STATUS
+        return shed and pool is not None and pool.shed_is_not_run
+
+    def _note_success(self, name: str, attempt: Attempt) -> None:
+        with self.dispatcher.lock:
+            self.dispatcher.health.succeeded(name)
+            if attempt.load is not None:
+                self.dispatcher.health.reported(name, attempt.load)
+
+    def _note_failure(
+        self, pool: str, name: str, conn: Connection, exc: Exception
+    ) -> None:
+        # A connection that was reused may have gone silent on its own; only a new
+        # one says something about the server.
+        if conn.reused or isinstance(exc, CallerGone | BodyBroken | LinkBusy):
+            return
+        self.dispatcher.eject_if_spare(pool, name)
+
+
+class _Once:
+    """Run an action at the first call only."""
+
+    def __init__(self, action: Callable[[], None]) -> None:
+        self._action: Callable[[], None] | None = action
+
+    def run(self) -> None:
+        action, self._action = self._action, None
+        if action is not None:
+            action()
+
+
+def find_route(view: View, path: bytes) -> tuple[str, Route] | None:
+    """Return the route with the longest prefix of a path, and its name."""
+    text = path.decode("utf-8", "replace")
+    for name, route in view.routes:
+        prefix = route.prefix
+        if text == prefix or text.startswith(prefix.rstrip("/") + "/"):
+            return name, route
+    return None
+
+
+def _repeatable(req: CallerRequest, route: Route) -> bool:
+    methods = SAFE_METHODS if route.safe_methods_only else IDEMPOTENT_METHODS
+    return req.method in methods
+
+
+def _no_slot(hold: NoSlot) -> Refusal:
+    return Refusal(REASON_OF_WORD[hold.reason], hold.retry_after_s)
+
+
+def _refusal_of(exc: Exception, sent: bool) -> Refusal:
+    if isinstance(exc, LinkBusy) and not sent:
+        return Refusal(LINK_FULL, 1.0)
+    if isinstance(exc, CallerGone):
+        return Refusal(CALLER_GONE)
+    if isinstance(exc, BodyBroken):
+        return Refusal(BODY_CUT)
+    if isinstance(exc, AnswerLate):
+        return Refusal(SERVER_TIMEOUT)
+    return Refusal(SERVER_FAILED)
--- /dev/null
+++ b/damasktally/forwarding/upstream.py
@@ -0,0 +1,300 @@
+"""Hold connections to backend servers, and never reuse one that may be confused."""
+
+import socket
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from select import POLLIN, poll
+from threading import Lock
+
+from urllib3 import HTTPHeaderDict
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
+
+from damasktally.clock import Clock
+from damasktally.forwarding.exceptions import (
+    AnswerLate,
+    AnswerLost,
+    CallerGone,
+    NotSent,
+)
+
+MAX_IDLE_S = 20.0
+PROVEN_S = 1.0
+"""Seconds since its last answer for which a connection counts as alive."""
+CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_COUNT = 3
+USER_TIMEOUT_MS = 10_000
+RECEIVE_BUFFER_BYTES = 32_768
+"""Socket buffer of a connection that crosses regions: what may arrive unpaced."""
+
+_KEEPALIVE = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+]
+_CROSSING = [
+    *_KEEPALIVE,
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+]
+
+
+@dataclass(eq=False, slots=True)
+class Connection:
+    """Hold one connection to a server.
+
+    :param used_at: when its last answer ended, in seconds.
+    :param reused: whether it carried a request before.
+    """
+
+    server: str
+    http: HTTPConnection
+    sock: socket.socket
+    used_at: float
+    reused: bool = False
+
+
+@dataclass
+class ConnectionPool:
+    """Open, keep and limit connections by server.
+
+    :param allowed: returns how many connections to a server this host may hold.
+    """
+
+    clock: Clock
+    allowed: Callable[[str], int]
+    _lock: Lock = field(default_factory=Lock)
+    _idle: dict[str, deque[Connection]] = field(default_factory=dict)
+    _open: dict[str, int] = field(default_factory=dict)
+
+    def take(
+        self, server: str, address: str, proven: bool, fresh: bool, crossing: bool
+    ) -> Connection:
+        """Return a connection that nothing else uses.
+
+        :param proven: take an idle one only if it answered within the last second.
+        :param fresh: never take an idle one.
+        :param crossing: whether the server is in another region.
+        :raises NotSent: when the server accepts no connection, or this host holds
+            its part of the connections already.
+        """
+        if not fresh:
+            conn = self._take_idle(server, PROVEN_S if proven else MAX_IDLE_S)
+            if conn is not None:
+                return conn
+        return self._connect(server, address, crossing)
+
+    def give_back(self, conn: Connection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        conn.used_at = self.clock()
+        conn.reused = True
+        with self._lock:
+            self._idle.setdefault(conn.server, deque()).append(conn)
+
+    def discard(self, conn: Connection) -> None:
+        """Close a connection for good."""
+        conn.http.close()
+        with self._lock:
+            self._count_closed(conn.server)
+
+    def close_idle(self, max_idle_s: float = MAX_IDLE_S) -> None:
+        """Close connections that were idle for too long."""
+        now = self.clock()
+        old = []
+        with self._lock:
+            for idle in self._idle.values():
+                while idle and now - idle[0].used_at >= max_idle_s:
+                    old.append(idle.popleft())
+        for conn in old:
+            self.discard(conn)
+
+    def open_connections(self) -> dict[str, int]:
+        """Return how many connections to each server are open."""
+        with self._lock:
+            return dict(self._open)
+
+    def _take_idle(self, server: str, max_idle_s: float) -> Connection | None:
+        while True:
+            with self._lock:
+                idle = self._idle.get(server)
+                if not idle:
+                    return None
+                conn = idle.pop()
+            young = self.clock() - conn.used_at < max_idle_s
+            # A connection that is readable while idle was closed, or holds bytes
+            # that belong to no request of ours.
+            if young and conn.http.is_connected:
+                return conn
+            self.discard(conn)
+
+    def _connect(self, server: str, address: str, crossing: bool) -> Connection:
+        allowed = self.allowed(server)
+        with self._lock:
+            if self._open.get(server, 0) >= allowed:
+                raise NotSent(
+                    f"This host holds its {allowed} connections to {server}.",
+                    "Retry on another server.",
+                )
+            self._open[server] = self._open.get(server, 0) + 1
+        host, port = address.rsplit(":", 1)
+        http = HTTPConnection(
+            host.strip("[]"),
+            int(port),
+            timeout=CONNECT_TIMEOUT_S,
+            socket_options=_CROSSING if crossing else _KEEPALIVE,
+        )
+        try:
+            http.connect()
+        except (OSError, HTTPError) as exc:
+            http.close()
+            with self._lock:
+                self._count_closed(server)
+            raise NotSent(
+                f"{server} accepted no connection: {type(exc).__name__}.",
+                "Check that the server is up and its address is right.",
+            ) from exc
+        return Connection(server, http, http.sock, self.clock())
+
+    def _count_closed(self, server: str) -> None:
+        left = self._open.get(server, 1) - 1
+        if left:
+            self._open[server] = left
+        else:
+            self._open.pop(server, None)
+
+
+def send_request(
+    conn: Connection,
+    method: str,
+    target: str,
+    headers: HTTPHeaderDict,
+    body: Iterator[bytes] | None,
+    chunked: bool,
+    timeout_s: float,
+) -> None:
+    """Send a request, its body as the iterator yields it.
+
+    :raises AnswerLate: when the server takes no more bytes before the timeout.
+    """
+    conn.http.timeout = timeout_s
+    try:
+        conn.http.request(
+            method,
+            target,
+            body=body,
+            headers=headers,
+            chunked=chunked,
+            preload_content=False,
+            decode_content=False,
+            enforce_content_length=True,
+        )
+    except TimeoutError as exc:
+        raise AnswerLate(
+            f"{conn.server} took no more of the request.", "Send it again later."
+        ) from exc
+    except (ConnectionError, HTTPError):
+        # The server may have answered before it read everything; the caller of this
+        # function finds out when it reads the answer.
+        return
+
+
+def await_answer(
+    conn: Connection, caller: socket.socket | None, deadline: float, clock: Clock
+) -> None:
+    """Wait until the server has begun to answer.
+
+    :param caller: the caller's socket; when it closes, the wait ends.
+    :param deadline: seconds on the same clock.
+    :raises AnswerLate: when the deadline passes.
+    :raises CallerGone: when the caller closes its connection.
+    """
+    waiter = poll()
+    upstream_fd = conn.sock.fileno()
+    waiter.register(upstream_fd, POLLIN)
+    caller_fd = caller.fileno() if caller is not None else -1
+    if caller_fd >= 0:
+        waiter.register(caller_fd, POLLIN)
+    while True:
+        left_s = deadline - clock()
+        if left_s <= 0:
+            raise AnswerLate(
+                f"{conn.server} did not answer in time.", "Allow more time."
+            )
+        ready = {fd for fd, _ in waiter.poll(left_s * 1000)}
+        if upstream_fd in ready:
+            return
+        if caller_fd in ready:
+            if _is_closed(caller):
+                raise CallerGone("The caller closed its connection.", "Send it again.")
+            # The caller sent its next request early; that is no reason to stop.
+            waiter.unregister(caller_fd)
+            caller_fd = -1
+
+
+def read_head(conn: Connection, deadline: float, clock: Clock) -> HTTPResponse:
+    """Read the status and headers of an answer.
+
+    :raises AnswerLate: when the deadline passes.
+    :raises AnswerLost: when the connection breaks or the answer is malformed.
+    """
+    _limit_reads(conn, deadline, clock)
+    try:
+        return conn.http.getresponse()
+    except TimeoutError as exc:
+        raise _late(conn) from exc
+    except Exception as exc:
+        # http.client raises several unrelated types for a malformed answer.
+        raise _lost(conn, exc) from exc
+
+
+def read_chunk(
+    conn: Connection, resp: HTTPResponse, size: int, deadline: float, clock: Clock
+) -> bytes:
+    """Read the next bytes of an answer, or nothing at its end.
+
+    :raises AnswerLate: when the deadline passes.
+    :raises AnswerLost: when the answer ends early.
+    """
+    _limit_reads(conn, deadline, clock)
+    try:
+        return resp.read1(size, decode_content=False)
+    except TimeoutError as exc:
+        raise _late(conn) from exc
+    except (OSError, HTTPError, ValueError) as exc:
+        if "timed out" in str(exc):
+            raise _late(conn) from exc
+        raise _lost(conn, exc) from exc
+
+
+def _limit_reads(conn: Connection, deadline: float, clock: Clock) -> None:
+    left_s = deadline - clock()
+    if left_s <= 0:
+        raise _late(conn)
+    conn.http.timeout = left_s
+    conn.sock.settimeout(left_s)
+
+
+def _is_closed(caller: socket.socket) -> bool:
+    try:
+        return caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def _late(conn: Connection) -> AnswerLate:
+    return AnswerLate(f"{conn.server}'s answer came too late.", "Allow more time.")
+
+
+def _lost(conn: Connection, exc: Exception) -> AnswerLost:
+    return AnswerLost(
+        f"{conn.server}'s answer was lost: {type(exc).__name__}.",
+        "Ask the service for the state before you repeat the request.",
+    )
--- /dev/null
+++ b/damasktally/host/fleet.py
@@ -0,0 +1,194 @@
+"""Hold what this host knows of the fleet: members, peers, promises and windows."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf
+from secrets import token_hex
+from threading import RLock
+
+from damasktally.clock import Clock
+from damasktally.escrow.generations import GenerationWindow
+from damasktally.escrow.lending import HintTable
+from damasktally.membership.confirmation import Confirmation, Vouching
+from damasktally.membership.roster import departures, past_views, roster_view
+from damasktally.peers.peer_pb2 import Endpoint
+from damasktally.resources.kinds import Member, Roster
+
+HEARD_S = 3.0
+"""Seconds after which a peer that was not heard is left out of look-ups."""
+INCARNATION_BYTES = 6
+
+
+def new_incarnation() -> str:
+    """Return a name for this run of the host that no other run had."""
+    return token_hex(INCARNATION_BYTES)
+
+
+@dataclass(slots=True)
+class Peer:
+    """Remember what a peer said last.
+
+    :param heard_at: when its last message arrived, in seconds.
+    :param witnessed_at: when it last found the store silent, on this host's clock.
+    """
+
+    endpoint: Endpoint
+    heard_at: float
+    revision: int = 0
+    generation: int = -1
+    witnessed_at: float = -inf
+
+
+@dataclass
+class Fleet:
+    """Own the membership state. Hold ``lock`` while calling.
+
+    :param own: this host's member entry; its incarnation changes when it rejoins.
+    :param hold_s: seconds for which a departed member may still spend rates.
+    :param slot_hold_s: the same for slots, which requests hold for longer.
+    """
+
+    own: Member
+    clock: Clock
+    hold_s: float
+    slot_hold_s: float
+    lock: RLock = field(default_factory=RLock)
+    peers: dict[str, Peer] = field(default_factory=dict)
+    hints: HintTable = field(default_factory=HintTable)
+    roster: Roster = field(default_factory=Roster)
+    rates_generation: int = -1
+    slots_generation: int = -1
+    rates: GenerationWindow = field(init=False)
+    slots: GenerationWindow = field(init=False)
+    confirmation: Confirmation = field(init=False)
+    vouching: Vouching = field(init=False)
+    leaving: bool = False
+
+    def __post_init__(self) -> None:
+        self.vouching = Vouching(self.clock(), self.hold_s)
+        self._start_incarnation()
+
+    @property
+    def identity(self) -> str:
+        """Return this host's incarnation."""
+        return self.own.identity
+
+    @property
+    def is_member(self) -> bool:
+        """Tell whether the newest roster names this incarnation."""
+        return any(member.identity == self.identity for member in self.roster.members)
+
+    def learn(self, roster: Roster) -> bool:
+        """Take over a roster that is not older than the one known.
+
+        :returns: whether it is a new generation.
+        """
+        if roster.generation < self.roster.generation or roster.generation == 0:
+            return False
+        is_new = roster.generation > self.roster.generation
+        self.roster = roster
+        view = roster_view(roster.generation, roster.members)
+        now = self.clock()
+        for window in (self.rates, self.slots):
+            window.learn(view, past_views(roster), departures(roster), now)
+        return is_new
+
+    def rejoin(self) -> None:
+        """Become a new incarnation, which owns nothing yet."""
+        self.own = self.own.model_copy(update={"incarnation": new_incarnation()})
+        self._start_incarnation()
+        self.learn(self.roster)
+
+    def heard(
+        self,
+        endpoint: Endpoint,
+        revision: int,
+        generation: int,
+        rates_generation: int,
+        slots_generation: int,
+    ) -> Peer:
+        """Record a message of a peer."""
+        identity = identity_of(endpoint)
+        peer = self.peers.get(identity)
+        if peer is None:
+            peer = self.peers[identity] = Peer(endpoint, self.clock())
+        peer.endpoint = endpoint
+        peer.heard_at = self.clock()
+        peer.revision = revision
+        peer.generation = generation
+        self.rates.acknowledge(identity, rates_generation)
+        self.slots.acknowledge(identity, slots_generation)
+        return peer
+
+    def confirmed_at(self) -> float:
+        """Return since when this host's place in the roster is confirmed."""
+        if not self.is_member:
+            return -inf
+        now = self.clock()
+        return self.confirmation.confirmed_at(self.rates.window(now), now)
+
+    def heard_endpoints(self) -> list[Endpoint]:
+        """Return the peers heard lately, the newest incarnation of each host."""
+        oldest = self.clock() - HEARD_S
+        newest: dict[str, Peer] = {}
+        for peer in self.peers.values():
+            held = newest.get(peer.endpoint.host)
+            if held is None or peer.heard_at > held.heard_at:
+                newest[peer.endpoint.host] = peer
+        return [p.endpoint for p in newest.values() if p.heard_at >= oldest]
+
+    def silent_since(self, store_region: str, own_witness_at: float) -> float:
+        """Return when a majority in the store's region found the store silent.
+
+        :param own_witness_at: when this host did, if it is in that region.
+        """
+        times = []
+        for member in self.roster.members:
+            if member.region != store_region:
+                continue
+            if member.identity == self.identity:
+                times.append(own_witness_at)
+            else:
+                peer = self.peers.get(member.identity)
+                times.append(peer.witnessed_at if peer else -inf)
+        if not times:
+            return -inf
+        times.sort(reverse=True)
+        return times[len(times) // 2]
+
+    def targets(self, seeds: Iterable[str]) -> dict[str, str]:
+        """Return the peers to send heartbeats to.
+
+        :returns: identities, empty when they are not known, by address.
+        """
+        found = {
+            member.peer: member.identity
+            for member in self.roster.members
+            if member.host != self.own.host
+        }
+        if not self.is_member:
+            for seed in seeds:
+                if seed != self.own.peer:
+                    found.setdefault(seed, "")
+        return found
+
+    def forget_gone(self, older_than_s: float) -> None:
+        """Drop peers that were not heard for long and are no members."""
+        members = {member.identity for member in self.roster.members}
+        oldest = self.clock() - older_than_s
+        for identity in list(self.peers):
+            if identity not in members and self.peers[identity].heard_at < oldest:
+                del self.peers[identity]
+                self.hints.forget(identity)
+
+    def _start_incarnation(self) -> None:
+        self.rates = GenerationWindow(self.identity, self.hold_s)
+        self.slots = GenerationWindow(self.identity, self.slot_hold_s)
+        self.confirmation = Confirmation(self.identity)
+        self.rates_generation = -1
+        self.slots_generation = -1
+
+
+def identity_of(endpoint: Endpoint) -> str:
+    """Return what tells a peer's incarnation from all others."""
+    return f"{endpoint.host}/{endpoint.incarnation}"
--- /dev/null
+++ b/damasktally/host/peer_handler.py
@@ -0,0 +1,132 @@
+"""Answer peers: confirm, vouch, lend, and relay changes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+
+from damasktally.escrow.ledger import Ledger
+from damasktally.escrow.lending import LimitAsk, answer_asks, spare_hints
+from damasktally.escrow.shares import RosterView
+from damasktally.host.fleet import Fleet, identity_of
+from damasktally.host.view_keeper import Published
+from damasktally.membership.freshness import Freshness
+from damasktally.peers.peer_pb2 import (
+    ChangesAnswer,
+    ChangesRequest,
+    Endpoint,
+    Grant,
+    Heartbeat,
+    HeartbeatAnswer,
+    SlotGrant,
+    Spare,
+)
+from damasktally.steering.dispatcher import Dispatcher
+
+
+@dataclass
+class HostPeerHandler:
+    """Answer peers from this host's parts.
+
+    :param endpoint: returns how this host describes itself.
+    :param witnessed_at: returns when this host last found the store silent.
+    """
+
+    fleet: Fleet
+    ledger: Ledger
+    dispatcher: Dispatcher
+    published: Published
+    freshness: Freshness
+    endpoint: Callable[[], Endpoint]
+    witnessed_at: Callable[[], float]
+
+    def exchange(self, heartbeat: Heartbeat) -> HeartbeatAnswer:
+        """Answer a heartbeat."""
+        identity = identity_of(heartbeat.sender)
+        answer = HeartbeatAnswer(sender=self.endpoint())
+        self._answer_membership(identity, heartbeat, answer)
+        self._answer_loans(identity, heartbeat, answer)
+        answer.revision = self.published.view.revision
+        answer.confirmed_age_s = self.freshness.confirmed_age()
+        answer.silent_age_s = self.freshness.silent_age()
+        answer.witness_age_s = self._witness_age()
+        return answer
+
+    def changes(self, request: ChangesRequest) -> ChangesAnswer:
+        """Return the changes after a revision."""
+        relayed = self.published.changes_after(request.after)
+        return ChangesAnswer(
+            revision=relayed.revision,
+            complete=relayed.complete,
+            events=[event.model_dump_json().encode() for event in relayed.events],
+            confirmed_age_s=self.freshness.confirmed_age(),
+        )
+
+    def _answer_membership(
+        self, identity: str, heartbeat: Heartbeat, answer: HeartbeatAnswer
+    ) -> None:
+        fleet = self.fleet
+        with fleet.lock:
+            now = fleet.clock()
+            fleet.heard(
+                heartbeat.sender,
+                heartbeat.revision,
+                heartbeat.generation,
+                heartbeat.rates_generation,
+                heartbeat.slots_generation,
+            )
+            answer.confirmed = fleet.vouching.confirm(identity, self._newest(), now)
+            answer.agreed_removals.extend(
+                vouch.identity
+                for vouch in heartbeat.removals
+                if fleet.vouching.vouch_against(vouch.identity, vouch.generation, now)
+            )
+            answer.generation = fleet.roster.generation
+            answer.rates_generation = fleet.rates_generation
+            answer.slots_generation = fleet.slots_generation
+
+    def _answer_loans(
+        self, identity: str, heartbeat: Heartbeat, answer: HeartbeatAnswer
+    ) -> None:
+        if self.fleet.leaving:
+            heartbeat.ClearField("asks")
+            heartbeat.ClearField("slot_asks")
+        asks = [LimitAsk(a.limit, a.rate, a.depth, a.tokens) for a in heartbeat.asks]
+        for grant in answer_asks(self.ledger, identity, asks):
+            answer.grants.append(
+                Grant(
+                    limit=grant.limit,
+                    rate=grant.rate,
+                    depth=grant.depth,
+                    tokens=grant.tokens,
+                    duration_s=grant.duration_s,
+                )
+            )
+        for hint in spare_hints(self.ledger):
+            answer.spares.append(
+                Spare(limit=hint.limit, rate=hint.rate, tokens=hint.tokens)
+            )
+        with self.dispatcher.lock:
+            self.dispatcher.slots.take_back(identity, heartbeat.returned_leases)
+            for ask in heartbeat.slot_asks:
+                self._lend_slots(identity, ask.pool, ask.slots, answer)
+
+    def _lend_slots(
+        self, identity: str, pool: str, wanted: int, answer: HeartbeatAnswer
+    ) -> None:
+        now = self.dispatcher.clock()
+        for server, lease in self.dispatcher.lend(identity, pool, wanted):
+            answer.slot_grants.append(
+                SlotGrant(
+                    server=server,
+                    slots=lease.slots,
+                    lease=lease.lease,
+                    duration_s=lease.until - now,
+                )
+            )
+
+    def _newest(self) -> RosterView | None:
+        return self.fleet.rates.current
+
+    def _witness_age(self) -> float:
+        at = self.witnessed_at()
+        return -1.0 if at == -inf else self.fleet.clock() - at
--- /dev/null
+++ b/damasktally/host/prober.py
@@ -0,0 +1,82 @@
+"""Probe the backend servers whose slots this host owns."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pykka import ThreadingActor
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from damasktally.events import emit
+from damasktally.events.catalogue import SERVER_EJECTED
+from damasktally.forwarding.attempt import LOAD_HEADER
+from damasktally.resources.kinds import Pool
+from damasktally.resources.view import View
+from damasktally.steering.dispatcher import Dispatcher
+
+PROBE_TIMEOUT_S = 1.0
+MAX_PROBED = 32
+"""Servers that one round probes; the next round goes on behind them."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeTick:
+    """Ask for a round of probes."""
+
+
+class Prober(ThreadingActor):
+    """Ask servers for their load, each over a new connection.
+
+    A good answer does not clear failures that requests met: health pages mislead.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, view: Callable[[], View]) -> None:
+        super().__init__()
+        self._dispatcher = dispatcher
+        self._view = view
+        self._next = 0
+        self._http = PoolManager(
+            retries=False, timeout=Timeout(PROBE_TIMEOUT_S), maxsize=1
+        )
+
+    def on_receive(self, message: object) -> None:
+        """Probe one round."""
+        with self._dispatcher.lock:
+            own = sorted(
+                name
+                for name, entry in self._dispatcher.slots.servers.items()
+                if entry.own > 0
+            )
+        for name in own[self._next : self._next + MAX_PROBED]:
+            self._probe(name)
+        self._next += MAX_PROBED
+        if self._next >= len(own):
+            self._next = 0
+
+    def _probe(self, name: str) -> None:
+        view = self._view()
+        server = view.servers.get(name)
+        if server is None or name in view.drained_servers:
+            return
+        path = view.pools.get(server.pool, Pool()).probe_path
+        headers = {"Connection": "close"}
+        try:
+            resp = self._http.request(
+                "GET", f"http://{server.address}{path}", headers=headers
+            )
+        except HTTPError:
+            if self._dispatcher.eject_if_spare(server.pool, name):
+                emit(SERVER_EJECTED, server=name)
+            return
+        load = _parse_load(resp.headers.get(LOAD_HEADER))
+        if load is not None:
+            with self._dispatcher.lock:
+                self._dispatcher.health.reported(name, load)
+
+
+def _parse_load(text: str | None) -> float | None:
+    try:
+        load = float(text) if text is not None else None
+    except ValueError:
+        return None
+    return load if load is not None and 0 <= load <= 1 else None
--- /dev/null
+++ b/damasktally/host/reporter.py
@@ -0,0 +1,143 @@
+"""Write this host's status and the fleet's audit trail to the platform."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from secrets import token_hex
+from time import time
+
+from pykka import ThreadingActor
+
+from damasktally.clock import Clock
+from damasktally.events import emit
+from damasktally.events.catalogue import AUDIT_GAP, ISOLATION_CHANGED
+from damasktally.host.fleet import Fleet
+from damasktally.host.view_keeper import Published
+from damasktally.membership.freshness import Freshness, Isolation
+from damasktally.platform import Conflict, ObjectStore, StoredObject, StoreError
+from damasktally.resources.audit import audit_object
+from damasktally.resources.kinds import OPERATOR_KINDS, HostStatus
+
+STATUS_GAP_S = 1.0
+STATUS_REFRESH_S = 30.0
+AUDIT_BATCH = 20
+
+
+@dataclass(frozen=True, slots=True)
+class ReportTick:
+    """Ask for what is due to be written."""
+
+
+@dataclass
+class ReporterParts:
+    """Name what the reporter works with."""
+
+    fleet: Fleet
+    store: ObjectStore
+    published: Published
+    freshness: Freshness
+    clock: Clock
+    is_keeper: Callable[[], bool]
+
+
+class Reporter(ThreadingActor):
+    """Write status when it changes, and audit records that are missing."""
+
+    def __init__(self, parts: ReporterParts) -> None:
+        super().__init__()
+        self._p = parts
+        self._reported: tuple[object, ...] = ()
+        self._reported_at = float("-inf")
+        self._revision = 0
+        self._audited: set[int] = set()
+        self._audit_listed = False
+        self._isolation: Isolation | None = None
+
+    def on_receive(self, message: object) -> None:
+        """Handle a tick."""
+        self._note_isolation()
+        if self._p.freshness.state() is not Isolation.CONNECTED:
+            return
+        self._report_status()
+        if self._p.is_keeper():
+            self._audit()
+
+    def _note_isolation(self) -> None:
+        state = self._p.freshness.state()
+        if state is not self._isolation:
+            emit(ISOLATION_CHANGED, state=state.value)
+            self._isolation = state
+
+    def _report_status(self) -> None:
+        view = self._p.published.view
+        now = self._p.clock()
+        current = (view.revision, self._isolation, self._p.fleet.roster.generation)
+        age = now - self._reported_at
+        due = current != self._reported and age >= STATUS_GAP_S
+        if not due and age < STATUS_REFRESH_S:
+            return
+        fleet = self._p.fleet
+        status = HostStatus(
+            host=fleet.own.host,
+            incarnation=fleet.own.incarnation,
+            region=fleet.own.region,
+            revision=view.revision,
+            since_unix_s=self._p.published.since,
+            isolation=self._isolation.value,
+            generation=fleet.roster.generation,
+            problems=view.problems(),
+        )
+        self._reported_at = now
+        obj = StoredObject(
+            kind="HostStatus",
+            name=fleet.own.host,
+            revision=self._revision,
+            nonce=token_hex(8),
+            author=f"host:{fleet.own.host}",
+            spec=status.model_dump(),
+        )
+        try:
+            self._revision = self._p.store.put(obj, "status").revision
+            self._reported = current
+        except Conflict:
+            self._find_revision()
+        except StoreError:
+            self._find_revision()
+
+    def _find_revision(self) -> None:
+        """Read the status back: an earlier run or a lost answer wrote it."""
+        try:
+            stored = self._p.store.get("HostStatus", self._p.fleet.own.host, "status")
+        except StoreError:
+            return
+        self._revision = stored.revision
+        self._reported_at = float("-inf")
+
+    def _audit(self) -> None:
+        """Record each change of an operator's object once, by its revision."""
+        view = self._p.published.view
+        missing = [
+            entry.stored
+            for kind in OPERATOR_KINDS
+            for entry in view.objects.get(kind, {}).values()
+            if entry.stored.revision not in self._audited
+        ]
+        try:
+            if missing and not self._audit_listed:
+                page = self._p.store.list_objects(["AuditRecord"], "audit")
+                self._audited |= {obj.spec["to_revision"] for obj in page.items}
+                self._audit_listed = True
+            for stored in missing[:AUDIT_BATCH]:
+                if stored.revision not in self._audited:
+                    self._record(stored)
+        except StoreError as exc:
+            emit(AUDIT_GAP, reason=exc.message)
+
+    def _record(self, stored: StoredObject) -> None:
+        record = audit_object(
+            stored, "write", 0, f"host:{self._p.fleet.own.host}", time()
+        )
+        try:
+            self._p.store.put(record, "audit")
+        except Conflict:
+            pass  # The command that made the change recorded it already.
+        self._audited.add(stored.revision)
--- /dev/null
+++ b/damasktally/host/view_keeper.py
@@ -0,0 +1,161 @@
+"""Own the view: apply changes from the store and from peers, and publish it."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from time import time
+
+from pykka import ThreadingActor
+
+from damasktally.clock import Clock
+from damasktally.events import emit
+from damasktally.events.catalogue import OBJECT_INVALID, VIEW_CHANGED
+from damasktally.membership.freshness import Freshness
+from damasktally.platform import ChangeEvent, ObjectPage, WatchPage
+from damasktally.resources.view import View
+
+RELAYED_EVENTS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class StoreListed:
+    """Bring a full list from the store.
+
+    :param sent_at: when it was asked for, in seconds.
+    """
+
+    page: ObjectPage
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChanged:
+    """Bring an answer to a watch, which may be empty."""
+
+    page: WatchPage
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerChanged:
+    """Bring changes that a peer relayed.
+
+    :param complete: whether the events are the peer's whole view.
+    :param revision: the peer's revision.
+    :param confirmed_at: up to when the peer's view was complete, in seconds on this
+        host's clock.
+    """
+
+    events: tuple[ChangeEvent, ...]
+    complete: bool
+    revision: int
+    confirmed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedChanges:
+    """Hold changes for a peer that is behind."""
+
+    revision: int
+    complete: bool
+    events: list[ChangeEvent]
+
+
+class Published:
+    """Hold the view in force; readers take the attribute once and keep it.
+
+    :param since: when this view came into force, in seconds since the epoch.
+    """
+
+    def __init__(self) -> None:
+        self.view = View()
+        self.since = time()
+        self._recent: deque[ChangeEvent] = deque(maxlen=RELAYED_EVENTS)
+        self._complete_after = 0
+
+    def publish(self, view: View, events: Iterable[ChangeEvent], gap: bool) -> None:
+        """Replace the view.
+
+        :param events: what led from the last view to this one.
+        :param gap: whether the events are not all that changed.
+        """
+        recent = deque(() if gap else self._recent, maxlen=RELAYED_EVENTS)
+        recent.extend(events)
+        if gap:
+            self._complete_after = view.revision
+        elif len(recent) == RELAYED_EVENTS:
+            self._complete_after = recent[0].object.revision
+        self._recent = recent
+        self.view = view
+        self.since = time()
+
+    def changes_after(self, revision: int) -> RelayedChanges:
+        """Return what a peer at a revision lacks."""
+        view = self.view
+        if revision >= self._complete_after:
+            events = [e for e in self._recent if e.object.revision > revision]
+            return RelayedChanges(view.revision, False, events)
+        events = [ChangeEvent(object=obj) for obj in view.stored_objects()]
+        return RelayedChanges(view.revision, True, events)
+
+
+class ViewKeeper(ThreadingActor):
+    """Apply changes in the order they arrive; older ones change nothing.
+
+    :param on_change: called with each new view, after it was published.
+    """
+
+    def __init__(
+        self,
+        published: Published,
+        freshness: Freshness,
+        clock: Clock,
+        on_change: Callable[[View], None],
+    ) -> None:
+        super().__init__()
+        self._published = published
+        self._freshness = freshness
+        self._clock = clock
+        self._on_change = on_change
+
+    def on_receive(self, message: object) -> None:
+        """Handle one of this module's messages."""
+        if isinstance(message, StoreListed):
+            self._replace(message.page)
+            self._freshness.confirmed(message.sent_at)
+        elif isinstance(message, StoreChanged):
+            self._apply(message.page.events)
+            self._freshness.confirmed(message.sent_at)
+        elif isinstance(message, PeerChanged):
+            self._relayed(message)
+
+    def _replace(self, page: ObjectPage) -> None:
+        before = self._published.view
+        after = before.replace(page.items, page.revision)
+        self._publish(before, after, (), gap=True)
+
+    def _apply(self, events: Iterable[ChangeEvent]) -> None:
+        before = self._published.view
+        self._publish(before, before.apply(events), events, gap=False)
+
+    def _relayed(self, message: PeerChanged) -> None:
+        before = self._published.view
+        if message.complete:
+            items = [event.object for event in message.events]
+            after = before.replace(items, message.revision)
+        else:
+            after = before.apply(message.events, message.revision)
+        self._publish(before, after, message.events, gap=message.complete)
+        if self._published.view.revision == message.revision:
+            self._freshness.confirmed(message.confirmed_at)
+
+    def _publish(
+        self, before: View, after: View, events: Iterable[ChangeEvent], gap: bool
+    ) -> None:
+        if after is before or after.revision == before.revision:
+            return
+        self._published.publish(after, events, gap)
+        emit(VIEW_CHANGED, revision=after.revision)
+        for problem in set(after.problems()) - set(before.problems()):
+            emit(OBJECT_INVALID, problem=problem)
+        self._on_change(after)
--- /dev/null
+++ b/damasktally/membership/roster.py
@@ -0,0 +1,80 @@
+"""Change the roster: pure functions from one generation to the next."""
+
+from collections.abc import Iterable, Sequence
+
+from damasktally.escrow.generations import Departure
+from damasktally.escrow.shares import RosterHost, RosterView
+from damasktally.resources.kinds import Departed, Member, PastRoster, Roster
+
+
+def joined(roster: Roster, member: Member) -> Roster:
+    """Return the next generation with a member in it.
+
+    An older incarnation of the same host leaves without having consented: its
+    process may be paused instead of dead.
+    """
+    if any(held.identity == member.identity for held in roster.members):
+        return roster
+    rest = [held for held in roster.members if held.host != member.host]
+    replaced = [held for held in roster.members if held.host == member.host]
+    return _next(roster, [*rest, member], replaced)
+
+
+def without(roster: Roster, identities: Iterable[str], consented: bool) -> Roster:
+    """Return the next generation with some incarnations left out.
+
+    :param consented: whether they stopped spending and finished their work first.
+    """
+    names = set(identities)
+    rest = [held for held in roster.members if held.identity not in names]
+    gone = [held for held in roster.members if held.identity in names]
+    if not gone:
+        return roster
+    return _next(roster, rest, [] if consented else gone)
+
+
+def settled(roster: Roster, oldest: int, departed: Sequence[str]) -> Roster:
+    """Return the same generation without the history that nobody can still use.
+
+    :param oldest: the oldest generation that may be in use.
+    :param departed: identities whose wait is not over.
+    """
+    kept = [past for past in roster.unsettled if past.generation >= oldest]
+    waiting = [gone for gone in roster.departed if gone.identity in set(departed)]
+    return roster.model_copy(update={"unsettled": kept, "departed": waiting})
+
+
+def roster_view(generation: int, members: Iterable[Member]) -> RosterView:
+    """Return what the share functions need of a generation."""
+    return RosterView(
+        generation,
+        tuple(
+            RosterHost(m.host, m.incarnation, m.region, m.data_centre) for m in members
+        ),
+    )
+
+
+def past_views(roster: Roster) -> list[RosterView]:
+    """Return the unsettled generations that a roster carries."""
+    return [roster_view(past.generation, past.members) for past in roster.unsettled]
+
+
+def departures(roster: Roster) -> list[Departure]:
+    """Return who was removed without consent."""
+    return [Departure(gone.identity, gone.last_generation) for gone in roster.departed]
+
+
+def _next(
+    roster: Roster, members: Sequence[Member], removed: Sequence[Member]
+) -> Roster:
+    past = PastRoster(generation=roster.generation, members=list(roster.members))
+    gone = [
+        Departed(identity=member.identity, last_generation=roster.generation)
+        for member in removed
+    ]
+    return Roster(
+        generation=roster.generation + 1,
+        members=sorted(members, key=lambda member: member.host),
+        unsettled=[*roster.unsettled, past],
+        departed=[*roster.departed, *gone],
+    )
--- /dev/null
+++ b/damasktally/metrics/registry.py
@@ -0,0 +1,74 @@
+"""Define every metric of a host; ``docs/ref/metrics.md`` lists them."""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from damasktally.forwarding.explain import RequestRecord
+
+LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
+MAX_CUSTOMER_LABELS = 200
+OTHER = "other"
+
+
+class HostMetrics:
+    """Hold a host's metrics in a registry of its own.
+
+    Customer labels are names, never keys, and there is an upper bound on them.
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._customers: set[str] = set()
+        self._requests = Counter(
+            "damasktally_requests",
+            "Requests by customer and outcome.",
+            ["customer", "outcome"],
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "damasktally_request_seconds",
+            "Seconds from a request's head to the end of its answer.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._waited = Histogram(
+            "damasktally_slot_wait_seconds",
+            "Seconds that requests waited for a slot.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._retries = Counter(
+            "damasktally_retries",
+            "Requests sent to another server.",
+            registry=self.registry,
+        )
+        self._lookups = Counter(
+            "damasktally_lookups", "Look-ups answered.", registry=self.registry
+        )
+
+    def observe(self, record: RequestRecord) -> None:
+        """Count a request that ended."""
+        customer = self._label(record.customer)
+        self._requests.labels(customer, record.outcome).inc()
+        self._seconds.observe(record.seconds)
+        self._waited.observe(record.waited_s)
+        if len(record.attempts) > 1:
+            self._retries.inc(len(record.attempts) - 1)
+
+    def looked_up(self) -> None:
+        """Count a look-up."""
+        self._lookups.inc()
+
+    def gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when it is scraped."""
+        gauge = Gauge(f"damasktally_{name}", meaning, registry=self.registry)
+        gauge.set_function(read)
+
+    def _label(self, customer: str) -> str:
+        if customer in self._customers:
+            return customer
+        if len(self._customers) < MAX_CUSTOMER_LABELS:
+            self._customers.add(customer)
+            return customer
+        return OTHER
--- /dev/null
+++ b/damasktally/platform/client.py
@@ -0,0 +1,144 @@
+"""Call the platform's object API over HTTP."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import quote
+
+from pydantic import ValidationError
+from urllib3 import BaseHTTPResponse, PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from damasktally.platform.api import ObjectPage, StoredObject, WatchPage
+from damasktally.platform.budget import CallBudget
+from damasktally.platform.exceptions import (
+    Conflict,
+    HistoryGone,
+    NotFound,
+    OutcomeUnknown,
+    StoreUnavailable,
+)
+
+Answer = TypeVar("Answer", ObjectPage, StoredObject, WatchPage)
+
+CONNECTIONS = 8
+STORE_REMEDY = "Check that the platform is up and [platform] url is right."
+
+
+class HttpStore:
+    """Reach the platform over HTTP.
+
+    :param url: base address of the object API.
+    :param timeout_s: seconds to wait for an answer, a watch's own wait left out.
+    :param budget: what limits and counts the calls.
+    """
+
+    def __init__(self, url: str, timeout_s: float, budget: CallBudget) -> None:
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._budget = budget
+        self._pool = PoolManager(maxsize=CONNECTIONS, retries=False)
+
+    def list_objects(self, kinds: Sequence[str], purpose: str) -> ObjectPage:
+        """Read all objects of some kinds."""
+        body = self._read(f"/v1/objects?kinds={','.join(kinds)}", purpose, 0.0)
+        return _parse(ObjectPage, body)
+
+    def get(self, kind: str, name: str, purpose: str) -> StoredObject:
+        """Read one object."""
+        return _parse(StoredObject, self._read(_path(kind, name), purpose, 0.0))
+
+    def put(self, obj: StoredObject, purpose: str) -> StoredObject:
+        """Write an object if its revision is unchanged."""
+        body = self._write(
+            "PUT", obj.kind, obj.name, purpose, obj.model_dump_json().encode(), {}
+        )
+        try:
+            return StoredObject.model_validate_json(body)
+        except ValidationError as exc:
+            raise _unknown(obj.kind, obj.name) from exc
+
+    def delete(self, kind: str, name: str, revision: int, purpose: str) -> None:
+        """Delete an object if its revision is unchanged."""
+        headers = {"If-Match": str(revision)}
+        self._write("DELETE", kind, name, purpose, None, headers)
+
+    def watch(self, after: int, kinds: Sequence[str], wait_s: float) -> WatchPage:
+        """Wait for events after a revision."""
+        path = f"/v1/watch?after={after}&kinds={','.join(kinds)}&wait={wait_s}"
+        return _parse(WatchPage, self._read(path, "watch", wait_s))
+
+    def _read(self, path: str, purpose: str, wait_s: float) -> bytes:
+        self._budget.spend(purpose)
+        try:
+            resp = self._send("GET", path, None, {}, wait_s)
+        except HTTPError as exc:
+            raise StoreUnavailable(
+                f"The platform did not answer: {type(exc).__name__}.", STORE_REMEDY
+            ) from exc
+        if resp.status == 404:
+            raise NotFound(f"There is nothing at {path}.", "Check the name.")
+        if resp.status == 410:
+            raise HistoryGone("The watch is too old.", "List the objects again.")
+        if resp.status != 200:
+            raise StoreUnavailable(
+                f"The platform answered {resp.status}.", STORE_REMEDY
+            )
+        return resp.data
+
+    def _write(
+        self,
+        method: str,
+        kind: str,
+        name: str,
+        purpose: str,
+        body: bytes | None,
+        headers: dict[str, str],
+    ) -> bytes:
+        self._budget.spend(purpose)
+        try:
+            resp = self._send(method, _path(kind, name), body, headers, 0.0)
+        except HTTPError as exc:
+            raise _unknown(kind, name) from exc
+        if resp.status == 409:
+            raise Conflict(
+                f"{kind} {name} was changed by someone else.",
+                "Read it again and repeat the change.",
+            )
+        if resp.status == 404:
+            raise NotFound(f"There is no {kind} {name}.", "Check the name.")
+        if resp.status != 200:
+            raise _unknown(kind, name)
+        return resp.data
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        wait_s: float,
+    ) -> BaseHTTPResponse:
+        timeout = Timeout(connect=self._timeout_s, read=self._timeout_s + wait_s)
+        return self._pool.request(
+            method, self._url + path, body=body, headers=headers, timeout=timeout
+        )
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _unknown(kind: str, name: str) -> OutcomeUnknown:
+    return OutcomeUnknown(
+        f"The write to {kind} {name} got no answer.",
+        "Read the object back and compare its nonce.",
+    )
+
+
+def _parse(model: type[Answer], body: bytes) -> Answer:
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as exc:
+        raise StoreUnavailable(
+            "The platform's answer does not parse.", STORE_REMEDY
+        ) from exc
--- /dev/null
+++ b/damasktally/platform/memory.py
@@ -0,0 +1,107 @@
+"""Keep objects in memory, in place of the platform, for the demo and the tests."""
+
+from collections import deque
+from collections.abc import Sequence
+from threading import Condition
+
+from damasktally.clock import boot_time
+from damasktally.platform.api import ChangeEvent, ObjectPage, StoredObject, WatchPage
+from damasktally.platform.exceptions import Conflict, HistoryGone, NotFound
+
+HISTORY_EVENTS = 10_000
+
+
+class MemoryStore:
+    """Offer the platform's semantics from one process's memory.
+
+    :param history: how many events a watch can resume over.
+    """
+
+    def __init__(self, history: int = HISTORY_EVENTS) -> None:
+        self._changed = Condition()
+        self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._events: deque[ChangeEvent] = deque(maxlen=history)
+        self._revision = 0
+        self._oldest = 0
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last write."""
+        return self._revision
+
+    def list_objects(self, kinds: Sequence[str], purpose: str = "") -> ObjectPage:
+        """Read all objects of some kinds."""
+        wanted = set(kinds)
+        with self._changed:
+            items = [obj for (kind, _), obj in self._objects.items() if kind in wanted]
+            return ObjectPage(revision=self._revision, items=items)
+
+    def get(self, kind: str, name: str, purpose: str = "") -> StoredObject:
+        """Read one object."""
+        with self._changed:
+            obj = self._objects.get((kind, name))
+        if obj is None:
+            raise NotFound(f"There is no {kind} {name}.", "Check the name.")
+        return obj
+
+    def put(self, obj: StoredObject, purpose: str = "") -> StoredObject:
+        """Write an object if its revision is unchanged."""
+        with self._changed:
+            self._expect(obj.kind, obj.name, obj.revision)
+            self._revision += 1
+            stored = obj.model_copy(update={"revision": self._revision})
+            self._objects[obj.kind, obj.name] = stored
+            self._record(ChangeEvent(object=stored))
+            return stored
+
+    def delete(self, kind: str, name: str, revision: int, purpose: str = "") -> None:
+        """Delete an object if its revision is unchanged."""
+        with self._changed:
+            if (kind, name) not in self._objects:
+                raise NotFound(f"There is no {kind} {name}.", "Check the name.")
+            self._expect(kind, name, revision)
+            self._revision += 1
+            obj = self._objects.pop((kind, name))
+            gone = obj.model_copy(update={"revision": self._revision})
+            self._record(ChangeEvent(deleted=True, object=gone))
+
+    def watch(self, after: int, kinds: Sequence[str], wait_s: float) -> WatchPage:
+        """Wait for events after a revision."""
+        wanted = set(kinds)
+        end = boot_time() + wait_s
+        with self._changed:
+            while True:
+                if after < self._oldest:
+                    raise HistoryGone(
+                        f"Revision {after} was compacted.", "List the objects again."
+                    )
+                events = self._events_after(after, wanted)
+                remaining = end - boot_time()
+                if events or remaining <= 0:
+                    return WatchPage(revision=self._revision, events=events)
+                self._changed.wait(remaining)
+
+    def _events_after(self, after: int, wanted: set[str]) -> list[ChangeEvent]:
+        found = []
+        for event in reversed(self._events):
+            if event.object.revision <= after:
+                break
+            if event.object.kind in wanted:
+                found.append(event)
+        found.reverse()
+        return found
+
+    def _expect(self, kind: str, name: str, revision: int) -> None:
+        stored = self._objects.get((kind, name))
+        current = stored.revision if stored else 0
+        if current != revision:
+            raise Conflict(
+                f"{kind} {name} is at revision {current}, not {revision}.",
+                "Read it again and repeat the change.",
+            )
+
+    def _record(self, event: ChangeEvent) -> None:
+        if len(self._events) == self._events.maxlen:
+            self._oldest = self._events[0].object.revision
+        self._events.append(event)
+        self._changed.notify_all()
--- /dev/null
+++ b/damasktally/platform/server.py
@@ -0,0 +1,111 @@
+"""Serve a :class:`MemoryStore` over HTTP, as the platform would."""
+
+from collections.abc import Callable, Iterable
+from threading import Thread
+from time import sleep
+from typing import Any
+from urllib.parse import parse_qs
+
+from cheroot.wsgi import Server
+from pydantic import BaseModel
+
+from damasktally.platform.api import StoredObject
+from damasktally.platform.exceptions import Conflict, HistoryGone, NotFound, StoreError
+from damasktally.platform.memory import MemoryStore
+
+STATUS_OF = {
+    Conflict: "409 Conflict",
+    HistoryGone: "410 Gone",
+    NotFound: "404 Not Found",
+}
+THREADS = 32
+
+
+class FaultPlan(BaseModel):
+    """Say how the stand-in misbehaves."""
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+
+class StandInPlatform:
+    """Answer the object API on a loopback port.
+
+    :param store: what to serve.
+    :param address: host and port; port 0 picks a free one.
+    """
+
+    def __init__(
+        self, store: MemoryStore, address: tuple[str, int] = ("127.0.0.1", 0)
+    ) -> None:
+        self.store = store
+        self.faults = FaultPlan()
+        self.calls = 0
+        self._server = Server(address, self._serve, numthreads=THREADS)
+        self._server.shutdown_timeout = 1
+
+    @property
+    def url(self) -> str:
+        """Return the base address that clients use."""
+        host, port = self._server.bind_addr[:2]
+        return f"http://{host}:{port}"
+
+    def start(self) -> None:
+        """Bind and serve in a thread."""
+        self._server.prepare()
+        Thread(target=self._server.serve, name="platform", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    def _serve(self, environ: dict[str, Any], start: Callable) -> Iterable[bytes]:
+        self.calls += 1
+        if self.faults.delay_s:
+            sleep(self.faults.delay_s)
+        if self.faults.down:
+            start("503 Service Unavailable", [("Content-Length", "0")])
+            return [b""]
+        try:
+            answer = self._dispatch(environ)
+            status = "200 OK"
+        except StoreError as exc:
+            status = STATUS_OF.get(type(exc), "500 Internal Server Error")
+            answer = b'{"error": "%s"}' % exc.message.encode()
+        if self.faults.lose_answers and environ["REQUEST_METHOD"] != "GET":
+            self.faults.lose_answers -= 1
+            status, answer = "504 Gateway Timeout", b""
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(answer))),
+        ]
+        start(status, headers)
+        return [answer]
+
+    def _dispatch(self, environ: dict[str, Any]) -> bytes:
+        method = environ["REQUEST_METHOD"]
+        parts = environ["PATH_INFO"].strip("/").split("/")
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        if parts == ["v1", "watch"]:
+            page = self.store.watch(
+                int(query["after"][0]),
+                query["kinds"][0].split(","),
+                float(query["wait"][0]),
+            )
+            return page.model_dump_json().encode()
+        if parts == ["v1", "objects"]:
+            page = self.store.list_objects(query["kinds"][0].split(","))
+            return page.model_dump_json().encode()
+        if len(parts) != 4 or parts[:2] != ["v1", "objects"]:
+            raise NotFound("There is no such path.", "Use /v1/objects/KIND/NAME.")
+        kind, name = parts[2:]
+        if method == "PUT":
+            length = int(environ.get("CONTENT_LENGTH") or 0)
+            obj = StoredObject.model_validate_json(environ["wsgi.input"].read(length))
+            return self.store.put(obj).model_dump_json().encode()
+        if method == "DELETE":
+            revision = int(environ["HTTP_IF_MATCH"])
+            self.store.delete(kind, name, revision)
+            return b"{}"
+        return self.store.get(kind, name).model_dump_json().encode()
--- /dev/null
+++ b/damasktally/resources/__init__.py
@@ -0,0 +1,39 @@
+"""Define the kinds that operators write, and hold them as one immutable view."""
+
+from damasktally.resources.kinds import (
+    KINDS,
+    OPERATOR_KINDS,
+    VIEW_KINDS,
+    BackendServer,
+    Customer,
+    DataCentre,
+    Drain,
+    Key,
+    Link,
+    Member,
+    Pool,
+    Region,
+    Roster,
+    Route,
+    SteeringPolicy,
+)
+from damasktally.resources.view import View
+
+__all__ = [
+    "KINDS",
+    "OPERATOR_KINDS",
+    "VIEW_KINDS",
+    "BackendServer",
+    "Customer",
+    "DataCentre",
+    "Drain",
+    "Key",
+    "Link",
+    "Member",
+    "Pool",
+    "Region",
+    "Roster",
+    "Route",
+    "SteeringPolicy",
+    "View",
+]
--- /dev/null
+++ b/damasktally/resources/queries.py
@@ -0,0 +1,38 @@
+"""Read objects, and what the hosts have in force."""
+
+from damasktally.platform import ObjectStore, StoredObject
+from damasktally.resources.kinds import AuditRecord, HostStatus, parse_spec
+
+
+class Queries:
+    """Answer an operator's questions from the platform."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    def find(self, kind: str) -> list[StoredObject]:
+        """Return all objects of a kind, by name."""
+        page = self._store.list_objects([kind], "operator")
+        return sorted(page.items, key=lambda obj: obj.name)
+
+    def one(self, kind: str, name: str) -> StoredObject:
+        """Return one object.
+
+        :raises NotFound: when there is none.
+        """
+        return self._store.get(kind, name, "operator")
+
+    def statuses(self) -> list[HostStatus]:
+        """Return what each host reported last."""
+        return [parse_spec(obj) for obj in self.find("HostStatus")]
+
+    def in_force(self, revision: int) -> tuple[list[str], list[str]]:
+        """Return the hosts that have a revision in force, and those that do not."""
+        having = [s.host for s in self.statuses() if s.revision >= revision]
+        lacking = [s.host for s in self.statuses() if s.revision < revision]
+        return having, lacking
+
+    def audit(self, last: int) -> list[AuditRecord]:
+        """Return the newest audit records, oldest first."""
+        records = [parse_spec(obj) for obj in self.find("AuditRecord")]
+        return sorted(records, key=lambda record: record.to_revision)[-last:]
--- /dev/null
+++ b/damasktally/steering/dispatcher.py
@@ -0,0 +1,332 @@
+"""Give waiting requests slots: the fairest customer first, the best server for it."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+from threading import Event, RLock
+
+from damasktally.clock import Clock
+from damasktally.escrow.generations import GenerationWindow
+from damasktally.escrow.slots import SlotHold, SlotLease, SlotTable
+from damasktally.resources.kinds import BackendServer, SteeringPolicy
+from damasktally.resources.view import View
+from damasktally.steering.choose import Candidate, choose, latency_ms
+from damasktally.steering.fair_queue import FairQueue
+from damasktally.steering.health import HealthTable, usable_slots
+
+FIRST_SERVICE_S = 0.02
+SERVICE_SMOOTHING = 0.1
+MAX_WAITING_PART = 0.5
+"""Part of a pool's queue that one customer may fill."""
+
+
+@dataclass(eq=False, slots=True)
+class Waiter:
+    """Hold one request that waits for a slot.
+
+    :param work_s: how long the slot may be held, in seconds.
+    :param avoid: servers that this request was already sent to.
+    """
+
+    customer: str
+    weight: float
+    work_s: float
+    policy: SteeringPolicy
+    avoid: frozenset[str]
+    ready: Event = field(default_factory=Event)
+    hold: SlotHold | None = None
+    charged_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NoSlot:
+    """Tell why a request got no slot, and when to come back.
+
+    :param reason: a word for the refusal.
+    :param retry_after_s: seconds.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class PoolQueue:
+    """Hold the waiters of one pool and how long its work takes.
+
+    :param service_s: average seconds that a slot is held.
+    """
+
+    waiters: FairQueue[Waiter] = field(default_factory=FairQueue)
+    service_s: float = FIRST_SERVICE_S
+    short_of: int = 0
+
+
+@dataclass
+class Dispatcher:
+    """Own slots, health and queues under one lock.
+
+    :param region: this host's region.
+    :param data_centre: this host's data centre.
+    :param view: returns the view in force.
+    :param crossing_allowed: tells whether a request may cross to another region now.
+    """
+
+    region: str
+    data_centre: str
+    clock: Clock
+    rng: Random
+    slots: SlotTable
+    health: HealthTable
+    view: Callable[[], View]
+    crossing_allowed: Callable[[str], bool] = lambda target: True
+    lock: RLock = field(default_factory=RLock)
+    pools: dict[str, PoolQueue] = field(default_factory=dict)
+    _seen: set[str] | None = None
+
+    def acquire(
+        self, pool: str, waiter: Waiter, wait_s: float, max_queue: int
+    ) -> SlotHold | NoSlot:
+        """Take a slot for a request, waiting a short while if there is none.
+
+        :param wait_s: seconds to wait at most.
+        :param max_queue: requests that may wait for this pool on this host.
+        """
+        with self.lock:
+            queue = self._queue(pool)
+            if len(queue.waiters) == 0 and self._assign(pool, waiter):
+                return waiter.hold
+            refusal = self._refuse_early(pool, queue, waiter, wait_s, max_queue)
+            if refusal is not None:
+                queue.short_of += 1
+                return refusal
+            queue.waiters.push(waiter.customer, waiter)
+            queue.short_of += 1
+        waiter.ready.wait(wait_s)
+        with self.lock:
+            if waiter.hold is not None:
+                return waiter.hold
+            queue.waiters.remove(waiter.customer, waiter)
+            return NoSlot("no-slot", max(queue.service_s, 1.0))
+
+    def release(self, pool: str, waiter: Waiter) -> None:
+        """Give a request's slot back and pass it on to the next waiter."""
+        with self.lock:
+            now = self.clock()
+            held_s = now - waiter.hold.taken_at
+            self.slots.give_back(waiter.hold, now)
+            waiter.hold = None
+            queue = self._queue(pool)
+            queue.service_s += SERVICE_SMOOTHING * (held_s - queue.service_s)
+            owed_s = held_s - waiter.charged_s
+            queue.waiters.charge(waiter.customer, owed_s, waiter.weight)
+            self._dispatch(pool)
+
+    def refresh(self, view: View, window: GenerationWindow, identity: str) -> None:
+        """Compute this host's slots again after a change of view or roster."""
+        with self.lock:
+            now = self.clock()
+            for name, server in view.servers.items():
+                own = _own_slots(window, identity, name, server, now)
+                self.slots.set_share(name, server.pool, own)
+            self.slots.keep_only(view.servers)
+            self._start_warm_ups(view)
+            self._dispatch_all()
+
+    def confirm(self, until: float) -> None:
+        """Let this host fill its own slots until a time, in seconds."""
+        with self.lock:
+            self.slots.own_until = max(self.slots.own_until, until)
+
+    def start_incarnation(self) -> None:
+        """Own nothing until the new incarnation is confirmed."""
+        with self.lock:
+            self.slots.own_until = float("-inf")
+
+    def overfull(self) -> bool:
+        """Tell whether older shares are still filled or lent."""
+        with self.lock:
+            return self.slots.overfull(self.clock())
+
+    def shortages(self) -> dict[str, int]:
+        """Return how many slots each pool was short of since the last call."""
+        with self.lock:
+            found = {}
+            for name, queue in self.pools.items():
+                wanted = max(queue.short_of, len(queue.waiters))
+                if wanted:
+                    found[name] = wanted
+                queue.short_of = 0
+            return found
+
+    def lend(self, peer: str, pool: str, wanted: int) -> list[tuple[str, SlotLease]]:
+        """Lend idle slots of a pool, one in four kept back.
+
+        :returns: leases with the names of their servers.
+        """
+        with self.lock:
+            now = self.clock()
+            if len(self._queue(pool).waiters):
+                return []
+            own = sum(s.own for s in self.slots.servers.values() if s.pool == pool)
+            leases = self.slots.lend(peer, pool, wanted, own // 4, now)
+            return [(lease.lease.rsplit("#", 1)[0], lease) for lease in leases]
+
+    def borrow(self, leases: Iterable[tuple[str, SlotLease]]) -> None:
+        """Add slots that peers lent, and serve who waits for them."""
+        with self.lock:
+            servers = self.view().servers
+            for server, lease in leases:
+                if server in servers:
+                    self.slots.borrow(server, servers[server].pool, lease)
+            self._dispatch_all()
+
+    def headroom(self) -> float:
+        """Return the free part of the slots that this host owns, from 0 to 1."""
+        with self.lock:
+            own = sum(entry.own for entry in self.slots.servers.values())
+            used = sum(entry.own_in_use for entry in self.slots.servers.values())
+        return max(0.0, 1 - used / own) if own else 0.0
+
+    def eject_if_spare(self, pool: str, server: str) -> bool:
+        """Record a failure, and eject the server if the pool can spare it."""
+        with self.lock:
+            now = self.clock()
+            view = self.view()
+            members = view.servers_of.get(pool, {})
+            out = sum(1 for name in members if self.health.ejected(name, now))
+            limit = view.pools[pool].eject_fraction * len(members)
+            return self.health.failed(server, out + 1 <= limit)
+
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        with self.lock:
+            return sum(len(queue.waiters) for queue in self.pools.values())
+
+    def tick(self) -> None:
+        """Drop expired loans and serve waiters whom time alone has helped."""
+        with self.lock:
+            self.slots.expire(self.clock())
+            self._dispatch_all()
+
+    def candidates(self, pool: str, waiter: Waiter) -> list[Candidate]:
+        """Return the servers that a request could be sent to now."""
+        now = self.clock()
+        view = self.view()
+        warmup_s = view.pools[pool].warmup_s if pool in view.pools else 0.0
+        found = []
+        servers = view.servers_of.get(pool, {})
+        for name, entry in self.slots.servers.items():
+            server = servers.get(name)
+            if server is None or name in waiter.avoid or name in view.drained_servers:
+                continue
+            if self.health.ejected(name, now):
+                continue
+            free = self._free(name, waiter.work_s, warmup_s, now)
+            if free <= 0:
+                continue
+            if server.region != self.region and not self.crossing_allowed(
+                server.region
+            ):
+                continue
+            found.append(
+                Candidate(
+                    server=name,
+                    region=server.region,
+                    latency_ms=latency_ms(view, self.region, self.data_centre, server),
+                    free=free,
+                    in_use=entry.in_use,
+                    load_hint=self.health.load_hint(name, now),
+                )
+            )
+        return found
+
+    def _free(self, server: str, work_s: float, warmup_s: float, now: float) -> int:
+        free = self.slots.free(server, now, work_s)
+        if free <= 0:
+            return 0
+        warm_from = self.health.of(server).warm_from
+        entry = self.slots.servers[server]
+        held = entry.in_use + free
+        return min(free, usable_slots(held, warm_from, warmup_s, now) - entry.in_use)
+
+    def _queue(self, pool: str) -> PoolQueue:
+        queue = self.pools.get(pool)
+        if queue is None:
+            queue = self.pools[pool] = PoolQueue()
+        return queue
+
+    def _assign(self, pool: str, waiter: Waiter) -> bool:
+        found = choose(
+            self.candidates(pool, waiter), self.region, waiter.policy, self.rng
+        )
+        if found is None:
+            return False
+        waiter.hold = self.slots.take(found.server, self.clock(), waiter.work_s)
+        return waiter.hold is not None
+
+    def _refuse_early(
+        self,
+        pool: str,
+        queue: PoolQueue,
+        waiter: Waiter,
+        wait_s: float,
+        max_queue: int,
+    ) -> NoSlot | None:
+        waiting = len(queue.waiters)
+        if not self.view().servers_of.get(pool):
+            return NoSlot("no-server", 1.0)
+        mine = len(queue.waiters.waiting.get(waiter.customer, ()))
+        if waiting >= max_queue or mine >= max(1, max_queue * MAX_WAITING_PART):
+            return NoSlot("queue-full", max(queue.service_s, 1.0))
+        held = sum(
+            entry.own for entry in self.slots.servers.values() if entry.pool == pool
+        )
+        ahead = mine if waiter.customer in queue.waiters.waiting else 0
+        if held and queue.service_s * ahead / held > wait_s:
+            return NoSlot("deadline", max(queue.service_s, 1.0))
+        return None
+
+    def _dispatch(self, pool: str) -> None:
+        queue = self._queue(pool)
+        while self._dispatch_one(pool, queue):
+            pass
+
+    def _dispatch_one(self, pool: str, queue: PoolQueue) -> bool:
+        for customer in queue.waiters.order():
+            waiter = queue.waiters.waiting[customer][0]
+            if self._assign(pool, waiter):
+                queue.waiters.pop(customer)
+                waiter.charged_s = queue.service_s
+                queue.waiters.charge(customer, queue.service_s, waiter.weight)
+                waiter.ready.set()
+                return True
+        return False
+
+    def _dispatch_all(self) -> None:
+        for pool in list(self.pools):
+            self._dispatch(pool)
+
+    def _start_warm_ups(self, view: View) -> None:
+        names = set(view.servers) - view.drained_servers
+        if self._seen is not None:
+            for name in names - self._seen:
+                self.health.start_warm_up(name)
+        if names or self._seen is not None:
+            self._seen = names
+
+
+def _own_slots(
+    window: GenerationWindow,
+    identity: str,
+    name: str,
+    server: BackendServer,
+    now: float,
+) -> int:
+    share = window.smallest(
+        lambda roster: roster.slots_of(
+            identity, name, server.region, server.data_centre, server.slots
+        ),
+        now,
+    )
+    return int(share)
--- /dev/null
+++ b/damasktally/steering/pacer.py
@@ -0,0 +1,104 @@
+"""Pace bytes over inter-region links, fairly by customer."""
+
+from dataclasses import dataclass, field
+from threading import Condition
+
+from damasktally.escrow.ledger import Ledger, link_limit
+from damasktally.resources.view import View
+from damasktally.steering.fair_queue import FairQueue
+
+SHORTEST_WAIT_S = 0.001
+LONGEST_WAIT_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Crossing:
+    """Name a directed link that a request's bytes cross."""
+
+    source: str
+    target: str
+
+    @property
+    def limit(self) -> str:
+        """Return the name of the link's limit."""
+        return link_limit(self.source, self.target)
+
+
+@dataclass
+class Pacer:
+    """Hand out link bytes in the order of a fair queue.
+
+    :param ledger: this host's part of the links.
+    """
+
+    ledger: Ledger
+    _queues: dict[str, FairQueue[object]] = field(default_factory=dict)
+    _turn: Condition = field(default_factory=Condition)
+
+    def limited(self, crossing: Crossing) -> bool:
+        """Tell whether a cap is set for this link."""
+        return crossing.limit in self.ledger.entries
+
+    def room(self, crossing: Crossing) -> float:
+        """Return the most bytes that can be asked for at once."""
+        entry = self.ledger.entries.get(crossing.limit)
+        return entry.bucket.depth_now if entry is not None else 0.0
+
+    def take(
+        self, crossing: Crossing, amount: float, customer: str, deadline: float
+    ) -> bool:
+        """Wait for bytes of a link.
+
+        :param amount: bytes.
+        :param deadline: seconds on the ledger's clock.
+        :returns: whether they were taken before the deadline.
+        """
+        limit = crossing.limit
+        with self._turn:
+            queue = self._queues.setdefault(limit, FairQueue())
+            if len(queue) == 0 and self.ledger.take(limit, amount):
+                queue.charge(customer, amount, 1.0)
+                return True
+            token = object()
+            queue.push(customer, token)
+            try:
+                return self._wait(queue, token, limit, amount, customer, deadline)
+            finally:
+                queue.remove(customer, token)
+                self._turn.notify_all()
+
+    def refund(self, crossing: Crossing, amount: float) -> None:
+        """Give back bytes that were taken and did not cross."""
+        self.ledger.refund(crossing.limit, amount)
+
+    def _wait(
+        self,
+        queue: FairQueue[object],
+        token: object,
+        limit: str,
+        amount: float,
+        customer: str,
+        deadline: float,
+    ) -> bool:
+        while True:
+            left = deadline - self.ledger.clock()
+            if left <= 0:
+                return False
+            first = queue.order()[0]
+            is_first = queue.waiting[first][0] is token
+            if is_first and self.ledger.take_again(limit, amount):
+                queue.charge(customer, amount, 1.0)
+                return True
+            soon = self.ledger.retry_after(limit, amount)
+            wait_s = min(left, LONGEST_WAIT_S, max(SHORTEST_WAIT_S, soon))
+            self._turn.wait(wait_s)
+
+
+def crossings(view: View, source: str, target: str) -> list[Crossing]:
+    """Return the link between two regions, or nothing within one.
+
+    :param view: the view, whose links may leave a pair of regions without a cap.
+    """
+    if source == target or (source, target) not in view.links:
+        return []
+    return [Crossing(source, target)]
