Brought the whole path up and proved escrow under faults.

Cause: the path from look-up to answer did not run; member actors died on an empty roster. Conclusion: loans are conserved under lost, doubled and reordered answers, pauses, restarts and fencing; in-rate refusals of small customers are next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: run test build bench soak clean
+
+run: $(STAMP)
+	$(BIN)/damasktally demo
+
+test: $(STAMP)
+	$(BIN)/python features/run_all.py
+
+build: $(STAMP)
+	$(BIN)/python scripts/build.py
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks
+
+soak: $(STAMP)
+	$(BIN)/python features/run_all.py --soak
+
+$(STAMP): requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) dist build *.egg-info
--- /dev/null
+++ b/damasktally/checks/settings_checks.py
@@ -0,0 +1,83 @@
+"""Check what single options cannot tell."""
+
+from collections.abc import Iterator
+from ipaddress import ip_address
+
+from damasktally.checks.registry import CheckMessage, register
+from damasktally.conf import Settings
+from damasktally.conf.settings import split_address
+
+HEARTBEATS_IN_FENCE = 3
+WITNESS_HOPS = 2
+
+
+@register
+def ports_differ(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that no two ports share an address."""
+    sections = {
+        "caller": settings.caller.address,
+        "peer": settings.peer.address,
+        "admin": settings.admin.address,
+    }
+    if len(set(sections.values())) < len(sections):
+        yield CheckMessage(
+            "checks.E101",
+            "Two of [caller], [peer] and [admin] share an address.",
+            "Give each a port of its own.",
+        )
+
+
+@register
+def admin_is_guarded(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that the admin port asks for a token unless it is on loopback."""
+    host, _ = split_address(settings.admin.address)
+    if not settings.admin.token and not ip_address(host).is_loopback:
+        yield CheckMessage(
+            "checks.E102",
+            "[admin] address is not on loopback and there is no token.",
+            "Set [admin] token, or listen on 127.0.0.1.",
+        )
+
+
+@register
+def fence_outlasts_heartbeats(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that some lost heartbeats do not fence a host."""
+    member = settings.membership
+    if member.fence_s < HEARTBEATS_IN_FENCE * member.heartbeat_s:
+        yield CheckMessage(
+            "checks.E103",
+            "[membership] fence_s is under three heartbeats.",
+            "Raise fence_s or lower heartbeat_s.",
+        )
+
+
+@register
+def bound_outlasts_relays(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that a confirmation over two peers is younger than the bound."""
+    hops = WITNESS_HOPS * settings.membership.heartbeat_s
+    if settings.isolation.bound_s < hops + settings.platform.watch_wait_s:
+        yield CheckMessage(
+            "checks.W104",
+            "[isolation] bound_s is shorter than two heartbeats and a watch.",
+            "A host cut off from the platform will refuse keys; raise bound_s.",
+        )
+
+
+@register
+def keyed_requests_are_safe(settings: Settings) -> Iterator[CheckMessage]:
+    """Warn when withdrawn keys may go on working."""
+    if settings.isolation.keyed == "serve":
+        yield CheckMessage(
+            "checks.W105",
+            "[isolation] keyed = serve lets withdrawn keys work while cut off.",
+            "Use 'refuse' unless you accept that.",
+        )
+
+
+ALL = (
+    ports_differ,
+    admin_is_guarded,
+    fence_outlasts_heartbeats,
+    bound_outlasts_relays,
+    keyed_requests_are_safe,
+)
--- /dev/null
+++ b/damasktally/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line: one module for each command."""
--- /dev/null
+++ b/damasktally/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the commands, one module each."""
--- /dev/null
+++ b/damasktally/cli/commands/audit.py
@@ -0,0 +1,35 @@
+"""Show the audit trail."""
+
+from datetime import UTC, datetime
+
+from damasktally.cli.common import (
+    Json,
+    PlatformUrl,
+    explained,
+    print_json,
+    print_table,
+    queries,
+)
+
+
+@explained
+def audit(platform: PlatformUrl, last: int = 50, json: Json = False) -> None:
+    """Show who changed what, from and to which revision, and when.
+
+    :param last: how many of the newest records.
+    """
+    records = queries(platform).audit(last)
+    if json:
+        print_json([record.model_dump() for record in records])
+        return
+    rows = [
+        (
+            datetime.fromtimestamp(r.unix_s, UTC).isoformat(timespec="seconds"),
+            r.author,
+            r.action,
+            f"{r.kind}/{r.object}",
+            f"{r.from_revision or '?'} -> {r.to_revision}",
+        )
+        for r in records
+    ]
+    print_table(("WHEN", "WHO", "ACTION", "OBJECT", "REVISIONS"), rows)
--- /dev/null
+++ b/damasktally/cli/commands/get.py
@@ -0,0 +1,29 @@
+"""List objects."""
+
+from damasktally.cli.common import (
+    Json,
+    PlatformUrl,
+    explained,
+    print_json,
+    print_table,
+    queries,
+)
+
+
+@explained
+def get(kind: str, platform: PlatformUrl, name: str = "", json: Json = False) -> None:
+    """List the objects of a kind, or one of them.
+
+    :param kind: for example Customer.
+    :param name: the object's name; all objects without it.
+    """
+    reader = queries(platform)
+    objects = [reader.one(kind, name)] if name else reader.find(kind)
+    if json:
+        print_json([obj.model_dump() for obj in objects])
+        return
+    rows = [
+        (obj.name, obj.revision, " ".join(f"{k}={v}" for k, v in obj.spec.items()))
+        for obj in objects
+    ]
+    print_table(("NAME", "REVISION", "SPEC"), rows)
--- /dev/null
+++ b/damasktally/cli/commands/lookup.py
@@ -0,0 +1,36 @@
+"""Ask a host which hosts a caller should use."""
+
+from json import loads
+from urllib.parse import quote
+
+from urllib3 import PoolManager
+
+from damasktally.cli.common import Json, leave, print_json, print_table
+from damasktally.cli.exit_codes import ExitCode
+
+TIMEOUT_S = 5.0
+
+
+def lookup(entry: str, client: str = "", key: str = "", json: Json = False) -> None:
+    """Ask an entry host which hosts a caller should use.
+
+    :param entry: a host's caller address.
+    :param client: the caller's address; this machine's without it.
+    :param key: the caller's secret.
+    """
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    url = f"http://{entry}/v1/lookup?client={quote(client)}"
+    try:
+        resp = PoolManager(retries=False).request(
+            "GET", url, headers=headers, timeout=TIMEOUT_S
+        )
+    except Exception as exc:
+        print(f"Error: {entry} does not answer ({exc}). Ask another host.")
+        leave(ExitCode.UNREACHABLE)
+    answer = loads(resp.data)
+    if json:
+        print_json(answer)
+        return
+    rows = [(h["host"], h["address"], h["region"]) for h in answer["hosts"]]
+    print_table(("HOST", "ADDRESS", "REGION"), rows)
+    print(f"Good for {answer['lifetime_s']} s; the host is {answer['isolation']}.")
--- /dev/null
+++ b/damasktally/cli/commands/serve.py
@@ -0,0 +1,57 @@
+"""Run an entry host."""
+
+import signal
+import sys
+from pathlib import Path
+from threading import Event
+from typing import Annotated
+
+from cyclopts import Parameter
+
+from damasktally.checks import run_checks
+from damasktally.cli.common import leave, settings_or_exit
+from damasktally.cli.exit_codes import ExitCode
+from damasktally.events import log_to_stream
+from damasktally.host import Host
+
+
+def serve(config: Annotated[Path, Parameter(name=["--config", "-c"])]) -> None:
+    """Run an entry host until SIGTERM, then leave without cutting a request.
+
+    A second SIGTERM ends the process at once and says how many requests it cuts.
+
+    :param config: the host's INI file.
+    """
+    settings = settings_or_exit(config)
+    messages = run_checks(settings)
+    for message in messages:
+        print(message, file=sys.stderr)
+    if any(message.is_error for message in messages):
+        leave(ExitCode.INVALID)
+    _log(settings.logging.destination)
+    host = Host.from_config(settings)
+    asked = Event()
+
+    def on_signal(number: int, frame: object) -> None:
+        if asked.is_set():
+            cut = host.admission.in_flight()
+            print(f"Stopping at once; {cut} requests are cut.", file=sys.stderr)
+            sys.stderr.flush()
+            signal.signal(number, signal.SIG_DFL)
+            signal.raise_signal(number)
+        asked.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    host.start()
+    while not asked.wait(1.0):
+        pass
+    report = host.stop()
+    leave(ExitCode.FAILED if report.cut else ExitCode.OK)
+
+
+def _log(destination: str) -> None:
+    if destination == "-":
+        log_to_stream(sys.stderr)
+    else:
+        log_to_stream(Path(destination).open("a", encoding="utf-8"))
--- /dev/null
+++ b/damasktally/cli/commands/status.py
@@ -0,0 +1,88 @@
+"""Show the fleet on one screen."""
+
+from json import loads
+from time import sleep
+
+from urllib3 import PoolManager
+
+from damasktally.cli.common import Json, print_json, print_table
+
+TIMEOUT_S = 5.0
+REFRESH_S = 2.0
+
+
+def status(
+    admin: list[str], token: str = "", watch: bool = False, json: Json = False
+) -> None:
+    """Ask hosts for their status and show it as a table.
+
+    :param admin: admin addresses of the hosts.
+    :param token: the hosts' admin token.
+    :param watch: repeat until interrupted.
+    """
+    while True:
+        found = {address: _ask(address, token) for address in admin}
+        if json:
+            print_json(found)
+        else:
+            _print(found)
+        if not watch:
+            return
+        sleep(REFRESH_S)
+
+
+def _ask(address: str, token: str) -> dict | None:
+    headers = {"Authorization": f"Bearer {token}"} if token else {}
+    try:
+        resp = PoolManager(retries=False).request(
+            "GET", f"http://{address}/status", headers=headers, timeout=TIMEOUT_S
+        )
+        return loads(resp.data)
+    except Exception:
+        return None
+
+
+def _print(found: dict[str, dict | None]) -> None:
+    rows = []
+    for address, host in found.items():
+        if host is None:
+            rows.append((address, "-", "no answer", "-", "-", "-", "-", "Check it."))
+            continue
+        rows.append(
+            (
+                host["host"],
+                host["region"],
+                host["isolation"],
+                host["revision"],
+                host["generation"],
+                f"{host['headroom']:.0%}",
+                host["in_flight"],
+                _remedy(host),
+            )
+        )
+    titles = (
+        "HOST",
+        "REGION",
+        "PLATFORM",
+        "REVISION",
+        "ROSTER",
+        "HEADROOM",
+        "IN FLIGHT",
+        "REMEDY",
+    )
+    print_table(titles, rows)
+    drained = {s for host in found.values() if host for s in host["drained_servers"]}
+    if drained:
+        print(f"Drained servers: {', '.join(sorted(drained))}")
+
+
+def _remedy(host: dict) -> str:
+    if host["isolation"] == "isolated":
+        return "Mend the network to the platform's region."
+    if not host["member"]:
+        return "Wait until it has joined; the platform must be up."
+    if not host["shares_settled"]:
+        return "Wait: a change of roster is settling."
+    if host["problems"]:
+        return host["problems"][0]
+    return ""
--- /dev/null
+++ b/damasktally/cli/common.py
@@ -0,0 +1,118 @@
+"""Share what several commands need: the platform, output and errors."""
+
+import sys
+from collections.abc import Callable, Sequence
+from functools import wraps
+from getpass import getuser
+from json import dumps
+from pathlib import Path
+from typing import Annotated, NoReturn, ParamSpec
+
+from cyclopts import Parameter
+from prometheus_client import CollectorRegistry
+
+from damasktally.cli.exit_codes import ExitCode
+from damasktally.clock import boot_time
+from damasktally.conf import Settings, load_settings
+from damasktally.errors import DamasktallyError
+from damasktally.platform import (
+    Conflict,
+    NotFound,
+    OutcomeUnknown,
+    StoreUnavailable,
+)
+from damasktally.platform.budget import CallBudget
+from damasktally.platform.client import HttpStore
+from damasktally.resources.commands import Commands
+from damasktally.resources.exceptions import InvalidFile, InvalidObject, UnknownKind
+from damasktally.resources.queries import Queries
+
+CALLS_PER_S = 50.0
+TIMEOUT_S = 10.0
+
+Args = ParamSpec("Args")
+
+PlatformUrl = Annotated[
+    str,
+    Parameter(
+        name="--platform",
+        env_var="DAMASKTALLY_PLATFORM",
+        help="Base address of the platform's object API.",
+    ),
+]
+Json = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
+
+CODES = (
+    (InvalidObject, ExitCode.INVALID),
+    (InvalidFile, ExitCode.INVALID),
+    (UnknownKind, ExitCode.INVALID),
+    (StoreUnavailable, ExitCode.UNREACHABLE),
+    (OutcomeUnknown, ExitCode.UNREACHABLE),
+    (Conflict, ExitCode.CONFLICT),
+    (NotFound, ExitCode.NOT_FOUND),
+)
+
+
+def open_store(url: str) -> HttpStore:
+    """Return a client of the platform."""
+    budget = CallBudget(CALLS_PER_S, boot_time, CollectorRegistry())
+    return HttpStore(url, TIMEOUT_S, budget)
+
+
+def commands(url: str) -> Commands:
+    """Return what changes objects, in the name of the user."""
+    return Commands(open_store(url), getuser())
+
+
+def queries(url: str) -> Queries:
+    """Return what reads objects."""
+    return Queries(open_store(url))
+
+
+def settings_or_exit(path: Path) -> Settings:
+    """Load settings, or print every problem and leave."""
+    loaded = load_settings(path)
+    if loaded.is_ok():
+        return loaded.ok_value
+    for problem in loaded.err_value:
+        print(problem, file=sys.stderr)
+    leave(ExitCode.INVALID)
+
+
+def leave(code: ExitCode) -> NoReturn:
+    """End the program with an exit code."""
+    raise SystemExit(int(code))
+
+
+def explained(command: Callable[Args, None]) -> Callable[Args, None]:
+    """Turn errors of a command into a message and an exit code."""
+
+    @wraps(command)
+    def run(*args: Args.args, **kwargs: Args.kwargs) -> None:
+        try:
+            command(*args, **kwargs)
+        except DamasktallyError as exc:
+            print(f"Error: {exc.message} {exc.remedy}", file=sys.stderr)
+            for kind, code in CODES:
+                if isinstance(exc, kind):
+                    leave(code)
+            leave(ExitCode.FAILED)
+
+    return run
+
+
+def print_json(value: object) -> None:
+    """Print a value as JSON."""
+    print(dumps(value, indent=2, sort_keys=True))
+
+
+def print_table(titles: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    """Print rows in columns."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    widths = [
+        max([len(title), *(len(row[i]) for row in cells)])
+        for i, title in enumerate(titles)
+    ]
+    for line in [list(titles), *cells]:
+        padded = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        print("  ".join(padded).rstrip())
--- a/damasktally/demo/fleet.py
+++ b/damasktally/demo/fleet.py
@@ -183,7 +183,6 @@
     def _note_accepted(self) -> None:
         # The command's own audit record is newer than the change it records.
         newest = max(
-            obj.revision
-            for obj in self.store.list_objects(["Key", "Drain"]).items
+            obj.revision for obj in self.store.list_objects(["Key", "Drain"]).items
         )
         self.history.add(Accepted(newest, boot_time()))
--- a/damasktally/escrow/generations.py
+++ b/damasktally/escrow/generations.py
@@ -98,6 +98,8 @@
 
     def forget_settled(self, now: float) -> None:
         """Drop generations that nobody can use any more."""
+        if not self._known:
+            return
         lowest = self._lowest(now)
         for generation in [g for g in self._known if g < lowest]:
             del self._known[generation]
--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -6,8 +6,6 @@
 from math import inf
 from random import Random
 
-from pykka import ThreadingActor
-
 from damasktally.clock import Clock
 from damasktally.conf import Settings
 from damasktally.escrow.ledger import Ledger
@@ -22,6 +20,7 @@
 from damasktally.escrow.slots import SlotLease
 from damasktally.events import emit
 from damasktally.events.catalogue import FENCED, ROSTER_CHANGED, UNFENCED
+from damasktally.host.actor import HostActor
 from damasktally.host.fleet import Fleet, identity_of
 from damasktally.host.view_keeper import PeerChanged, Published
 from damasktally.membership.freshness import Freshness
@@ -109,7 +108,7 @@
     last_urgent: dict[str, float] = field(default_factory=dict)
 
 
-class MemberActor(ThreadingActor):
+class MemberActor(HostActor):
     """Keep this host a member, and its shares and loans current."""
 
     def __init__(self, parts: MemberParts) -> None:
@@ -122,7 +121,7 @@
         self._returns: dict[str, list[str]] = {}
         self._fetching = False
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         """Handle one of this module's messages."""
         if isinstance(message, Tick):
             self._tick()
--- a/damasktally/host/prober.py
+++ b/damasktally/host/prober.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from pykka import ThreadingActor
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError
 
 from damasktally.events import emit
 from damasktally.events.catalogue import SERVER_EJECTED
 from damasktally.forwarding.attempt import LOAD_HEADER
+from damasktally.host.actor import HostActor
 from damasktally.resources.kinds import Pool
 from damasktally.resources.view import View
 from damasktally.steering.dispatcher import Dispatcher
@@ -24,7 +24,7 @@
     """Ask for a round of probes."""
 
 
-class Prober(ThreadingActor):
+class Prober(HostActor):
     """Ask servers for their load, each over a new connection.
 
     A good answer does not clear failures that requests met: health pages mislead.
@@ -39,7 +39,7 @@
             retries=False, timeout=Timeout(PROBE_TIMEOUT_S), maxsize=1
         )
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         """Probe one round."""
         with self._dispatcher.lock:
             own = sorted(
--- a/damasktally/host/reporter.py
+++ b/damasktally/host/reporter.py
@@ -5,11 +5,10 @@
 from secrets import token_hex
 from time import time
 
-from pykka import ThreadingActor
-
 from damasktally.clock import Clock
 from damasktally.events import emit
 from damasktally.events.catalogue import AUDIT_GAP, ISOLATION_CHANGED
+from damasktally.host.actor import HostActor
 from damasktally.host.fleet import Fleet
 from damasktally.host.view_keeper import Published
 from damasktally.membership.freshness import Freshness, Isolation
@@ -39,7 +38,7 @@
     is_keeper: Callable[[], bool]
 
 
-class Reporter(ThreadingActor):
+class Reporter(HostActor):
     """Write status when it changes, and audit records that are missing."""
 
     def __init__(self, parts: ReporterParts) -> None:
@@ -52,7 +51,7 @@
         self._audit_listed = False
         self._isolation: Isolation | None = None
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         """Handle a tick."""
         self._note_isolation()
         if self._p.freshness.state() is not Isolation.CONNECTED:
--- a/damasktally/host/roster_keeper.py
+++ b/damasktally/host/roster_keeper.py
@@ -5,11 +5,10 @@
 from random import Random
 from secrets import token_hex
 
-from pykka import ThreadingActor
-
 from damasktally.clock import Clock
 from damasktally.events import emit
 from damasktally.events.catalogue import REJOINING, ROSTER_JOINED, ROSTER_REMOVED
+from damasktally.host.actor import HostActor
 from damasktally.host.fleet import Fleet
 from damasktally.membership.roster import joined, settled, without
 from damasktally.platform import NotFound, ObjectStore, StoredObject, StoreError
@@ -81,7 +80,7 @@
     votes: RemovalVotes = field(default_factory=RemovalVotes)
 
 
-class RosterKeeper(ThreadingActor):
+class RosterKeeper(HostActor):
     """Do this host's duties for the roster, one write at a time."""
 
     def __init__(self, parts: RosterParts) -> None:
@@ -90,7 +89,7 @@
         self._not_before = 0.0
         self._backoff_s = DUTY_GAP_S
 
-    def on_receive(self, message: object) -> bool:
+    def handle(self, message: object) -> bool:
         """Handle one of this module's messages."""
         if isinstance(message, LeaveRoster):
             return self._leave(message.consented)
--- a/damasktally/host/store_watch.py
+++ b/damasktally/host/store_watch.py
@@ -5,7 +5,7 @@
 from random import Random
 from threading import Event, Thread
 
-from pykka import ActorRef
+from pykka import ActorDeadError, ActorRef
 
 from damasktally.clock import Clock
 from damasktally.host.view_keeper import StoreChanged, StoreListed
@@ -47,21 +47,23 @@
         while not stopping.is_set():
             sent_at = self.clock()
             self._asked_at = sent_at
-            try:
-                self._ask(self.store, self.wait_s, sent_at)
-            except StoreError:
-                self.on_silent(sent_at)
+            if not self._try(self.store, self.wait_s, sent_at):
                 stopping.wait(PAUSE_S * self.rng.uniform(0.5, 1.5))
 
     def _probe(self, stopping: Event) -> None:
         while not stopping.wait(PAUSE_S * self.rng.uniform(0.8, 1.2)):
-            if not self._overdue():
-                continue
-            sent_at = self.clock()
-            try:
-                self._ask(self.probe, 0.0, sent_at)
-            except StoreError:
-                self.on_silent(sent_at)
+            if self._overdue():
+                self._try(self.probe, 0.0, self.clock())
+
+    def _try(self, store: ObjectStore, wait_s: float, sent_at: float) -> bool:
+        try:
+            self._ask(store, wait_s, sent_at)
+        except StoreError:
+            self.on_silent(sent_at)
+            return False
+        except ActorDeadError:
+            return False  # The host is stopping.
+        return True
 
     def _overdue(self) -> bool:
         asked_at = self._asked_at
--- a/damasktally/host/view_keeper.py
+++ b/damasktally/host/view_keeper.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass
 from time import time
 
-from pykka import ThreadingActor
-
 from damasktally.clock import Clock
 from damasktally.events import emit
 from damasktally.events.catalogue import OBJECT_INVALID, VIEW_CHANGED
+from damasktally.host.actor import HostActor
 from damasktally.membership.freshness import Freshness
 from damasktally.platform import ChangeEvent, ObjectPage, WatchPage
 from damasktally.resources.view import View
@@ -99,7 +98,7 @@
         return RelayedChanges(view.revision, True, events)
 
 
-class ViewKeeper(ThreadingActor):
+class ViewKeeper(HostActor):
     """Apply changes in the order they arrive; older ones change nothing.
 
     :param on_change: called with each new view, after it was published.
@@ -118,7 +117,7 @@
         self._clock = clock
         self._on_change = on_change
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         """Handle one of this module's messages."""
         if isinstance(message, StoreListed):
             self._replace(message.page)
--- a/damasktally/proof/checkers.py
+++ b/damasktally/proof/checkers.py
@@ -32,7 +32,9 @@
             continue
         # Bytes arrived at some time up to the end; the latest is the worst case for
         # a window only if all came at once, so they are spread over the run.
-        crossed[host, server].extend(_spread(run.started_at, run.ended_at, run.bytes_in))
+        crossed[host, server].extend(
+            _spread(run.started_at, run.ended_at, run.bytes_in)
+        )
         crossed[server, host].extend(
             _spread(run.started_at, run.ended_at, run.bytes_out)
         )
--- /dev/null
+++ b/damasktally/resources/files.py
@@ -0,0 +1,54 @@
+"""Read files with many objects."""
+
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from yaml import YAMLError, safe_load_all
+
+from damasktally.resources.exceptions import InvalidFile
+from damasktally.resources.kinds import Name
+
+REMEDY = "Each document has kind, name and spec; see docs/ref/kinds.md."
+
+
+class ObjectInFile(BaseModel):
+    """Describe one object as it stands in a file."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    kind: str
+    name: Name
+    spec: dict[str, Any] = Field(default_factory=dict)
+
+
+def read_objects(path: Path) -> list[ObjectInFile]:
+    """Read every object of a YAML or JSON file.
+
+    A document is an object or a list of objects.
+
+    :raises InvalidFile: when the file cannot be read or an object is malformed.
+    """
+    try:
+        documents = list(safe_load_all(path.read_text(encoding="utf-8")))
+    except (OSError, UnicodeDecodeError, YAMLError) as exc:
+        reason = " ".join(str(exc).split())
+        raise InvalidFile(f"{path} cannot be read: {reason}.", REMEDY) from exc
+    found = []
+    for document in documents:
+        if document is None:
+            continue
+        items = document if isinstance(document, list) else [document]
+        found.extend(_parse(path, item) for item in items)
+    return found
+
+
+def _parse(path: Path, item: object) -> ObjectInFile:
+    try:
+        return ObjectInFile.model_validate(item)
+    except ValidationError as exc:
+        faults = "; ".join(
+            f"{'.'.join(str(part) for part in error['loc'])}: {error['msg']}"
+            for error in exc.errors()
+        )
+        raise InvalidFile(f"{path}: {faults}.", REMEDY) from exc
--- /dev/null
+++ b/features/run_all.py
@@ -0,0 +1,79 @@
+"""Run formatter, linter and every scenario, and print behave's own totals."""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+RED_MARK = "test: "
+
+
+def known_red() -> set[str]:
+    """Return the scenarios that KNOWN-RED.txt names."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {
+        line.removeprefix(RED_MARK).strip() for line in lines if RED_MARK in line[:6]
+    }
+
+
+def run_ruff() -> bool:
+    """Run formatter and linter; return whether both are clean."""
+    ruff = Path(sys.executable).parent / "ruff"
+    clean = True
+    for args in (["format", "--check", "."], ["check", "."]):
+        clean &= subprocess.run([ruff, *args], cwd=ROOT, check=False).returncode == 0
+    return clean
+
+
+def run_behave(args: list[str], soak: bool) -> list[dict]:
+    """Run behave; return every scenario that it reported."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = [sys.executable, "-m", "behave", "--format", "json"]
+        command += ["--outfile", str(report), "--format", "progress3"]
+        command += ["--tags", "soak" if soak else "not soak", "--no-capture", *args]
+        environment = dict(os.environ, PYTHONPATH=str(ROOT))
+        subprocess.run(command, cwd=ROOT, env=environment, check=False)
+        features = json.loads(report.read_text(encoding="utf-8"))
+    return [
+        element
+        for feature in features
+        for element in feature.get("elements", [])
+        if element["type"] == "scenario"
+    ]
+
+
+def main() -> int:
+    """Run all; return the exit code."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--soak", action="store_true")
+    parser.add_argument("paths", nargs="*")
+    options = parser.parse_args()
+    clean = run_ruff()
+    scenarios = run_behave(options.paths or ["features"], options.soak)
+    red = known_red()
+    passed = failed = 0
+    for scenario in scenarios:
+        status = scenario.get("status")
+        if status == "skipped":
+            continue
+        if status == "passed":
+            passed += 1
+        elif scenario["name"] in red:
+            print(f"KNOWN RED: {scenario['name']}")
+        else:
+            failed += 1
+            print(f"FAILED: {scenario['name']} ({scenario['location']})")
+    print(f"{passed} passed, {failed} failed")
+    return 0 if clean and passed and not failed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/features/steps/escrow_steps.py
@@ -0,0 +1,403 @@
+"""Steps that exercise buckets, generations and slots on a simulated clock."""
+
+from dataclasses import dataclass, field
+from fractions import Fraction
+from random import Random
+
+from behave import given, then, when
+
+from damasktally.escrow.bucket import Bucket, Lease
+from damasktally.escrow.generations import Departure, GenerationWindow
+from damasktally.escrow.shares import RosterHost, RosterView
+from damasktally.escrow.slots import SlotLease, SlotTable
+
+STEPS = 12_000
+ANSWERS_AT_ONCE = 3
+LEASE_S = 2.0
+FENCE_S = 3.0
+DRIFT = 0.001
+
+
+@dataclass
+class Loan:
+    """Hold an answer that is under way."""
+
+    borrower: int
+    sequence: int
+    sent_at: float
+    lease: Lease
+    duration: float
+    tokens: float
+    lender: str
+
+
+@dataclass
+class BucketFleet:
+    """Run several buckets of one limit against each other."""
+
+    hosts: int
+    rate: float
+    burst: float
+    fault: str = ""
+    now: float = 0.0
+    spent: list[tuple[float, float]] = field(default_factory=list)
+    top_rate: float = 0.0
+    top_burst: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.names = [f"h{i}" for i in range(self.hosts)]
+        self.buckets = [
+            Bucket(self.rate / self.hosts, self.burst / self.hosts, 0.0, FENCE_S)
+            for _ in self.names
+        ]
+        self.sequences = [0] * self.hosts
+        self.pending: list[Loan] = []
+        self.paused_until = [0.0] * self.hosts
+        self.top_rate, self.top_burst = self.rate, self.burst
+
+    def has(self, fault: str) -> bool:
+        """Tell whether a fault is to be injected."""
+        return self.fault in (fault, "every fault at once")
+
+    def step(self, rng: Random) -> None:
+        """Let time pass and one host do something."""
+        # Callers ask for several times the rate, so that every token is wanted.
+        self.now += rng.expovariate(8.0 * self.top_rate)
+        index = rng.randrange(self.hosts)
+        if self.has("paused hosts") and rng.random() < 0.01:
+            self.paused_until[index] = self.now + rng.uniform(0.5, 6.0)
+        if self.now < self.paused_until[index]:
+            return
+        if not (self.has("fenced hosts") and rng.random() < 0.7):
+            self.buckets[index].confirm(self.now + FENCE_S, self.now)
+        self._inject(rng, index)
+        if rng.random() < 0.6:
+            self._spend(rng, index)
+        elif rng.random() < 0.5:
+            self._ask(rng, index)
+        else:
+            for _ in range(ANSWERS_AT_ONCE):
+                self._deliver(rng)
+
+    def _inject(self, rng: Random, index: int) -> None:
+        if self.has("restarted hosts") and rng.random() < 0.01:
+            self.buckets[index].reset(self.now)
+            self.names[index] = f"h{index}.{self.now}"
+            # A new incarnation waits until the old one's loans and share are over.
+            self.paused_until[index] = self.now + FENCE_S + LEASE_S
+            self._share(index)
+        if self.has("changed limits") and rng.random() < 0.01:
+            self.rate = rng.uniform(0.3, 1.0) * self.top_rate
+            for each in range(self.hosts):
+                self._share(each)
+
+    def _share(self, index: int) -> None:
+        part = 1 / self.hosts
+        self.buckets[index].set_share(self.rate * part, self.burst * part, self.now)
+
+    def _spend(self, rng: Random, index: int) -> None:
+        amount = rng.choice((1.0, 1.0, 2.0, 0.5))
+        if self.buckets[index].take(amount, self.now):
+            self.spent.append((self.now, amount))
+
+    def _ask(self, rng: Random, index: int) -> None:
+        lender = rng.choice([i for i in range(self.hosts) if i != index])
+        if self.now < self.paused_until[lender]:
+            return
+        self.sequences[index] += 1
+        sent_at = self.now
+        ask = Lease(
+            rng.uniform(0, self.rate / self.hosts),
+            rng.uniform(0, self.burst / self.hosts),
+            self.now + LEASE_S,
+        )
+        before = self.buckets[lender].tokens
+        lease, tokens = self.buckets[lender].lend(
+            self.names[index], ask, rng.uniform(0, 5), 0.0, self.now
+        )
+        if self.fault == "a lender that does not debit":
+            self.buckets[lender].tokens = before
+        loan = Loan(
+            index,
+            self.sequences[index],
+            sent_at,
+            lease,
+            lease.until - self.now,
+            tokens,
+            self.names[lender],
+        )
+        if self.has("lost answers") and rng.random() < 0.3:
+            return
+        self.pending.append(loan)
+        if self.has("duplicated answers") and rng.random() < 0.3:
+            self.pending.append(loan)
+
+    def _deliver(self, rng: Random) -> None:
+        if not self.pending:
+            return
+        at = rng.randrange(len(self.pending)) if self.has("reordered answers") else 0
+        loan = self.pending.pop(at)
+        until = loan.sent_at + loan.duration * (1 - DRIFT)
+        lease = Lease(loan.lease.rate, loan.lease.depth, until)
+        self.buckets[loan.borrower].borrow(
+            loan.lender, loan.sequence, lease, loan.tokens, self.now
+        )
+
+    def excess(self) -> float:
+        """Return by how much some window exceeds rate and burst."""
+        level = worst = last = 0.0
+        for at, amount in self.spent:
+            level = max(0.0, level - (at - last) * self.top_rate) + amount
+            worst = max(worst, level - self.top_burst)
+            last = at
+        return worst
+
+
+@given("{hosts:d} hosts share a rate of {rate:g} with a burst of {burst:g}")
+def make_bucket_fleet(context, hosts, rate, burst):
+    context.buckets = BucketFleet(hosts, rate, burst)
+
+
+@when("they spend and lend at random with {fault}, seed {seed:d}")
+def run_buckets(context, fault, seed):
+    context.buckets.fault = fault
+    rng = Random(seed)
+    for _ in range(STEPS):
+        context.buckets.step(rng)
+
+
+@then("no window holds more than rate and burst")
+def check_no_excess(context):
+    assert len(context.buckets.spent) > 50, "hardly anything was spent"
+    assert context.buckets.excess() <= 1e-6, context.buckets.excess()
+
+
+@then("some window holds more than rate and burst")
+def check_excess(context):
+    assert context.buckets.excess() > 0.5, context.buckets.excess()
+
+
+def roster(generation, names):
+    """Return a roster of hosts named by letters."""
+    members = tuple(RosterHost(n, "1", "r", "d") for n in names)
+    return RosterView(generation, members)
+
+
+def split_names(text):
+    """Return the names in a list such as ``a, b``."""
+    return [name.strip() for name in text.split(",")]
+
+
+@given("hosts {old} in generation 1 and hosts {new} in generation 2")
+def make_generations(context, old, new):
+    context.old = roster(1, split_names(old))
+    context.new = roster(2, split_names(new))
+    context.windows = {
+        name: GenerationWindow(f"{name}/1", 5.0) for name in split_names(new)
+    }
+
+
+@when("a and c know generation 2, and b has acknowledged only generation 1")
+def learn_second(context):
+    for name in ("a", "c"):
+        window = context.windows[name]
+        window.learn(context.new, [context.old], [], 100.0)
+        window.acknowledge("b/1", 1)
+        for other in ("a", "c"):
+            window.acknowledge(f"{other}/1", 2)
+    context.now = 100.0
+
+
+@when("b has acknowledged generation 2")
+def acknowledge_second(context):
+    for window in context.windows.values():
+        window.acknowledge("b/1", 2)
+
+
+@when("c was removed without its consent and a learned of it at {at:d} s")
+def remove_member(context, at):
+    window = context.windows["a"]
+    window.learn(context.old, [], [], 50.0)
+    window.learn(context.new, [context.old], [Departure("c/1", 1)], at)
+    window.acknowledge("b/1", 2)
+
+
+def held(context, name, now):
+    """Return the share that a host may use."""
+    window = context.windows[name]
+    return window.smallest(lambda r: r.rate_weight(f"{name}/1"), now)
+
+
+@then("a holds {first} and c holds {second}")
+def check_shares(context, first, second):
+    assert abs(held(context, "a", context.now) - float(Fraction(first))) < 1e-9
+    assert abs(held(context, "c", context.now) - float(Fraction(second))) < 1e-9
+
+
+@then("at {at:d} s a holds {share}")
+def check_share_at(context, at, share):
+    assert abs(held(context, "a", at) - float(Fraction(share))) < 1e-9
+
+
+@dataclass
+class RosterRun:
+    """Spread changes of roster among hosts that learn and acknowledge late."""
+
+    rng: Random
+    now: float = 0.0
+    hold_s: float = 5.0
+    members: list[str] = field(default_factory=lambda: ["a1", "b1", "c1"])
+    generation: int = 1
+    worst: float = 0.0
+    windows: dict[str, GenerationWindow] = field(default_factory=dict)
+    acknowledged: dict[str, int] = field(default_factory=dict)
+    fenced_at: dict[str, float] = field(default_factory=dict)
+    departures: list[Departure] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.history = {1: self._view()}
+        for member in self.members:
+            self._join(member)
+            self.windows[member].learn(self.history[1], [], [], 0.0)
+            self.acknowledged[member] = 1
+        self._exchange(everyone=True)
+
+    def _view(self) -> RosterView:
+        hosts = tuple(RosterHost(m, "1", "r", "d") for m in self.members)
+        return RosterView(self.generation, hosts)
+
+    def _join(self, member: str) -> None:
+        self.windows[member] = GenerationWindow(f"{member}/1", self.hold_s)
+
+    def change(self) -> None:
+        """Add a member, or remove one that may go on spending for a while."""
+        leaving = len(self.members) > 2 and self.rng.random() < 0.5
+        if leaving:
+            gone = self.rng.choice(self.members)
+            self.members.remove(gone)
+            self.departures.append(Departure(f"{gone}/1", self.generation))
+            # It may have been confirmed just before the write that removed it.
+            self.fenced_at[gone] = self.now + self.hold_s
+        else:
+            new = f"n{self.generation}"
+            self.members.append(new)
+            self._join(new)
+        self.generation += 1
+        self.history[self.generation] = self._view()
+
+    def run(self, changes: int) -> None:
+        """Let changes spread while time passes."""
+        for _ in range(changes):
+            self.change()
+            for _ in range(self.rng.randrange(1, 40)):
+                self.now += self.rng.uniform(0, 0.5)
+                self._learn()
+                self._exchange(everyone=False)
+                self._measure()
+
+    def _learn(self) -> None:
+        name = self.rng.choice(self.members)
+        newest = self.history[self.generation]
+        older = [r for g, r in self.history.items() if g < self.generation]
+        self.windows[name].learn(newest, older, self.departures, self.now)
+        self.acknowledged[name] = self.generation
+
+    def _exchange(self, everyone: bool) -> None:
+        for name in self.members:
+            for other in self.members:
+                if name != other and (everyone or self.rng.random() < 0.3):
+                    known = self.acknowledged.get(other)
+                    if known is not None:
+                        self.windows[name].acknowledge(f"{other}/1", known)
+
+    def _measure(self) -> None:
+        total = 0.0
+        for name, window in self.windows.items():
+            if self.now >= self.fenced_at.get(name, float("inf")):
+                continue
+            total += window.smallest(
+                lambda r, name=name: r.rate_weight(f"{name}/1"), self.now
+            )
+        self.worst = max(self.worst, total)
+
+
+@when("{changes:d} changes of roster spread at random, seed {seed:d}")
+def spread_changes(context, changes, seed):
+    context.run = RosterRun(Random(seed))
+    context.run.run(changes)
+
+
+@then("at no time do the shares in use add up to more than one")
+def check_sum(context):
+    assert 0.5 < context.run.worst <= 1 + 1e-9, context.run.worst
+
+
+@given("a roster of {count:d} hosts in 3 regions with 2 data centres each")
+def make_roster(context, count):
+    context.members = [
+        RosterHost(f"h{i}", "1", f"r{i % 3}", f"r{i % 3}-{i // 3 % 2}")
+        for i in range(count)
+    ]
+
+
+def owners_of(members, server, region, centre, slots=3):
+    """Return how many slots of a server each member owns."""
+    view = RosterView(1, tuple(members))
+    counts = {
+        m: view.slots_of(m.identity, server, region, centre, slots) for m in members
+    }
+    assert sum(counts.values()) == slots, counts
+    return [m for m, count in counts.items() if count]
+
+
+@then("the slots of {count:d} servers are each owned once, by hosts next to them")
+def check_owners(context, count):
+    for i in range(count):
+        region = f"r{i % 3}"
+        centre = f"{region}-{i // 3 % 2}"
+        for owner in owners_of(context.members, f"s{i}", region, centre):
+            assert owner.data_centre == centre
+
+
+@then("without the hosts of a data centre its slots belong to hosts of the region")
+def check_region_owners(context):
+    rest = [m for m in context.members if m.data_centre != "r0-0"]
+    assert {m.region for m in owners_of(rest, "s", "r0", "r0-0")} == {"r0"}
+
+
+@then("without the hosts of a region its slots belong to other hosts")
+def check_far_owners(context):
+    rest = [m for m in context.members if m.region != "r0"]
+    assert owners_of(rest, "s", "r0", "r0-0")
+
+
+@given("a host that owns {own:d} slots of a server and lends {lent:d} for {life:d} s")
+def make_lender(context, own, lent, life):
+    context.slots = SlotTable(longest_s=life, own_until=1000.0)
+    context.slots.set_share("s", "p", own)
+    granted = context.slots.lend("peer", "p", lent, 0, 0.0)
+    assert sum(lease.slots for lease in granted) == lent
+    context.now = 0.0
+
+
+@given("a host that borrowed {count:d} slots for {life:d} s")
+def make_borrower(context, count, life):
+    context.slots = SlotTable(longest_s=life)
+    context.slots.borrow("s", "p", SlotLease("l", "peer", count, life))
+    context.now = 0.0
+
+
+@when("{seconds:d} s have passed")
+def pass_time(context, seconds):
+    context.now += seconds
+
+
+@then("it can fill {count:d} slot")
+@then("it can fill {count:d} slots")
+def check_free(context, count):
+    assert context.slots.free("s", context.now, 1.0) == count
+
+
+@then("it can fill {count:d} slots for {work:d} s of work")
+def check_free_for(context, count, work):
+    assert context.slots.free("s", context.now, work) == count
