Proved membership on a simulated clock and found two loops of rejoining.

Cause: a member that had just joined counted as unheard since for ever, so it was removed at once and came back as a new incarnation, over and over (generation 111 with 105 unsettled after 100 s); a host that never was a member took itself for a removed one after a lost answer. Change: a new member has the hold time to speak; the fleet remembers whether it was a member; departures and acknowledgements that matter no more are dropped.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions, requests and whole fleets; ``python -m benchmarks`` runs all."""
--- /dev/null
+++ b/benchmarks/process_fleet.py
@@ -0,0 +1,186 @@
+"""Run hosts as processes of their own, for tests and measurements."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from configparser import ConfigParser
+from dataclasses import dataclass, field
+from json import loads
+from pathlib import Path
+from time import sleep
+
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from damasktally.clock import boot_time
+from damasktally.conf import Settings
+from damasktally.demo.fleet import DemoFleet, host_settings
+from damasktally.proof.history import InForce, Stopped
+
+ADMIN_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 60.0
+READY_S = 60.0
+
+
+@dataclass
+class HostProcess:
+    """Hold one host's process.
+
+    :param paused: whether it was stopped with a signal.
+    """
+
+    settings: Settings
+    process: subprocess.Popen
+    log: Path
+    paused: bool = False
+    _http: PoolManager = field(
+        default_factory=lambda: PoolManager(
+            retries=False, timeout=Timeout(ADMIN_TIMEOUT_S)
+        )
+    )
+
+    @property
+    def name(self) -> str:
+        """Return the host's name."""
+        return self.settings.host.name
+
+    def admin(self, path: str) -> bytes | None:
+        """Return a page of the admin port, or nothing."""
+        url = f"http://{self.settings.admin.address}{path}"
+        try:
+            resp = self._http.request("GET", url)
+        except HTTPError:
+            return None
+        return resp.data if resp.status == 200 else None
+
+    def status(self) -> dict | None:
+        """Return the host's status, or nothing when it does not answer."""
+        page = self.admin("/status")
+        return loads(page) if page else None
+
+    def pause(self) -> None:
+        """Stop the process with a signal."""
+        self.paused = True
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.process.send_signal(signal.SIGCONT)
+        self.paused = False
+
+
+class ProcessFleet(DemoFleet):
+    """Start each host as ``damasktally serve``."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.processes: dict[str, HostProcess] = {}
+        self._folder = tempfile.TemporaryDirectory()
+        self._started = 0
+
+    def _start_host(self, number: int) -> None:
+        self.launch(number)
+
+    def launch(self, number: int, name: str = "") -> HostProcess:
+        """Start one host process.
+
+        :param number: decides the region.
+        """
+        centres = self.scenario.data_centres()
+        order = [*centres[::2], *centres[1::2]]
+        centre, region = order[number % len(order)]
+        name = name or f"host-{number:02d}"
+        settings = host_settings(
+            name, region, centre, self.platform.url, self.scenario.store_region
+        )
+        seeds = [p.settings.peer.address for p in self.processes.values()][:3]
+        peer = settings.peer.model_copy(update={"seeds": seeds})
+        settings = settings.model_copy(update={"peer": peer})
+        folder = Path(self._folder.name)
+        self._started += 1
+        path = folder / f"{name}-{self._started}.ini"
+        log = folder / f"{name}-{self._started}.log"
+        _write_ini(path, settings)
+        with log.open("wb") as out:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "damasktally", "serve", "-c", str(path)],
+                stdout=out,
+                stderr=out,
+                env=dict(os.environ, PYTHONPATH=os.getcwd()),
+            )
+        found = HostProcess(settings, process, log)
+        self.processes[name] = found
+        self.history.limits.region_of[name] = region
+        return found
+
+    def entries(self) -> list[str]:
+        """Return the caller addresses of the hosts that run."""
+        return [p.settings.caller.address for p in self.processes.values()]
+
+    def wait_ready(self) -> None:
+        """Wait until every host is a member whose shares have settled."""
+        end = boot_time() + READY_S
+        while boot_time() < end:
+            found = [p.status() for p in self.processes.values()]
+            if all(f and f["member"] and f["shares_settled"] for f in found) and (
+                len({f["generation"] for f in found}) == 1
+            ):
+                return
+            sleep(0.2)
+        raise TimeoutError(f"the fleet did not settle within {READY_S} s: {found}")
+
+    def sample(self) -> None:
+        """Record which revision each host has in force."""
+        for process in list(self.processes.values()):
+            if process.paused:
+                continue
+            status = process.status()
+            if status is not None:
+                event = InForce(process.name, status["revision"], boot_time())
+                self.history.add(event)
+
+    def kill(self, name: str) -> None:
+        """End a host as a crash would."""
+        process = self.processes.pop(name)
+        process.process.kill()
+        process.process.wait()
+
+    def terminate(self, name: str) -> int:
+        """Stop a host as planned.
+
+        :returns: its exit code.
+        """
+        process = self.processes[name]
+        asked_at = boot_time()
+        process.process.terminate()
+        code = process.process.wait(STOP_TIMEOUT_S)
+        del self.processes[name]
+        self.history.add(Stopped(name, asked_at, boot_time()))
+        return code
+
+    def stop(self) -> None:
+        """End everything at once."""
+        for process in self.processes.values():
+            process.resume()
+            process.process.kill()
+        for process in self.processes.values():
+            process.process.wait()
+        super().stop()
+
+    def logs(self) -> str:
+        """Return what the hosts logged."""
+        folder = Path(self._folder.name)
+        return "".join(p.read_text() for p in sorted(folder.glob("*.log")))
+
+
+def _write_ini(path: Path, settings: Settings) -> None:
+    parser = ConfigParser(interpolation=None)
+    for section, values in settings.model_dump().items():
+        parser[section] = {
+            option: ",".join(value) if isinstance(value, list) else str(value)
+            for option, value in values.items()
+        }
+    with path.open("w", encoding="utf-8") as file:
+        parser.write(file)
--- a/damasktally/demo/callers.py
+++ b/damasktally/demo/callers.py
@@ -271,6 +271,11 @@
             threads.append(thread)
         return threads
 
+    def start_over(self) -> None:
+        """Forget what was counted."""
+        with self._lock:
+            self.tally = Tally()
+
     def _run(self, client: CallerClient, rng: Random, stopping: Event) -> None:
         due = boot_time()
         while not stopping.is_set():
--- a/damasktally/escrow/generations.py
+++ b/damasktally/escrow/generations.py
@@ -64,8 +64,13 @@
         if current.generation < newest:
             return
         self._known[current.generation] = current
-        for departure in departures:
+        carried_departures = set(departures)
+        for departure in carried_departures:
             self._departed.setdefault(departure, now)
+        for departure, learned in list(self._departed.items()):
+            over = now >= learned + self.hold_s
+            if over and departure not in carried_departures:
+                del self._departed[departure]
 
     def acknowledge(self, identity: str, generation: int) -> None:
         """Record that a member stopped using every older generation."""
@@ -103,6 +108,9 @@
         lowest = self._lowest(now)
         for generation in [g for g in self._known if g < lowest]:
             del self._known[generation]
+        named = {who for roster in self._known.values() for who in roster.by_identity}
+        for identity in [who for who in self._acknowledged if who not in named]:
+            del self._acknowledged[identity]
 
     def _lowest(self, now: float) -> int:
         current = self.current
--- a/damasktally/host/fleet.py
+++ b/damasktally/host/fleet.py
@@ -63,6 +63,7 @@
     confirmation: Confirmation = field(init=False)
     vouching: Vouching = field(init=False)
     leaving: bool = False
+    _was_member: bool = False
 
     def __post_init__(self) -> None:
         self.vouching = Vouching(self.clock(), self.hold_s)
@@ -78,6 +79,11 @@
         """Tell whether the newest roster names this incarnation."""
         return any(member.identity == self.identity for member in self.roster.members)
 
+    @property
+    def was_removed(self) -> bool:
+        """Tell whether this incarnation was a member and is none any more."""
+        return self._was_member and not self.is_member
+
     def learn(self, roster: Roster) -> bool:
         """Take over a roster that is not older than the one known.
 
@@ -87,18 +93,31 @@
             return False
         is_new = roster.generation > self.roster.generation
         self.roster = roster
+        self._was_member = self._was_member or self.is_member
         view = roster_view(roster.generation, roster.members)
         now = self.clock()
         for window in (self.rates, self.slots):
             window.learn(view, past_views(roster), departures(roster), now)
         return is_new
 
-    def rejoin(self) -> None:
+    def rejoin(self, incarnation: str) -> None:
         """Become a new incarnation, which owns nothing yet."""
-        self.own = self.own.model_copy(update={"incarnation": new_incarnation()})
+        self.own = self.own.model_copy(update={"incarnation": incarnation})
         self._start_incarnation()
         self.learn(self.roster)
 
+    def acknowledge(self, rates: bool, slots: bool) -> None:
+        """Note that this host uses the newest generation's shares.
+
+        :param rates: whether every loan of a rate fits them.
+        :param slots: whether every filled or lent slot does.
+        """
+        newest = self.roster.generation
+        if rates:
+            self.rates_generation = newest
+        if slots:
+            self.slots_generation = newest
+
     def heard(
         self,
         endpoint: Endpoint,
@@ -187,6 +206,7 @@
         self.confirmation = Confirmation(self.identity)
         self.rates_generation = -1
         self.slots_generation = -1
+        self._was_member = False
 
 
 def identity_of(endpoint: Endpoint) -> str:
--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -196,11 +196,10 @@
             view = self._p.published.view
             self._p.dispatcher.refresh(view, fleet.slots, fleet.identity)
             self._p.ledger.refresh(view)
-            newest = fleet.roster.generation
-            if not self._p.ledger.overlent():
-                fleet.rates_generation = newest
-            if not self._p.dispatcher.overfull():
-                fleet.slots_generation = newest
+            fleet.acknowledge(
+                rates=not self._p.ledger.overlent(),
+                slots=not self._p.dispatcher.overfull(),
+            )
             now = fleet.clock()
             fleet.rates.forget_settled(now)
             fleet.slots.forget_settled(now)
--- a/damasktally/host/roster_keeper.py
+++ b/damasktally/host/roster_keeper.py
@@ -9,7 +9,7 @@
 from damasktally.events import emit
 from damasktally.events.catalogue import REJOINING, ROSTER_JOINED, ROSTER_REMOVED
 from damasktally.host.actor import HostActor
-from damasktally.host.fleet import Fleet
+from damasktally.host.fleet import Fleet, new_incarnation
 from damasktally.membership.roster import joined, settled, without
 from damasktally.platform import NotFound, ObjectStore, StoredObject, StoreError
 from damasktally.resources.exceptions import InvalidObject
@@ -46,8 +46,7 @@
         if generation != self.generation:
             self.generation = generation
             self.votes = {}
-        wanted = set(suspects)
-        self.votes = {who: self.votes.get(who, set()) for who in wanted}
+        self.votes = {who: self.votes.get(who, set()) for who in suspects}
 
     def agree(self, voter: str, identities: Iterable[str]) -> None:
         """Count a peer's agreement."""
@@ -101,11 +100,11 @@
         fleet = self._p.fleet
         with fleet.lock:
             is_member = fleet.is_member
-            was_removed = not is_member and fleet.rates_generation >= 0
+            was_removed = fleet.was_removed
         if was_removed:
             emit(REJOINING, host=fleet.own.host)
             with fleet.lock:
-                fleet.rejoin()
+                fleet.rejoin(new_incarnation())
             self._p.on_rejoin()
         if not is_member:
             self._change(lambda roster: joined(roster, fleet.own), ROSTER_JOINED)
--- a/damasktally/membership/confirmation.py
+++ b/damasktally/membership/confirmation.py
@@ -77,6 +77,7 @@
     hold_s: float
     _confirmed: dict[str, float] = field(default_factory=dict)
     _against: dict[str, int] = field(default_factory=dict)
+    _first_seen: dict[str, float] = field(default_factory=dict)
 
     def confirm(self, identity: str, roster: RosterView | None, now: float) -> bool:
         """Confirm a member, unless this host vouched for its removal.
@@ -107,11 +108,19 @@
 
     def suspects(self, roster: RosterView, own: str, now: float) -> list[str]:
         """Return the members that this host has not heard for the hold time."""
+        self._note_members(roster, now)
         if now < self.started_at + self.hold_s:
             return []
         return [
             identity
             for identity in roster.by_identity
-            if identity != own
-            and now >= self._confirmed.get(identity, -inf) + self.hold_s
+            if identity != own and now >= self._last_sign(identity) + self.hold_s
         ]
+
+    def _note_members(self, roster: RosterView, now: float) -> None:
+        """Remember since when each member is known: a new one needs time to speak."""
+        known = self._first_seen
+        self._first_seen = {who: known.get(who, now) for who in roster.by_identity}
+
+    def _last_sign(self, identity: str) -> float:
+        return max(self._confirmed.get(identity, -inf), self._first_seen[identity])
--- /dev/null
+++ b/features/fleet/processes.feature
@@ -0,0 +1,19 @@
+Feature: A fleet of processes keeps its promises through a bad night
+
+  Scenario: Twelve hosts under load, with outage, pause, kill, withdrawal and stop
+    Given 12 host processes of masa under load at 60 % of every rate
+    When the following happens
+      | at  | event                      |
+      | 4   | withdraw the key of c7     |
+      | 8   | the platform goes down     |
+      | 12  | pause host-03              |
+      | 20  | kill host-05               |
+      | 27  | resume host-03             |
+      | 68  | the platform comes back    |
+      | 74  | drain suscripciones-01     |
+      | 75  | stop host-07 as planned    |
+      | 90  | end                        |
+    Then every promise held
+    And at least 97 % of the requests inside their rate were served
+    And the stopped host ended with 0
+    And no host logged a failure
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,109 @@
+"""Steps that run whole fleets of processes under load and faults."""
+
+from threading import Thread
+from time import sleep
+
+from behave import given, then, when
+
+from benchmarks.load import FleetLoad
+from benchmarks.process_fleet import ProcessFleet
+from damasktally.clock import boot_time
+from damasktally.demo.scenarios import SCENARIOS
+from damasktally.platform.server import FaultPlan
+from damasktally.proof.checkers import check_all
+
+
+@given("{count:d} host processes of {name} under load at {percent:d} % of every rate")
+def start_processes(context, count, name, percent):
+    fleet = ProcessFleet(SCENARIOS[name]())
+    context.closing.append(fleet.stop)
+    fleet.start(count)
+    fleet.wait_ready()
+    sleep(3)  # The buckets of new incarnations start empty.
+    load = FleetLoad(fleet, lambda plan: percent / 100)
+    load.start()
+    context.closing.append(load.stop)
+    context.processes, context.load = fleet, load
+    context.exit_codes = []
+
+
+def run_event(context, event):
+    """Make one thing happen."""
+    fleet = context.processes
+    words = event.split()
+    if event.startswith("withdraw"):
+        fleet.withdraw(words[-1])
+    elif event == "the platform goes down":
+        fleet.platform.faults = FaultPlan(down=True)
+    elif event == "the platform comes back":
+        fleet.platform.faults = FaultPlan()
+    elif event.startswith("pause"):
+        fleet.processes[words[-1]].pause()
+    elif event.startswith("resume"):
+        fleet.processes[words[-1]].resume()
+    elif event.startswith("kill"):
+        fleet.kill(words[-1])
+    elif event.startswith("drain"):
+        fleet.drain(words[-1])
+    elif event.startswith("stop"):
+        stop = Thread(
+            target=lambda: context.exit_codes.append(fleet.terminate(words[1]))
+        )
+        stop.start()
+        context.stops = stop
+    else:
+        raise AssertionError(f"unknown event {event}")
+
+
+@when("the following happens")
+def run_events(context):
+    began = boot_time()
+    for row in context.table:
+        while boot_time() - began < float(row["at"]):
+            context.processes.sample()
+            sleep(0.2)
+        if row["event"] != "end":
+            run_event(context, row["event"])
+    context.load.stop()
+    if hasattr(context, "stops"):
+        context.stops.join()
+
+
+@then("every promise held")
+def check_promises(context):
+    history = context.processes.history
+    assert len(history.ran) > 1_000, len(history.ran)
+    violations = check_all(history)
+    assert not violations, "\n".join(
+        f"{v.promise}: {v.detail}" for v in violations[:20]
+    )
+
+
+@then("at least {percent:d} % of the requests inside their rate were served")
+def check_served(context, percent):
+    served = refused = failed = 0
+    withdrawn = {event.customer for event in context.processes.history.withdrawn}
+    for name, source in context.load.sources.items():
+        if name in withdrawn:
+            continue
+        served += source.tally.served
+        refused += source.tally.refused_in_rate
+        failed += source.tally.failed
+    print(f"served {served}, refused in rate {refused}, failed {failed}")
+    assert served >= percent / 100 * (served + refused + failed), (
+        served,
+        refused,
+        failed,
+    )
+
+
+@then("the stopped host ended with {code:d}")
+def check_exit(context, code):
+    assert context.exit_codes == [code], context.exit_codes
+
+
+@then("no host logged a failure")
+def check_logs(context):
+    logs = context.processes.logs()
+    assert "Traceback" not in logs, logs[logs.index("Traceback") - 200 :][:3000]
+    assert '"event":900' not in logs
--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,379 @@
+"""Steps that let fleets live on a simulated clock, with the real decisions."""
+
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from math import inf
+from random import Random
+
+from behave import given, then, when
+
+from damasktally.escrow.shares import RosterHost, RosterView
+from damasktally.host.fleet import Fleet, identity_of
+from damasktally.host.roster_keeper import RemovalVotes
+from damasktally.membership.confirmation import Confirmation, Vouching
+from damasktally.membership.freshness import Freshness
+from damasktally.membership.roster import joined, settled, without
+from damasktally.peers.peer_pb2 import Endpoint
+from damasktally.resources.kinds import Member, Roster
+
+FENCE_S = 4.0
+HOLD_S = 5.0
+SLOT_HOLD_S = 10.0
+QUIET_END_S = 60.0
+NO_WAITING = "no waiting for who may still spend"
+TICK_S = 0.5
+MEASURED_EVERY = 5
+"""Events between two sums; shares change with ticks, far less often."""
+
+
+@dataclass(eq=False)
+class Node:
+    """Hold one process of a host."""
+
+    fleet: Fleet
+    endpoint: Endpoint
+    own_until: float = -inf
+    paused_until: float = 0.0
+    alive: bool = True
+    votes: RemovalVotes = field(default_factory=RemovalVotes)
+
+    @property
+    def identity(self):
+        """Return the node's incarnation."""
+        return self.fleet.identity
+
+    def share(self, now):
+        """Return the part of every rate that the node may spend now."""
+        if now >= self.own_until:
+            return 0.0
+        identity = self.identity
+        return self.fleet.rates.smallest(lambda r: r.rate_weight(identity), now)
+
+
+@dataclass
+class Life:
+    """Run nodes, messages and a store on one simulated clock."""
+
+    hosts: int
+    rng: Random
+    fault: str
+    seconds: float
+    now: float = 1000.0
+    worst: float = 0.0
+    store_up: bool = True
+    cut: set = field(default_factory=set)
+    nodes: list = field(default_factory=list)
+    roster: Roster = field(default_factory=Roster)
+    version: int = 0
+
+    def __post_init__(self):
+        self.events = []
+        self.order = count()
+        self.end = self.now + self.seconds
+        for number in range(self.hosts):
+            self.start(f"h{number}")
+
+    def has(self, fault):
+        """Tell whether a fault is to be injected now."""
+        if self.now > self.end - QUIET_END_S:
+            return False
+        return self.fault in (fault, "every fault at once")
+
+    def start(self, host):
+        """Start a new incarnation of a host."""
+        incarnation = f"i{next(self.order)}"
+        where = {"region": "r", "data_centre": "d"}
+        address = "127.0.0.1:1"
+        member = Member(
+            host=host, incarnation=incarnation, peer=address, caller=address, **where
+        )
+        fleet = Fleet(member, lambda: self.now, HOLD_S, SLOT_HOLD_S)
+        if self.fault == NO_WAITING:
+            fleet.vouching.hold_s = 0.0
+            fleet.rates.hold_s = fleet.slots.hold_s = 0.0
+        endpoint = Endpoint(host=host, incarnation=incarnation, region="r")
+        node = Node(fleet, endpoint)
+        self.nodes.append(node)
+        self.after(self.rng.uniform(0, 1), lambda: self.tick(node))
+
+    def after(self, delay, action):
+        """Do something later."""
+        heappush(self.events, (self.now + delay, next(self.order), action))
+
+    def run(self):
+        """Run to the end."""
+        self.after(1.0, self.trouble)
+        steps = count()
+        while self.events and self.events[0][0] <= self.end:
+            self.now, _, action = heappop(self.events)
+            action()
+            if next(steps) % MEASURED_EVERY == 0:
+                total = sum(n.share(self.now) for n in self.nodes if n.alive)
+                self.worst = max(self.worst, total)
+
+    def trouble(self):
+        """Inject faults now and then."""
+        self.after(self.rng.uniform(1, 8), self.trouble)
+        living = [n for n in self.nodes if n.alive]
+        victim = self.rng.choice(living)
+        if self.has("pauses") or self.fault == NO_WAITING:
+            victim.paused_until = self.now + self.rng.uniform(1, 20)
+        if self.has("kills and restarts") and self.rng.random() < 0.5:
+            victim.alive = False
+            host = victim.fleet.own.host
+            self.after(self.rng.uniform(0, 10), lambda: self.start(host))
+        self.store_up = not (self.has("store outages") and self.rng.random() < 0.5)
+        self.cut = set()
+        if self.has("partitions") and self.rng.random() < 0.6:
+            side = self.rng.sample(range(self.hosts), self.hosts // 2)
+            self.cut = {f"h{number}" for number in side}
+
+    def lost(self, sender, receiver):
+        """Tell whether a message gets lost."""
+        split = (sender in self.cut) != (receiver in self.cut)
+        return split or (self.has("lost messages") and self.rng.random() < 0.3)
+
+    def delay(self):
+        """Return how long a message takes."""
+        slow = self.has("slow messages") and self.rng.random() < 0.3
+        return self.rng.uniform(0.5, 3.0) if slow else self.rng.uniform(0.001, 0.05)
+
+    def tick(self, node):
+        """Do a node's periodic work."""
+        if not node.alive:
+            return
+        self.after(TICK_S * self.rng.uniform(0.8, 1.2), lambda: self.tick(node))
+        if self.now < node.paused_until:
+            return
+        fleet = node.fleet
+        fleet.acknowledge(rates=True, slots=True)
+        at = fleet.confirmed_at()
+        node.own_until = max(node.own_until, at + FENCE_S)
+        fleet.rates.forget_settled(self.now)
+        for other in self.nodes:
+            if other is not node and other.alive:
+                self.send(node, other)
+        self.read_store(node)
+
+    def send(self, node, other):
+        """Send a heartbeat and bring back its answer."""
+        hosts = (node.fleet.own.host, other.fleet.own.host)
+        sent_at = self.now
+        fleet = node.fleet
+        known = (0, fleet.roster.generation, fleet.rates_generation)
+        identity, asked = node.identity, list(node.votes.votes)
+        generation = fleet.roster.generation
+
+        def arrive():
+            if self.lost(*hosts) or not other.alive or self.now < other.paused_until:
+                return
+            theirs = other.fleet
+            theirs.heard(node.endpoint, *known, fleet.slots_generation)
+            current = theirs.rates.current
+            confirmed = theirs.vouching.confirm(identity, current, self.now)
+            agreed = [
+                who
+                for who in asked
+                if theirs.vouching.vouch_against(who, generation, self.now)
+            ]
+            answer = (0, theirs.roster.generation, theirs.rates_generation)
+            self.after(self.delay(), lambda: back(confirmed, agreed, answer))
+
+        def back(confirmed, agreed, answer):
+            if self.lost(*hosts) or not node.alive or self.now < node.paused_until:
+                return
+            if node.identity != identity:
+                return
+            fleet.heard(other.endpoint, *answer, answer[2])
+            if confirmed:
+                fleet.confirmation.by_peer(identity_of(other.endpoint), sent_at)
+            node.votes.agree(other.identity, agreed)
+
+        self.after(self.delay(), arrive)
+
+    def read_store(self, node):
+        """Read the roster, learn it, and do the duties that follow from it."""
+        sent_at = self.now
+
+        def read():
+            if self.store_up and node.fleet.own.host not in self.cut:
+                roster, version = self.roster, self.version
+                self.after(self.delay(), lambda: learn(roster, version))
+
+        def learn(roster, version):
+            if not node.alive or self.now < node.paused_until:
+                return
+            fleet = node.fleet
+            fleet.learn(roster)
+            fresh = roster.generation == fleet.roster.generation
+            fleet.confirmation.by_store(sent_at, fresh and fleet.is_member)
+            self.duties(node, roster, version)
+
+        self.after(self.delay(), read)
+
+    def duties(self, node, roster, version):
+        """Join, remove or prune, by conditional write."""
+        fleet = node.fleet
+        if not fleet.is_member:
+            if fleet.was_removed:
+                fleet.rejoin(f"i{next(self.order)}")
+                node.endpoint.incarnation = fleet.own.incarnation
+                node.own_until = -inf
+            self.write(version, joined(roster, fleet.own))
+            return
+        view = fleet.rates.current
+        suspects = fleet.vouching.suspects(view, fleet.identity, self.now)
+        node.votes.start(fleet.roster.generation, suspects)
+        own = [
+            who
+            for who in suspects
+            if fleet.vouching.vouch_against(who, fleet.roster.generation, self.now)
+        ]
+        node.votes.agree(fleet.identity, own)
+        members = [frozenset(r.by_identity) for r in fleet.rates.window(self.now)]
+        agreed = node.votes.agreed_by(members)
+        if agreed and roster.generation == fleet.roster.generation:
+            self.write(version, without(roster, agreed, consented=False))
+        elif fleet.rates.settled(self.now) and fleet.slots.settled(self.now):
+            if roster.unsettled or roster.departed:
+                self.write(version, settled(roster, roster.generation, []))
+
+    def write(self, version, roster):
+        """Write the roster later, if nobody else did meanwhile."""
+
+        def arrive():
+            if self.store_up and self.version == version and roster != self.roster:
+                self.roster = roster
+                self.version += 1
+
+        self.after(self.delay(), arrive)
+
+
+@given("{hosts:d} hosts that all start at once")
+def start_life(context, hosts):
+    context.hosts = hosts
+
+
+@when("they live for {seconds:d} s with {fault}, seed {seed:d}")
+def live(context, seconds, fault, seed):
+    context.life = Life(context.hosts, Random(seed), fault, seconds)
+    context.life.run()
+
+
+@then("the shares in use never added up to more than one")
+def check_life(context):
+    assert 0.9 < context.life.worst <= 1 + 1e-9, context.life.worst
+
+
+@then("the shares in use added up to more than one at some time")
+def check_broken_life(context):
+    assert context.life.worst > 1 + 1e-9, context.life.worst
+
+
+@then("at the end every living host is a confirmed member")
+def check_recovered(context):
+    life = context.life
+    held = [n.share(life.now) for n in life.nodes if n.alive]
+    assert all(abs(s - 1 / life.hosts) < 1e-9 for s in held), held
+
+
+@given("a host whose view must be confirmed within {bound:g} s")
+def make_freshness(context, bound):
+    context.now = 100.0
+    context.freshness = Freshness(bound, lambda: context.now)
+
+
+def silent_fleet(context, ages):
+    """Return when a majority of three hosts in the store's region agree."""
+    where = {"peer": "127.0.0.1:1", "caller": "127.0.0.1:1", "data_centre": "d"}
+    members = [
+        Member(host=f"w{n}", incarnation="1", region="store", **where) for n in range(3)
+    ]
+    own = Member(host="x", incarnation="1", region="far", **where)
+    fleet = Fleet(own, lambda: context.now, HOLD_S, HOLD_S)
+    fleet.learn(Roster(generation=1, members=[*members, own]))
+    for member, age in zip(members, ages, strict=True):
+        endpoint = Endpoint(host=member.host, incarnation="1", region="store")
+        peer = fleet.heard(endpoint, 0, 1, 1, 1)
+        peer.witnessed_at = context.now - age
+    return fleet.silent_since("store", -inf)
+
+
+@when("nothing was ever confirmed")
+def never_confirmed(context):
+    pass
+
+
+@when("the store answered a question sent {age:g} s ago")
+def answered_ago(context, age):
+    context.freshness.confirmed(context.now - age)
+
+
+@when("a majority of the store's region found it silent {age:g} s ago")
+def majority_silent(context, age):
+    context.freshness.store_silent(silent_fleet(context, [age, age, inf]))
+
+
+@when("a minority of the store's region found it silent {age:g} s ago")
+def minority_silent(context, age):
+    context.freshness.store_silent(silent_fleet(context, [age, inf, inf]))
+
+
+@when("the store is heard again after it was silent")
+def heard_again(context):
+    context.freshness.store_silent(context.now - 1)
+    context.freshness.confirmed(context.now - 0.1)
+
+
+@then("its state is {state}")
+def check_state(context, state):
+    assert context.freshness.state().value == state, context.freshness
+
+
+def plain_roster(generation, names):
+    """Return a roster of hosts with one incarnation each."""
+    members = tuple(RosterHost(n, "1", "r", "d") for n in names)
+    return RosterView(generation, members)
+
+
+@given("rosters a, b, c and then a, d, e, both in use")
+def two_rosters(context):
+    context.window = [plain_roster(1, "abc"), plain_roster(2, "ade")]
+    context.confirmation = Confirmation("a/1")
+
+
+@when("d and e confirmed a, but b and c did not")
+def new_confirms(context):
+    for peer in ("d/1", "e/1"):
+        context.confirmation.by_peer(peer, 50.0)
+
+
+@when("b confirmed a too")
+def old_confirms(context):
+    context.confirmation.by_peer("b/1", 49.0)
+
+
+@then("a is not confirmed")
+def check_unconfirmed(context):
+    assert context.confirmation.confirmed_at(context.window, 51.0) == -inf
+
+
+@then("a is confirmed")
+def check_confirmed(context):
+    assert context.confirmation.confirmed_at(context.window, 51.0) == 49.0
+
+
+@given("a host that started {age:d} s ago with a hold of {hold:d} s")
+def young_voucher(context, age, hold):
+    context.vouching = Vouching(100.0 - age, hold)
+
+
+@then("it does not vouch against a host that it never heard")
+def check_young(context):
+    assert not context.vouching.vouch_against("x/1", 1, 100.0)
+
+
+@then("it does so after {hold:d} s")
+def check_grown(context, hold):
+    assert context.vouching.vouch_against("x/1", 1, 100.0 + hold)
