--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -90,7 +90,7 @@
         )
         fleet = Fleet(member, lambda: self.now, HOLD_S, SLOT_HOLD_S)
         if self.fault == NO_WAITING:
-            fleet.vouching.hold_s = 0.0
+            fleet.vouching.hold_s = FENCE_S / 4
             fleet.rates.hold_s = fleet.slots.hold_s = 0.0
         endpoint = Endpoint(host=host, incarnation=incarnation, region="r")
         node = Node(fleet, endpoint)
