Lent shares in proportion to demand, and urgent tokens apart from rates.

Cause: traces of a simulated fleet showed tokens lost at each change of a loan, homes that could not lend on what they had borrowed, and urgent loans that replaced a long loan of a rate by a short one. Change: each host asks each peer for its part of the demand; parts change only beyond a tolerance; a borrower tells which grant it uses, so that the lender frees the old one at once; urgent loans have an account of their own and may be lent on.

--- a/damasktally/admission/admit.py
+++ b/damasktally/admission/admit.py
@@ -11,6 +11,9 @@
 
 MAX_BORROW_WAIT_S = 0.25
 """Seconds that a request waits for a loan before it is refused."""
+ASK_GAP_S = 0.1
+"""Seconds after which a request that still waits asks peers again."""
+SHORTEST_WAIT_S = 0.001
 MAX_WAITERS = 16
 """Requests of one customer that may wait for a loan on this host."""
 MAX_THREAD_PART = 0.5
@@ -100,21 +103,27 @@
                 return False
             self._waiting[limit] = waiting + 1
         try:
-            if not self.want_loan(limit, waiting + 1.0):
-                return False
             return self._wait_for_token(limit, wait_s)
         finally:
             with self._lock:
                 self._waiting[limit] -= 1
 
     def _wait_for_token(self, limit: str, wait_s: float) -> bool:
+        """Ask for loans until one brings a token, or nobody has any to lend."""
         end = self.ledger.clock() + wait_s
+        asked_at = float("-inf")
         with self.ledger.changed:
             while True:
                 if self.ledger.take_again(limit, 1.0):
                     return True
-                left = end - self.ledger.clock()
-                if left <= 0:
-                    return False
+                now = self.ledger.clock()
                 soon = self.ledger.retry_after(limit, 1.0)
-                self.ledger.changed.wait(min(left, max(soon, 0.001)))
+                if now >= end:
+                    return False
+                if now - asked_at >= ASK_GAP_S:
+                    asked_at = now
+                    asked = self.want_loan(limit, float(self._waiting[limit]))
+                    if not asked and now + soon > end:
+                        return False
+                wait_s = min(end - now, ASK_GAP_S, max(soon, SHORTEST_WAIT_S))
+                self.ledger.changed.wait(wait_s)
--- a/damasktally/escrow/bucket.py
+++ b/damasktally/escrow/bucket.py
@@ -1,7 +1,7 @@
 """Hold one host's part of a token bucket, with loans to and from its peers."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 EPSILON_TOKENS = 1e-9
@@ -15,17 +15,13 @@
     :param rate: tokens a second.
     :param depth: tokens of bucket depth.
     :param until: when it ends, on the clock of the host that holds this record.
+    :param sequence: number of the question that it answered.
     """
 
     rate: float
     depth: float
     until: float
-
-
-@dataclass(slots=True)
-class _Borrowed:
-    sequence: int
-    lease: Lease
+    sequence: int = 0
 
 
 @dataclass(slots=True)
@@ -48,7 +44,7 @@
     own_until: float = inf
     tokens: float = 0.0
     _lent: dict[str, list[Lease]] = field(default_factory=dict)
-    _borrowed: dict[str, _Borrowed] = field(default_factory=dict)
+    _borrowed: dict[str, Lease] = field(default_factory=dict)
     _rate_now: float = 0.0
     _depth_now: float = 0.0
     _next_change: float = inf
@@ -129,7 +125,13 @@
         self._recompute()
 
     def lend(
-        self, peer: str, ask: Lease, tokens: float, keep: float, now: float
+        self,
+        peer: str,
+        ask: Lease,
+        tokens: float,
+        keep: float,
+        now: float,
+        lend_on: bool = False,
     ) -> tuple[Lease, float]:
         """Debit a loan to a peer, as far as this host's share allows.
 
@@ -140,27 +142,25 @@
         :param ask: what the peer would like, its ``until`` on this host's clock.
         :param tokens: tokens that the peer would like to have moved.
         :param keep: tokens a second that this host keeps for its own callers.
+        :param lend_on: lend depth that is borrowed itself, too.
         :returns: the lease granted and the tokens moved with it.
         """
         self.advance(now)
-        until = min(ask.until, self.own_until)
         own_rate, own_depth = self._own(now)
         others = [self._lent_to(name, now) for name in self._lent if name != peer]
+        lent_depth = sum(lent.depth for lent in others)
         free_rate = own_rate - sum(lent.rate for lent in others)
-        free_depth = own_depth - sum(lent.depth for lent in others)
+        held_depth = own_depth
+        if lend_on:
+            held_depth += sum(part.depth for part in self.borrowed(now).values())
         rate = max(0.0, min(ask.rate, free_rate - keep))
-        depth = max(0.0, min(ask.depth, free_depth))
-        held = self._lent_to(peer, now)
-        moved = min(tokens, self.tokens, depth)
-        moved = max(0.0, moved)
+        depth = max(0.0, min(ask.depth, held_depth - lent_depth))
+        until = min(ask.until, self._supported_until(lent_depth + depth, now))
+        moved = max(0.0, min(tokens, self.tokens, depth))
         if until <= now or (rate <= 0 and depth <= 0):
             return Lease(0.0, 0.0, now), 0.0
-        lease = Lease(rate, depth, until)
-        kept = [old for old in self._lent.get(peer, []) if old.until > now]
-        covered = rate >= held.rate and depth >= held.depth
-        if covered and all(old.until <= until for old in kept):
-            kept = []
-        self._lent[peer] = [*kept, lease]
+        lease = Lease(rate, depth, until, ask.sequence)
+        self._debit(peer, lease, now)
         self.tokens -= moved
         self._recompute()
         return lease, moved
@@ -179,35 +179,41 @@
         held = self._borrowed.get(peer)
         if held is not None and sequence <= held.sequence:
             return False
-        self._borrowed[peer] = _Borrowed(sequence, lease)
+        self._borrowed[peer] = replace(lease, sequence=sequence)
         if lease.until <= now:
             tokens = 0.0
         self.tokens += tokens
         self._recompute()
         return True
 
+    def applied(self, peer: str, sequence: int, now: float) -> None:
+        """Drop loans that a peer replaced by the answer to a later question.
+
+        :param sequence: number of the newest question whose answer it applied.
+        """
+        leases = self._lent.get(peer)
+        if not leases or all(lease.sequence >= sequence for lease in leases):
+            return
+        self.advance(now)
+        self._lent[peer] = [held for held in leases if held.sequence >= sequence]
+        self._recompute()
+
     def overlent(self, now: float) -> bool:
-        """Tell whether more is lent than this host's share holds."""
+        """Tell whether more is lent than this host holds."""
         self.advance(now)
-        own_rate, own_depth = self._own(now)
+        held_rate, held_depth = self._own(now)
+        for lease in self.borrowed(now).values():
+            held_rate += lease.rate
+            held_depth += lease.depth
         lent = [self._lent_to(name, now) for name in self._lent]
-        too_fast = sum(part.rate for part in lent) > own_rate + EPSILON_TOKENS
-        too_deep = sum(part.depth for part in lent) > own_depth + EPSILON_TOKENS
+        too_fast = sum(part.rate for part in lent) > held_rate + EPSILON_TOKENS
+        too_deep = sum(part.depth for part in lent) > held_depth + EPSILON_TOKENS
         return too_fast or too_deep
 
-    def spare_rate(self, keep: float, now: float) -> float:
-        """Return the tokens a second that this host could lend."""
-        self.advance(now)
-        own_rate, _ = self._own(now)
-        lent = sum(self._lent_to(name, now).rate for name in self._lent)
-        return max(0.0, own_rate - lent - keep)
-
     def spare_depth(self, now: float) -> float:
         """Return the tokens of depth that this host could lend."""
         self.advance(now)
-        _, own_depth = self._own(now)
-        lent = sum(self._lent_to(name, now).depth for name in self._lent)
-        return max(0.0, own_depth - lent)
+        return self._depth_now
 
     @property
     def rate_now(self) -> float:
@@ -222,9 +228,7 @@
     def borrowed(self, now: float) -> dict[str, Lease]:
         """Return the loans from each peer that have not expired."""
         return {
-            peer: held.lease
-            for peer, held in self._borrowed.items()
-            if held.lease.until > now
+            peer: lease for peer, lease in self._borrowed.items() if lease.until > now
         }
 
     def lent_out(self, now: float) -> bool:
@@ -232,10 +236,6 @@
         self.advance(now)
         return bool(self._lent)
 
-    def lent_rate(self) -> float:
-        """Return the tokens a second lent out, as of the last call."""
-        return sum(self._lent_to(name, self.now).rate for name in self._lent)
-
     def advance(self, now: float) -> None:
         """Accrue tokens up to ``now``, step by step over each lease's end."""
         while self._next_change <= now:
@@ -251,6 +251,27 @@
         self.tokens = min(self._depth_now, self.tokens + gained)
         self.now = to
 
+    def _supported_until(self, lent_depth: float, now: float) -> float:
+        """Return how long what is lent can last.
+
+        Depth beyond this host's share is borrowed itself, and may be lent on until
+        the first of those loans ends. Their lenders keep them debited until then,
+        also when a renewal makes them smaller.
+        """
+        _, own_depth = self._own(now)
+        if lent_depth <= own_depth:
+            return self.own_until
+        ends = [lease.until for lease in self.borrowed(now).values()]
+        return min([self.own_until, *ends]) if own_depth else min(ends, default=now)
+
+    def _debit(self, peer: str, lease: Lease, now: float) -> None:
+        held = self._lent_to(peer, now)
+        kept = [old for old in self._lent.get(peer, []) if old.until > now]
+        covered = lease.rate >= held.rate and lease.depth >= held.depth
+        if covered and all(old.until <= lease.until for old in kept):
+            kept = []
+        self._lent[peer] = [*kept, lease]
+
     def _own(self, now: float) -> tuple[float, float]:
         if self.own_until <= now:
             return 0.0, 0.0
@@ -280,10 +301,10 @@
             lent = self._lent_to(name, now)
             rate -= lent.rate
             depth -= lent.depth
-        for held in self._borrowed.values():
-            if held.lease.until > now:
-                rate += held.lease.rate
-                depth += held.lease.depth
+        for lease in self._borrowed.values():
+            if lease.until > now:
+                rate += lease.rate
+                depth += lease.depth
         self._rate_now = max(0.0, rate)
         self._depth_now = max(0.0, depth)
         self.tokens = min(self.tokens, self._depth_now)
@@ -295,5 +316,5 @@
         for leases in self._lent.values():
             for lease in leases:
                 yield lease.until
-        for held in self._borrowed.values():
-            yield held.lease.until
+        for lease in self._borrowed.values():
+            yield lease.until
--- a/damasktally/escrow/demand.py
+++ b/damasktally/escrow/demand.py
@@ -1,18 +1,18 @@
-"""Forecast how much of a limit this host's callers will ask for."""
+"""Estimate how much of a limit this host's callers ask for."""
 
 from dataclasses import dataclass
 from math import exp
 
 FAST_S = 0.5
-SLOW_S = 3.0
-SAFETY = 1.2
-"""Factor by which a forecast exceeds the demand seen."""
+SLOW_S = 5.0
 
 
 @dataclass(slots=True)
 class Demand:
     """Average the demand over a short and a long time and take the larger.
 
+    A rise shows at once, and a short silence does not look like no demand.
+
     :param at: when the averages were last brought up to date, in seconds.
     """
 
@@ -37,6 +37,11 @@
         self.at = now
 
     @property
-    def forecast(self) -> float:
-        """Return the units a second to be ready for."""
-        return SAFETY * max(self._fast, self._slow)
+    def rate(self) -> float:
+        """Return units a second, quick to rise."""
+        return max(self._fast, self._slow)
+
+    @property
+    def steady(self) -> float:
+        """Return units a second, without the noise of a moment."""
+        return self._slow
--- a/damasktally/escrow/ledger.py
+++ b/damasktally/escrow/ledger.py
@@ -31,13 +31,16 @@
 
     :param rate: units a second of the whole fleet.
     :param burst: units of the whole fleet.
+    :param part: part of the peers' shares that this host asks for, from 0 to 1.
     """
 
+    name: str
     bucket: Bucket
     demand: Demand
     rate: float = 0.0
     burst: float = 0.0
     link: tuple[str, str] | None = None
+    part: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +50,7 @@
     :param share_rate: units a second of this host's own share.
     :param rate: units a second with loans counted.
     :param tokens: units that may be spent now.
-    :param forecast: units a second expected of this host's callers.
+    :param demand: units a second that this host's callers ask for.
     """
 
     limit: str
@@ -56,7 +59,7 @@
     share_rate: float
     rate: float
     tokens: float
-    forecast: float
+    demand: float
 
 
 @dataclass
@@ -147,6 +150,15 @@
             for entry in self.entries.values():
                 entry.bucket.reset(now)
 
+    def weight(self, entry: LimitEntry, identity: str) -> float:
+        """Return the part of a limit that a member of the newest roster holds."""
+        roster = self.window.current
+        if roster is None:
+            return 0.0
+        if entry.link is None:
+            return roster.rate_weight(identity)
+        return roster.link_weight(identity, *entry.link)
+
     def overlent(self) -> bool:
         """Tell whether some loans do not fit the newest shares yet."""
         with self.changed:
@@ -176,7 +188,7 @@
         entry = self.entries.get(name)
         if entry is None:
             bucket = Bucket(now=now, own_until=self._own_until)
-            entry = LimitEntry(bucket, Demand(at=now))
+            entry = LimitEntry(name, bucket, Demand(at=now))
             self.entries[name] = entry
         return entry
 
@@ -215,7 +227,7 @@
         share_rate=entry.bucket.rate,
         rate=entry.bucket.rate_now,
         tokens=entry.bucket.tokens,
-        forecast=entry.demand.forecast,
+        demand=entry.demand.rate,
     )
 
 
--- a/damasktally/host/host.py
+++ b/damasktally/host/host.py
@@ -15,6 +15,7 @@
 from damasktally.conf import Settings
 from damasktally.conf.settings import split_address
 from damasktally.escrow.ledger import Ledger
+from damasktally.escrow.lending import MIN_TOKENS, believed_tokens
 from damasktally.escrow.shares import connection_share
 from damasktally.escrow.slots import SlotTable
 from damasktally.events import emit
@@ -418,11 +419,11 @@
             self._extra_observe(record, now)
 
     def _want_loan(self, limit: str, amount: float) -> bool:
-        with self.ledger.changed:
-            known = bool(self.fleet.hints.lenders(limit, self.clock()))
-        if known:
-            self.member.tell(LoanWanted(limit, amount))
-        return known
+        believed = believed_tokens(self.ledger, self.fleet.hints, limit)
+        if believed < MIN_TOKENS:
+            return False
+        self.member.tell(LoanWanted(limit, amount))
+        return True
 
     def _connections_allowed(self, server: str) -> int:
         found = self.view().servers.get(server)
--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -223,12 +223,7 @@
         plan = plan_asks(self._p.ledger, hints, {wanted.limit: wanted.amount})
         with self._p.fleet.lock:
             addresses = {m.identity: m.peer for m in self._p.fleet.roster.members}
-        urgent = [
-            peer
-            for peer, asks in plan.items()
-            if any(ask.limit == wanted.limit for ask in asks)
-        ]
-        for peer in urgent[:URGENT_LENDERS]:
+        for peer in list(plan)[:URGENT_LENDERS]:
             if peer in addresses:
                 self._send(addresses[peer], peer, self._heartbeat(plan[peer]))
 
@@ -276,6 +271,8 @@
                     rate=ask.rate,
                     depth=ask.depth,
                     tokens=ask.tokens,
+                    applied=ask.applied,
+                    urgent=ask.urgent,
                 )
             )
         for identity in self._p.removals():
@@ -328,13 +325,13 @@
         self, identity: str, message: Answered, answer: HeartbeatAnswer
     ) -> None:
         grants = [
-            LimitGrant(g.limit, g.rate, g.depth, g.tokens, g.duration_s)
+            LimitGrant(g.limit, g.rate, g.depth, g.tokens, g.duration_s, g.urgent)
             for g in answer.grants
         ]
         apply_grants(
             self._p.ledger, identity, message.sequence, grants, message.sent_at
         )
-        hints = [SpareHint(s.limit, s.rate, s.tokens) for s in answer.spares]
+        hints = [SpareHint(s.limit, s.demand, s.tokens) for s in answer.spares]
         with self._p.ledger.changed:
             self._p.fleet.hints.record(identity, hints, self._p.clock())
         now = self._p.clock()
--- a/damasktally/host/peer_handler.py
+++ b/damasktally/host/peer_handler.py
@@ -90,8 +90,11 @@
         if self.fleet.leaving:
             heartbeat.ClearField("asks")
             heartbeat.ClearField("slot_asks")
-        asks = [LimitAsk(a.limit, a.rate, a.depth, a.tokens) for a in heartbeat.asks]
-        for grant in answer_asks(self.ledger, identity, asks):
+        asks = [
+            LimitAsk(a.limit, a.rate, a.depth, a.tokens, a.applied, a.urgent)
+            for a in heartbeat.asks
+        ]
+        for grant in answer_asks(self.ledger, self.fleet.hints, identity, asks):
             answer.grants.append(
                 Grant(
                     limit=grant.limit,
@@ -99,11 +102,12 @@
                     depth=grant.depth,
                     tokens=grant.tokens,
                     duration_s=grant.duration_s,
+                    urgent=grant.urgent,
                 )
             )
         for hint in spare_hints(self.ledger):
             answer.spares.append(
-                Spare(limit=hint.limit, rate=hint.rate, tokens=hint.tokens)
+                Spare(limit=hint.limit, demand=hint.demand, tokens=hint.tokens)
             )
         with self.dispatcher.lock:
             self.dispatcher.slots.take_back(identity, heartbeat.returned_leases)
--- a/features/steps/escrow_steps.py
+++ b/features/steps/escrow_steps.py
@@ -1,5 +1,6 @@
 """Steps that exercise buckets, generations and slots on a simulated clock."""
 
+from copy import deepcopy
 from dataclasses import dataclass, field
 from fractions import Fraction
 from random import Random
@@ -110,13 +111,17 @@
             rng.uniform(0, self.rate / self.hosts),
             rng.uniform(0, self.burst / self.hosts),
             self.now + LEASE_S,
+            self.sequences[index],
         )
-        before = self.buckets[lender].tokens
+        held = self.buckets[index].borrowed(self.now).get(self.names[lender])
+        applied = held.sequence if held is not None else 0
+        self.buckets[lender].applied(self.names[index], applied, self.now)
+        before = deepcopy(self.buckets[lender])
         lease, tokens = self.buckets[lender].lend(
-            self.names[index], ask, rng.uniform(0, 5), 0.0, self.now
+            self.names[index], ask, rng.uniform(0, 5), 0.0, self.now, rng.random() < 0.5
         )
         if self.fault == "a lender that does not debit":
-            self.buckets[lender].tokens = before
+            self.buckets[lender] = before
         loan = Loan(
             index,
             self.sequences[index],
