--- a/benchmarks/loans.py
+++ b/benchmarks/loans.py
@@ -17,9 +17,9 @@
 from damasktally.escrow.ledger import Ledger, customer_limit
 from damasktally.escrow.lending import (
     HintTable,
+    UrgentAsks,
     answer_asks,
     apply_grants,
-    believed_tokens,
     plan_asks,
     spare_hints,
 )
@@ -34,8 +34,6 @@
 ASK_GAP_S = 0.1
 WAIT_S = 0.25
 FENCE_S = 4.0
-URGENT_GAP_S = 0.02
-URGENT_LENDERS = 4
 WARM_UP_S = 20.0
 
 
@@ -88,7 +86,10 @@
     hints: HintTable
     alive: bool = True
     sequence: int = 0
-    last_urgent: dict[str, float] = field(default_factory=dict)
+    urgent: UrgentAsks = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.urgent = UrgentAsks(self.ledger, self.hints)
 
 
 class LoanRun:
@@ -275,15 +276,13 @@
         self._after(0.005, self._request, customer, node, inside, began, asked_at)
 
     def _ask_urgently(self, node: _Node, limit: str) -> bool:
-        if believed_tokens(node.ledger, node.hints, limit) < 1e-3:
+        if not node.urgent.worth_it(limit):
             return False
-        if self.now - node.last_urgent.get(limit, -inf) < URGENT_GAP_S:
-            return True
-        node.last_urgent[limit] = self.now
-        plan = plan_asks(node.ledger, node.hints, {limit: 1.0})
-        by_name = {peer.name: peer for peer in self._nodes}
-        for name in list(plan)[:URGENT_LENDERS]:
-            self._send(node, by_name[name], plan[name])
+        if node.urgent.start(limit):
+            plan = plan_asks(node.ledger, node.hints, {limit: 1.0})
+            by_name = {peer.name: peer for peer in self._nodes}
+            for name in plan:
+                self._send(node, by_name[name], plan[name])
         return True
 
     def _note(self, customer: str, inside: bool, served: bool, began: float) -> None:
--- a/damasktally/escrow/ledger.py
+++ b/damasktally/escrow/ledger.py
@@ -13,6 +13,7 @@
 BYTES_PER_MBIT = 125_000
 LINK_BURST_S = 0.05
 """Seconds of a link's cap that its bucket holds."""
+LINK_UNIT_BYTES = 16_384.0
 
 
 def customer_limit(name: str) -> str:
@@ -31,7 +32,8 @@
 
     :param rate: units a second of the whole fleet.
     :param burst: units of the whole fleet.
-    :param part: part of the peers' shares that this host asks for, from 0 to 1.
+    :param unit: the least that one caller takes: a request, or a chunk of bytes.
+    :param parts: how this host divides its share among those with demand.
     """
 
     name: str
@@ -40,7 +42,8 @@
     rate: float = 0.0
     burst: float = 0.0
     link: tuple[str, str] | None = None
-    part: float = 0.0
+    unit: float = 1.0
+    parts: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +132,7 @@
                 entry.rate = limit.rate
                 entry.burst = limit.burst
                 entry.link = limit.link
+                entry.unit = 1.0 if limit.link is None else LINK_UNIT_BYTES
                 part = weight if limit.link is None else self._link_part(limit, now)
                 entry.bucket.set_share(part * limit.rate, part * limit.burst, now)
             self.changed.notify_all()
--- a/damasktally/escrow/lending.py
+++ b/damasktally/escrow/lending.py
@@ -1,19 +1,21 @@
 """Decide what to ask of which peer, and what to lend to one that asks.
 
-Every host with callers of a customer asks each peer for the part of the peer's
-share that corresponds to its own part of the fleet's demand. The parts add up to
-one, so that shares follow the callers, and idle hosts hold nothing back. Loans are
-renewed with the heartbeats; when a borrower dies they come back by themselves.
+Every host with callers of a customer tells its demand to each peer. The peer divides
+its share among all who have demand, itself included, so that the parts add up to one
+and idle hosts hold nothing back. Loans are renewed with the heartbeats; when a
+borrower dies they come back by themselves.
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from damasktally.escrow.bucket import Lease
 from damasktally.escrow.ledger import Ledger, LimitEntry
 
 LEASE_S = 2.2
 """Seconds for which a share is lent: two heartbeats, and some."""
+URGENT_LEASE_S = 0.5
+"""Seconds for which tokens are lent to callers who wait."""
 HORIZON_S = 0.3
 """Seconds of its own demand that a lender keeps in tokens."""
 HINT_LIFE_S = 3.0
@@ -21,26 +23,38 @@
 """Fraction by which two hosts' clocks may run apart."""
 PART_TOLERANCE = 0.1
 PART_TOLERANCE_RATIO = 0.4
+PART_UNITS = 2.0
+"""Units that a part of the fleet's burst must hold to be of use."""
+URGENT_LENDERS = 4
+URGENT_GAP_S = 0.02
+"""Seconds between two urgent questions about the same limit."""
+BLIND_GAP_S = 0.25
+"""Seconds after which peers are asked although they are not known to have tokens."""
 MIN_RATE = 1e-3
 MIN_TOKENS = 1e-3
 NO_LEASE = Lease(0.0, 0.0, 0.0)
+OWN = "own"
+"""Stands for this host where parts are listed by identity; no identity has no slash."""
 
 
 @dataclass(frozen=True, slots=True)
 class LimitAsk:
-    """Ask for part of a limit: units a second, depth, and units at once.
+    """Ask for a part of a limit, or urgently for units.
 
     An urgent loan brings tokens to callers who wait, and leaves the loan of a rate
     as it is.
 
+    :param demand: units a second that the asker's callers ask for.
+    :param depth: units of depth that an urgent loan needs.
+    :param tokens: units that callers wait for.
     :param applied: number of the newest question to this peer whose answer is in
         use; loans that answered earlier ones are over.
     """
 
     limit: str
-    rate: float
-    depth: float
-    tokens: float
+    demand: float = 0.0
+    depth: float = 0.0
+    tokens: float = 0.0
     applied: int = 0
     urgent: bool = False
 
@@ -132,14 +146,39 @@
     return asks
 
 
-def believed_tokens(ledger: Ledger, hints: HintTable, limit: str) -> float:
-    """Return the tokens that peers are believed to have to spare."""
-    entry = ledger.entries.get(limit)
-    if entry is None:
-        return 0.0
-    with ledger.changed:
-        planner = _Planner(ledger, hints, limit, entry, ledger.clock())
-        return sum(stand.tokens for stand in planner.stands)
+@dataclass
+class UrgentAsks:
+    """Decide whether callers who found no token are worth a question to peers.
+
+    :param asked_at: when peers were last asked, by limit, in seconds.
+    """
+
+    ledger: Ledger
+    hints: HintTable
+    asked_at: dict[str, float] = field(default_factory=dict)
+
+    def worth_it(self, limit: str) -> bool:
+        """Tell whether peers have tokens, or may have some that are not known of."""
+        entry = self.ledger.entries.get(limit)
+        if entry is None:
+            return False
+        with self.ledger.changed:
+            now = self.ledger.clock()
+            since = now - self.asked_at.get(limit, float("-inf"))
+            if since < BLIND_GAP_S:
+                planner = _Planner(self.ledger, self.hints, limit, entry, now)
+                believed = sum(stand.tokens for stand in planner.stands)
+                return believed > MIN_TOKENS
+            return bool(self.hints.peers(now))
+
+    def start(self, limit: str) -> bool:
+        """Note a question about a limit, unless one was sent just now."""
+        with self.ledger.changed:
+            now = self.ledger.clock()
+            if now - self.asked_at.get(limit, float("-inf")) < URGENT_GAP_S:
+                return False
+            self.asked_at[limit] = now
+            return True
 
 
 def answer_asks(
@@ -160,9 +199,15 @@
         for ask in asks:
             entry = ledger.entries.get(ask.limit)
             if entry is not None:
+                account = _account(peer, ask.urgent)
+                entry.bucket.applied(account, ask.applied, now)
+                entry.bucket.advance(now)
+                if ask.urgent:
+                    grants.append(_lend_tokens(entry, account, ask, sequence, now))
+                    continue
                 planner = _Planner(ledger, hints, ask.limit, entry, now)
-                wanted = Lease(ask.rate, ask.depth, now + LEASE_S, sequence)
-                grants.append(_lend(entry, peer, ask, wanted, planner.own_part, now))
+                parts = planner.divide(peer, ask.demand)
+                grants.append(_lend_part(entry, peer, parts, sequence, now))
     return [grant for grant in grants if grant.duration_s > 0]
 
 
@@ -210,8 +255,6 @@
     """Hold what is believed of one peer and one limit."""
 
     peer: str
-    rate: float
-    depth: float
     demand: float
     tokens: float
 
@@ -237,12 +280,38 @@
             if ledger.weight(entry, peer) > 0
         ]
 
-    @property
-    def own_part(self) -> float:
-        """Return this host's part of the fleet's demand, from 0 to 1."""
-        own = self._entry.demand.steady
-        total = own + sum(stand.demand for stand in self.stands)
-        return own / total if total > MIN_RATE else 0.0
+    def divide(self, asker: str, demand: float) -> dict[str, float]:
+        """Return each host's part of the demand; the parts add up to one.
+
+        Small changes of demand do not change the parts: each time a loan becomes
+        smaller, tokens above its new depth are lost.
+        """
+        demands = {stand.peer: stand.demand for stand in self.stands}
+        demands[asker] = demand
+        demands[OWN] = self._entry.demand.steady
+        total = sum(demands.values())
+        if total <= MIN_RATE:
+            return {}
+        wanted = self._useful_parts(demands, total)
+        if _differ(wanted, self._entry.parts):
+            self._entry.parts = wanted
+        return self._entry.parts
+
+    def _useful_parts(
+        self, demands: Mapping[str, float], total: float
+    ) -> dict[str, float]:
+        """Return the parts, none of them too small to hold what a caller takes.
+
+        Tokens that can never add up to a whole one would only overflow; a host
+        without a part asks for tokens when a caller comes.
+        """
+        smallest = PART_UNITS * self._entry.unit * total / self._entry.burst
+        useful = {name: held for name, held in demands.items() if held >= smallest}
+        if not useful:
+            largest = max(demands, key=lambda name: (demands[name], name))
+            useful = {largest: demands[largest]}
+        left = sum(useful.values())
+        return {name: held / left for name, held in useful.items()}
 
     def plan(self, urgent: float) -> list[tuple[str, LimitAsk]]:
         """Return an ask for each peer that can help."""
@@ -250,63 +319,44 @@
         return self._plan_urgent(urgent) if urgent else self._plan_regular()
 
     def _plan_regular(self) -> list[tuple[str, LimitAsk]]:
-        part = self._steady_part()
-        found = []
-        for stand in self.stands:
-            depth = part * stand.depth
-            if depth <= MIN_TOKENS:
-                continue
-            tokens = part * stand.tokens
-            found.append(self._ask(stand, part * stand.rate, depth, tokens, False))
-        return found
+        demand = self._entry.demand.steady
+        return [
+            (stand.peer, self._ask(stand, LimitAsk(self._name, demand)))
+            for stand in self.stands
+        ]
 
     def _plan_urgent(self, urgent: float) -> list[tuple[str, LimitAsk]]:
         held = max(0.0, self._entry.bucket.tokens)
         before = self._entry.bucket.borrowed(self._now)
         needed = max(0.0, urgent - held)
         found = []
-        for stand in sorted(self.stands, key=lambda s: s.tokens, reverse=True):
+        for stand in sorted(self.stands, key=_richest, reverse=True):
             tokens = min(needed, stand.tokens)
             if tokens <= MIN_TOKENS:
+                # Nothing is known to be there; those with callers may have some by now.
+                tokens = needed
+            if len(found) == URGENT_LENDERS or tokens <= MIN_TOKENS:
                 break
             needed -= tokens
             lease = before.get(_account(stand.peer, True), NO_LEASE)
             # A loan replaces the one before, whose unspent tokens need its depth.
             depth = tokens + min(lease.depth, held)
-            found.append(self._ask(stand, 0.0, depth, tokens, True))
+            ask = LimitAsk(self._name, 0.0, depth, tokens, urgent=True)
+            self._hints.spent(stand.peer, self._name, tokens, stand.tokens)
+            found.append((stand.peer, self._ask(stand, ask)))
         return found
 
-    def _ask(
-        self, stand: "_Stand", rate: float, depth: float, tokens: float, urgent: bool
-    ) -> tuple[str, LimitAsk]:
-        lease = self._entry.bucket.borrowed(self._now).get(
-            _account(stand.peer, urgent), NO_LEASE
-        )
-        self._hints.spent(stand.peer, self._name, tokens, stand.tokens)
-        ask = LimitAsk(self._name, rate, depth, tokens, lease.sequence, urgent)
-        return stand.peer, ask
-
-    def _steady_part(self) -> float:
-        """Return the part to ask for; small changes of demand do not change it.
-
-        Each time a loan becomes smaller, tokens above its new depth are lost.
-        """
-        entry = self._entry
-        wanted = self.own_part
-        change = abs(wanted - entry.part)
-        tolerated = min(PART_TOLERANCE, PART_TOLERANCE_RATIO * entry.part)
-        if change > tolerated:
-            entry.part = wanted
-        return entry.part
+    def _ask(self, stand: "_Stand", ask: LimitAsk) -> LimitAsk:
+        account = _account(stand.peer, ask.urgent)
+        lease = self._entry.bucket.borrowed(self._now).get(account, NO_LEASE)
+        return replace(ask, applied=lease.sequence)
 
     def _stand(self, ledger: Ledger, peer: str) -> _Stand:
         weight = ledger.weight(self._entry, peer)
-        rate = weight * self._entry.rate
-        depth = weight * self._entry.burst
         hint = self._hints.find(peer, self._name)
         if hint is None:
-            return _Stand(peer, rate, depth, 0.0, depth)
-        return _Stand(peer, rate, depth, hint.demand, hint.tokens)
+            return _Stand(peer, 0.0, weight * self._entry.burst)
+        return _Stand(peer, hint.demand, hint.tokens)
 
 
 def _is_idle(entry: LimitEntry, urgent: float) -> bool:
@@ -319,25 +369,50 @@
     return min(tokens, entry.bucket.spare_depth(now))
 
 
+def _richest(stand: _Stand) -> tuple[float, float]:
+    return stand.tokens, stand.demand
+
+
 def _account(peer: str, urgent: bool) -> str:
     """Return the name that a peer's loans of a kind are kept under."""
     return f"{peer} urgent" if urgent else peer
 
 
-def _lend(
+def _differ(wanted: Mapping[str, float], held: Mapping[str, float]) -> bool:
+    for name in wanted.keys() | held.keys():
+        before = held.get(name, 0.0)
+        change = abs(wanted.get(name, 0.0) - before)
+        if change > min(PART_TOLERANCE, PART_TOLERANCE_RATIO * before):
+            return True
+    return False
+
+
+def _surplus(entry: LimitEntry) -> float:
+    return max(0.0, entry.bucket.tokens - entry.demand.rate * HORIZON_S)
+
+
+def _lend_part(
     entry: LimitEntry,
     peer: str,
-    ask: LimitAsk,
-    wanted: Lease,
-    own_part: float,
+    parts: Mapping[str, float],
+    sequence: int,
     now: float,
 ) -> LimitGrant:
-    account = _account(peer, ask.urgent)
-    entry.bucket.applied(account, ask.applied, now)
-    entry.bucket.advance(now)
-    keep = own_part * entry.bucket.rate
-    surplus = max(0.0, entry.bucket.tokens - entry.demand.rate * HORIZON_S)
-    tokens = min(ask.tokens, surplus)
-    lease, moved = entry.bucket.lend(account, wanted, tokens, keep, now, ask.urgent)
+    bucket = entry.bucket
+    part = parts.get(peer, 0.0)
+    wanted = Lease(part * bucket.rate, part * bucket.depth, now + LEASE_S, sequence)
+    tokens = part * _surplus(entry)
+    keep = parts.get(OWN, 0.0) * bucket.rate
+    lease, moved = bucket.lend(peer, wanted, tokens, keep, now)
+    duration = max(0.0, lease.until - now)
+    return LimitGrant(entry.name, lease.rate, lease.depth, moved, duration)
+
+
+def _lend_tokens(
+    entry: LimitEntry, account: str, ask: LimitAsk, sequence: int, now: float
+) -> LimitGrant:
+    wanted = Lease(0.0, ask.depth, now + URGENT_LEASE_S, sequence)
+    tokens = min(ask.tokens, _surplus(entry))
+    lease, moved = entry.bucket.lend(account, wanted, tokens, 0.0, now, lend_on=True)
     duration = max(0.0, lease.until - now)
-    return LimitGrant(entry.name, lease.rate, lease.depth, moved, duration, ask.urgent)
+    return LimitGrant(entry.name, 0.0, lease.depth, moved, duration, urgent=True)
--- a/damasktally/host/host.py
+++ b/damasktally/host/host.py
@@ -15,7 +15,7 @@
 from damasktally.conf import Settings
 from damasktally.conf.settings import split_address
 from damasktally.escrow.ledger import Ledger
-from damasktally.escrow.lending import MIN_TOKENS, believed_tokens
+from damasktally.escrow.lending import UrgentAsks
 from damasktally.escrow.shares import connection_share
 from damasktally.escrow.slots import SlotTable
 from damasktally.events import emit
@@ -274,6 +274,7 @@
         self.freshness = Freshness(cfg.isolation.bound_s, self.clock)
         self.fleet = Fleet(member, self.clock, hold_s, hold_s + longest_s)
         self.ledger = Ledger(self.fleet.identity, self.fleet.rates, self.clock)
+        self.urgent = UrgentAsks(self.ledger, self.fleet.hints)
         self.pacer = Pacer(self.ledger)
         self.dispatcher = Dispatcher(
             region=cfg.host.region,
@@ -364,6 +365,7 @@
                 witnessed_at=lambda: self._witnessed_at,
                 removals=lambda: list(parts.votes.votes),
                 agreed=parts.votes.agree,
+                urgent=self.urgent,
             )
         )
         self._reporter = Reporter.start(
@@ -419,8 +421,7 @@
             self._extra_observe(record, now)
 
     def _want_loan(self, limit: str, amount: float) -> bool:
-        believed = believed_tokens(self.ledger, self.fleet.hints, limit)
-        if believed < MIN_TOKENS:
+        if not self.urgent.worth_it(limit):
             return False
         self.member.tell(LoanWanted(limit, amount))
         return True
--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -1,7 +1,7 @@
 """Send heartbeats, take in their answers, and keep this host's shares current."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 from math import inf
 from random import Random
@@ -14,6 +14,7 @@
     LimitAsk,
     LimitGrant,
     SpareHint,
+    UrgentAsks,
     apply_grants,
     plan_asks,
 )
@@ -43,9 +44,6 @@
 SLOT_IDLE_S = 2.0
 """Seconds without use after which borrowed slots are returned."""
 SLOT_LENDERS = 3
-URGENT_LENDERS = 4
-URGENT_GAP_S = 0.02
-"""Seconds between two urgent questions for the same limit."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +103,7 @@
     witnessed_at: Callable[[], float]
     removals: Callable[[], list[str]]
     agreed: Callable[[str, Iterable[str]], None]
-    last_urgent: dict[str, float] = field(default_factory=dict)
+    urgent: UrgentAsks
 
 
 class MemberActor(HostActor):
@@ -215,15 +213,13 @@
             self._send(address, identity, heartbeat)
 
     def _ask_urgently(self, wanted: LoanWanted) -> None:
-        now = self._p.clock()
-        if now - self._p.last_urgent.get(wanted.limit, -inf) < URGENT_GAP_S:
+        if not self._p.urgent.start(wanted.limit):
             return
-        self._p.last_urgent[wanted.limit] = now
         hints = self._p.fleet.hints
         plan = plan_asks(self._p.ledger, hints, {wanted.limit: wanted.amount})
         with self._p.fleet.lock:
             addresses = {m.identity: m.peer for m in self._p.fleet.roster.members}
-        for peer in list(plan)[:URGENT_LENDERS]:
+        for peer in plan:
             if peer in addresses:
                 self._send(addresses[peer], peer, self._heartbeat(plan[peer]))
 
@@ -268,7 +264,7 @@
             heartbeat.asks.append(
                 Ask(
                     limit=ask.limit,
-                    rate=ask.rate,
+                    demand=ask.demand,
                     depth=ask.depth,
                     tokens=ask.tokens,
                     applied=ask.applied,
--- a/damasktally/host/peer_handler.py
+++ b/damasktally/host/peer_handler.py
@@ -91,7 +91,7 @@
             heartbeat.ClearField("asks")
             heartbeat.ClearField("slot_asks")
         asks = [
-            LimitAsk(a.limit, a.rate, a.depth, a.tokens, a.applied, a.urgent)
+            LimitAsk(a.limit, a.demand, a.depth, a.tokens, a.applied, a.urgent)
             for a in heartbeat.asks
         ]
         for grant in answer_asks(self.ledger, self.fleet.hints, identity, asks):
