Passed the question's number on to the lender, and logged failures of the peer port.

Cause: a formatted line was missed by an edit, so every heartbeat failed on the receiver and only grpclib's own log said so.

--- a/damasktally/host/peer_handler.py
+++ b/damasktally/host/peer_handler.py
@@ -5,7 +5,12 @@
 from math import inf
 
 from damasktally.escrow.ledger import Ledger
-from damasktally.escrow.lending import LimitAsk, answer_asks, spare_hints
+from damasktally.escrow.lending import (
+    LimitAsk,
+    LimitGrant,
+    answer_asks,
+    spare_hints,
+)
 from damasktally.escrow.shares import RosterView
 from damasktally.host.fleet import Fleet, identity_of
 from damasktally.host.view_keeper import Published
@@ -94,7 +99,7 @@
             LimitAsk(a.limit, a.demand, a.depth, a.tokens, a.applied, a.urgent)
             for a in heartbeat.asks
         ]
-        for grant in answer_asks(self.ledger, self.fleet.hints, identity, asks):
+        for grant in self._grants(identity, asks, heartbeat.sequence):
             answer.grants.append(
                 Grant(
                     limit=grant.limit,
@@ -114,6 +119,11 @@
             for ask in heartbeat.slot_asks:
                 self._lend_slots(identity, ask.pool, ask.slots, answer)
 
+    def _grants(
+        self, identity: str, asks: list[LimitAsk], sequence: int
+    ) -> list[LimitGrant]:
+        return answer_asks(self.ledger, self.fleet.hints, identity, asks, sequence)
+
     def _lend_slots(
         self, identity: str, pool: str, wanted: int, answer: HeartbeatAnswer
     ) -> None:
--- a/damasktally/peers/network.py
+++ b/damasktally/peers/network.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, field
 from hmac import compare_digest
 from threading import Event, Thread
+from traceback import format_exc
 from typing import Protocol, TypeVar
 
+from google.protobuf.message import Message
 from grpclib.client import Channel
 from grpclib.config import Configuration
 from grpclib.const import Status
@@ -16,6 +18,8 @@
 from grpclib.server import Server, Stream
 
 from damasktally.conf.settings import split_address
+from damasktally.events import emit
+from damasktally.events.catalogue import ACTOR_FAILED
 from damasktally.peers.peer_grpc import PeerBase, PeerStub
 from damasktally.peers.peer_pb2 import (
     ChangesAnswer,
@@ -65,7 +69,17 @@
             )
         request = await stream.recv_message()
         if request is not None:
-            await stream.send_message(method(request))
+            await stream.send_message(self._handle(method, request))
+
+    @staticmethod
+    def _handle(method: Callable[[Message], Message], request: Message) -> Message:
+        try:
+            return method(request)
+        except Exception as exc:
+            emit(ACTOR_FAILED, actor="peer port", traceback=format_exc())
+            raise GRPCError(
+                Status.INTERNAL, "The peer failed; its log tells why."
+            ) from exc
 
 
 @dataclass
