Proved lending over real peers; an urgent loan no longer moves depth alone.

Cause: under a flood of 6 times its rate a customer got 56 % of its rate: urgent loans moved depth without tokens, which then overflowed at the lender. Change: depth moves only with tokens; small limits stay with one keeper; scenarios over three real hosts.

--- a/damasktally/escrow/lending.py
+++ b/damasktally/escrow/lending.py
@@ -23,7 +23,7 @@
 """Fraction by which two hosts' clocks may run apart."""
 PART_TOLERANCE = 0.1
 PART_TOLERANCE_RATIO = 0.4
-PART_UNITS = 2.0
+PART_UNITS = 5.0
 """Units that a part of the fleet's burst must hold to be of use."""
 URGENT_LENDERS = 4
 URGENT_GAP_S = 0.02
@@ -308,11 +308,22 @@
         smallest = PART_UNITS * self._entry.unit * total / self._entry.burst
         useful = {name: held for name, held in demands.items() if held >= smallest}
         if not useful:
-            largest = max(demands, key=lambda name: (demands[name], name))
-            useful = {largest: demands[largest]}
+            keeper = self._keeper(demands)
+            useful = {keeper: demands[keeper]}
         left = sum(useful.values())
         return {name: held / left for name, held in useful.items()}
 
+    def _keeper(self, demands: Mapping[str, float]) -> str:
+        """Return who holds a limit that is too small to be divided.
+
+        It stays with its holder until another has twice the demand.
+        """
+        largest = max(demands, key=lambda name: (demands[name], name))
+        for held in self._entry.parts:
+            if 2 * demands.get(held, 0.0) > demands[largest]:
+                return held
+        return largest
+
     def plan(self, urgent: float) -> list[tuple[str, LimitAsk]]:
         """Return an ask for each peer that can help."""
         self._entry.bucket.advance(self._now)
@@ -328,7 +339,8 @@
     def _plan_urgent(self, urgent: float) -> list[tuple[str, LimitAsk]]:
         held = max(0.0, self._entry.bucket.tokens)
         before = self._entry.bucket.borrowed(self._now)
-        needed = max(0.0, urgent - held)
+        # One unit more, for who comes while the question is under way.
+        needed = max(0.0, urgent + self._entry.unit - held)
         found = []
         for stand in sorted(self.stands, key=_richest, reverse=True):
             tokens = min(needed, stand.tokens)
@@ -411,8 +423,12 @@
 def _lend_tokens(
     entry: LimitEntry, account: str, ask: LimitAsk, sequence: int, now: float
 ) -> LimitGrant:
-    wanted = Lease(0.0, ask.depth, now + URGENT_LEASE_S, sequence)
     tokens = min(ask.tokens, _surplus(entry))
+    if tokens <= MIN_TOKENS:
+        return LimitGrant(entry.name, 0.0, 0.0, 0.0, 0.0, urgent=True)
+    # Depth without tokens would only be missing here.
+    depth = ask.depth - ask.tokens + tokens
+    wanted = Lease(0.0, depth, now + URGENT_LEASE_S, sequence)
     lease, moved = entry.bucket.lend(account, wanted, tokens, 0.0, now, lend_on=True)
     duration = max(0.0, lease.until - now)
     return LimitGrant(entry.name, 0.0, lease.depth, moved, duration, urgent=True)
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -30,7 +30,7 @@
             return False
         for host in fleet.hosts:
             report = limits_of(host.ledger.report(), "customer:")
-            if not report or not all(r.share_rate > 0 and r.tokens > 0 for r in report):
+            if not report or not all(r.share_rate > 0 for r in report):
                 return False
             if host.dispatcher.headroom() < 1 or not host.fleet.slots.settled(
                 host.clock()
--- /dev/null
+++ b/features/steps/loan_steps.py
@@ -0,0 +1,145 @@
+"""Steps that let in-process hosts lend to each other."""
+
+from concurrent.futures import ThreadPoolExecutor
+from time import sleep
+
+from behave import given, then, when
+from common import wait_until
+
+from damasktally.clock import boot_time
+from damasktally.conf.settings import split_address
+from damasktally.demo.callers import CallerClient, Credentials
+from damasktally.demo.fleet import CREDENTIAL, free_port
+from damasktally.peers import PeerNetwork
+from damasktally.peers.peer_pb2 import Endpoint, Heartbeat
+
+PATH = "/baskets/1"
+
+
+def caller(context, credentials, number):
+    """Return a caller bound to one host."""
+    fleet = context.fleet
+    entry = fleet.entries()[number]
+    return CallerClient(
+        [entry], "", credentials, fleet.history, 2_000, follow_lookup=False
+    )
+
+
+def send_at_rate(callers, rate, seconds):
+    """Send requests at a steady rate from several callers; return the answers."""
+    answers = []
+    began = boot_time()
+    with ThreadPoolExecutor(32) as pool:
+        for number in range(int(rate * seconds)):
+            sleep(max(0.0, began + number / rate - boot_time()))
+            for each in callers:
+                answers.append(pool.submit(each.send, "GET", PATH))
+    return [answer.result() for answer in answers]
+
+
+def wait_for_burst(fleet, name, burst):
+    """Wait until the hosts together hold a customer's whole burst."""
+
+    def full():
+        held = [
+            report.tokens
+            for host in fleet.hosts
+            for report in host.ledger.report()
+            if report.limit == f"customer:{name}"
+        ]
+        return len(held) == len(fleet.hosts) and sum(held) >= burst * 0.999
+
+    wait_until(full, what="the whole burst")
+
+
+@when("small sends {count:d} requests to host {number:d} at once")
+def send_burst(context, count, number):
+    wait_for_burst(context.fleet, "small", 4)
+    credentials = context.fleet.credentials["small"]
+    callers = [caller(context, credentials, number) for _ in range(count)]
+    with ThreadPoolExecutor(count) as pool:
+        context.answers = list(pool.map(lambda c: c.send("GET", PATH), callers))
+
+
+@then("all {count:d} are served")
+def check_all_served(context, count):
+    found = [(a.status, a.reason) for a in context.answers]
+    assert found == [(200, "")] * count, found
+
+
+@given("a customer with a rate of {rate:g} and a burst of {burst:g}, with a key")
+def add_customer(context, rate, burst):
+    fleet = context.fleet
+    name = f"rated-{int(rate)}"
+    fleet.commands.apply("Customer", name, {"rate": rate, "burst": burst})
+    issued = fleet.commands.issue_key(f"{name}-key", name)
+    context.credentials = Credentials(name, issued.name, issued.secret)
+    context.limit = (rate, burst)
+
+    wait_for_burst(fleet, name, burst)
+
+
+@when("its callers send {rate:d} a second to host {number:d} for {seconds:d} s")
+def send_to_one(context, rate, number, seconds):
+    callers = [caller(context, context.credentials, number)]
+    context.answers = send_at_rate(callers, rate, seconds)
+
+
+@then("at least {count:d} of the last {last:d} are served")
+def check_last(context, count, last):
+    served = [a.status for a in context.answers[-last:]].count(200)
+    assert served >= count, served
+
+
+@when("its callers send {rate:d} a second to every host for {seconds:d} s")
+def send_to_all(context, rate, seconds):
+    numbers = range(len(context.fleet.hosts))
+    callers = [caller(context, context.credentials, number) for number in numbers]
+    began = boot_time()
+    context.answers = send_at_rate(callers, rate, seconds)
+    context.seconds = boot_time() - began
+
+
+@then("at most {burst:d} and {rate:d} a second are served")
+def check_most(context, burst, rate):
+    context.served = [a.status for a in context.answers].count(200)
+    context.allowed = burst + rate * context.seconds
+    assert context.served <= context.allowed, (context.served, context.allowed)
+
+
+@then("at least {percent:d} % of that is served")
+def check_least(context, percent):
+    assert context.served >= percent / 100 * context.allowed, (
+        context.served,
+        context.allowed,
+    )
+
+
+def heartbeat(context, credential):
+    """Send a heartbeat to the first host; return its answer or nothing."""
+    own = f"127.0.0.1:{free_port()}"
+    network = PeerNetwork(split_address(own), credential, None)
+    network.start()
+    try:
+        sender = Endpoint(host="stranger", incarnation="1", peer=own)
+        address = context.fleet.hosts[0].settings.peer.address
+        fut = network.exchange(address, Heartbeat(sender=sender), 2.0)
+        return fut.result()
+    finally:
+        network.stop()
+
+
+@when("a heartbeat with a wrong credential is sent to a host")
+def wrong_credential(context):
+    context.answer = heartbeat(context, "not the fleet's credential")
+
+
+@then("it gets no answer")
+def check_no_peer_answer(context):
+    assert context.answer is None
+
+
+@then("a heartbeat with the right one gets an answer")
+def right_credential(context):
+    answer = heartbeat(context, CREDENTIAL)
+    assert answer is not None and not answer.confirmed
