Added contract tests of the platform and of steering decisions.

Cause: versions, watches, lost answers, budgets and audit had no proof; the choice, queue, ejection, warm-up and look-up rules neither. Change: fault tables over the real client and stand-in; pure decisions on a fixed clock. Conclusion: a lost answer of a command is resolved by reading back; a change written past apply is audited by a host.

--- a/damasktally/demo/callers.py
+++ b/damasktally/demo/callers.py
@@ -13,7 +13,11 @@
 from damasktally.clock import boot_time
 from damasktally.demo.backend import answer_body
 from damasktally.escrow.bucket import Bucket
-from damasktally.forwarding.refusals import OUTCOME_HEADER, REASON_HEADER
+from damasktally.forwarding.refusals import (
+    CLAIM_UNAVAILABLE,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+)
 from damasktally.proof.history import Answered, History, RateLimit
 
 CALL_TIMEOUT_S = 35.0
@@ -211,9 +215,14 @@
 
 @dataclass
 class Tally:
-    """Count how one customer fared."""
+    """Count how one customer fared.
+
+    :param unclaimed: refused because the platform could not reserve the idempotency
+        key; nothing else is promised while it is down.
+    """
 
     served: int = 0
+    unclaimed: int = 0
     refused_in_rate: int = 0
     refused_over_rate: int = 0
     failed: int = 0
@@ -229,6 +238,8 @@
             self.seconds.append(answer.ended_at - answer.sent_at)
         elif answer.outcome != "not-run":
             self.failed += 1
+        elif answer.reason == CLAIM_UNAVAILABLE.word:
+            self.unclaimed += 1
         elif inside:
             self.refused_in_rate += 1
         else:
--- a/features/fleet/processes.feature
+++ b/features/fleet/processes.feature
@@ -15,5 +15,6 @@
       | 90  | end                        |
     Then every promise held
     And at least 97 % of the requests inside their rate were served
+    And keyed writes were refused for want of the platform only while it was down
     And the stopped host ended with 0
     And no host logged a failure
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -12,6 +12,8 @@
 from damasktally.platform.server import FaultPlan
 from damasktally.proof.checkers import check_all
 
+CALL_SLACK_S = 1.0
+
 
 @given("{count:d} host processes of {name} under load at {percent:d} % of every rate")
 def start_processes(context, count, name, percent):
@@ -35,8 +37,10 @@
         fleet.withdraw(words[-1])
     elif event == "the platform goes down":
         fleet.platform.faults = FaultPlan(down=True)
+        context.outage = (boot_time(), None)
     elif event == "the platform comes back":
         fleet.platform.faults = FaultPlan()
+        context.outage = (context.outage[0], boot_time())
     elif event.startswith("pause"):
         fleet.processes[words[-1]].pause()
     elif event.startswith("resume"):
@@ -97,6 +101,21 @@
     )
 
 
+@then("keyed writes were refused for want of the platform only while it was down")
+def check_unclaimed(context):
+    down_at, up_at = context.outage
+    found = [
+        answer.ended_at
+        for answer in context.processes.history.answered
+        if answer.reason == "claim-unavailable"
+    ]
+    assert found, "no keyed write met the outage"
+    assert min(found) >= down_at and max(found) <= up_at + CALL_SLACK_S, (
+        min(found) - down_at,
+        max(found) - up_at,
+    )
+
+
 @then("the stopped host ended with {code:d}")
 def check_exit(context, code):
     assert context.exit_codes == [code], context.exit_codes
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,215 @@
+"""Steps for the platform's API, its client, and commands over it."""
+
+from concurrent.futures import ThreadPoolExecutor
+from time import sleep
+
+from behave import given, then, when
+from common import wait_until
+from prometheus_client import CollectorRegistry
+
+from damasktally import platform as platform_api
+from damasktally.clock import boot_time
+from damasktally.demo.fleet import host_settings
+from damasktally.host import Host
+from damasktally.platform import BudgetExceeded, Conflict, StoredObject
+from damasktally.platform.budget import CallBudget
+from damasktally.platform.client import HttpStore
+from damasktally.platform.memory import MemoryStore
+from damasktally.platform.server import FaultPlan, StandInPlatform
+from damasktally.resources.commands import Commands
+
+SPEC = {"rate": 10, "burst": 10}
+
+
+def new_client(platform, calls_per_s=1000.0, timeout_s=0.4):
+    """Return a client of a stand-in."""
+    budget = CallBudget(calls_per_s, boot_time, CollectorRegistry())
+    return HttpStore(platform.url, timeout_s, budget)
+
+
+def customer(name="ana", revision=0, nonce="n"):
+    """Return a customer to be written."""
+    return StoredObject(
+        kind="Customer", name=name, revision=revision, nonce=nonce, spec=SPEC
+    )
+
+
+@given("a platform stand-in and a client")
+def start_platform(context):
+    context.platform = StandInPlatform(MemoryStore(history=20))
+    context.platform.start()
+    context.closing.append(context.platform.stop)
+    context.client = new_client(context.platform)
+    context.client.put(customer("seen"), "test")
+
+
+FAULTS = {
+    "is down": FaultPlan(down=True),
+    "is slower than allowed": FaultPlan(delay_s=1.0),
+    "loses the answer": FaultPlan(lose_answers=1, lose_only="Customer"),
+}
+
+
+@when("the platform {fault}")
+def break_platform(context, fault):
+    if fault == "does not listen":
+        context.platform.stop()
+        return
+    context.platform.faults = FAULTS[fault].model_copy()
+
+
+@then('the call "{call}" raises "{error}"')
+def check_raises(context, call, error):
+    client = context.client
+    calls = {
+        "get": lambda: client.get("Customer", "seen", "test"),
+        "list": lambda: client.list_objects(["Customer"], "test"),
+        "watch": lambda: client.watch(0, ["Customer"], 0.0),
+        "put": lambda: client.put(customer(), "test"),
+    }
+    try:
+        calls[call]()
+    except getattr(platform_api, error) as exc:
+        assert exc.remedy
+        return
+    raise AssertionError(f"{call} did not raise {error}")
+
+
+@when("two operators write the same object from the same version")
+def race(context):
+    before = context.client.get("Customer", "seen", "test")
+
+    def write(nonce):
+        try:
+            return context.client.put(
+                before.model_copy(update={"nonce": nonce}), "test"
+            )
+        except Conflict:
+            return None
+
+    with ThreadPoolExecutor(2) as pool:
+        context.written = list(pool.map(write, ("one", "two")))
+
+
+@then("one gets a conflict, and the other's write stands")
+def check_race(context):
+    winners = [obj for obj in context.written if obj is not None]
+    assert len(winners) == 1, context.written
+    stored = context.client.get("Customer", "seen", "test")
+    assert stored.nonce == winners[0].nonce
+
+
+@when("{count:d} objects are written")
+def write_some(context, count):
+    context.start = context.platform.store.revision
+    for number in range(count):
+        context.client.put(customer(f"c{number}"), "test")
+
+
+@then("a watch from the start brings {count:d} events and one from the end none")
+def check_resume(context, count):
+    page = context.client.watch(context.start, ["Customer"], 0.0)
+    assert len(page.events) == count and page.revision == context.start + count
+    assert context.client.watch(page.revision, ["Customer"], 0.1).events == []
+
+
+@then("a watch that waits is woken by a write")
+def check_wake(context):
+    after = context.platform.store.revision
+    with ThreadPoolExecutor(1) as pool:
+        began = boot_time()
+        waiting = pool.submit(context.client.watch, after, ["Customer"], 5.0)
+        sleep(0.1)
+        context.client.put(customer("late"), "test")
+        assert len(waiting.result().events) == 1
+        assert boot_time() - began < 3.0
+
+
+@then("a watch older than the history raises HistoryGone")
+def check_gone(context):
+    for number in range(30):
+        context.client.put(customer(f"more{number}"), "test")
+    check_raises(context, "watch", "HistoryGone")
+
+
+@then("applying a customer succeeds and writes it once")
+def check_lost(context):
+    commands = Commands(context.client, "operator")
+    written = commands.apply("Customer", "ana", SPEC)
+    stored = context.platform.store.get("Customer", "ana")
+    assert stored == written and stored.author == "operator"
+
+
+@when("an operator issues a key, withdraws it and deletes it")
+def use_key(context):
+    commands = Commands(context.client, "olga")
+    context.secret = commands.issue_key("k1", "ana").secret
+    commands.withdraw_key("k1")
+    commands.delete("Key", "k1")
+
+
+def audit_of(context):
+    """Return the audit records as plain specs, oldest first."""
+    page = context.platform.store.list_objects(["AuditRecord"])
+    return [obj.spec for obj in sorted(page.items, key=lambda obj: obj.revision)]
+
+
+@then("the audit trail names three changes, who made them and their revisions")
+def check_audit(context):
+    records = audit_of(context)
+    assert [r["action"] for r in records] == ["write", "write", "delete"], records
+    assert {r["author"] for r in records} == {"olga"}
+    assert records[1]["from_revision"] == records[0]["to_revision"]
+
+
+@then("the secret is nowhere on the platform")
+def check_secret(context):
+    kinds = ["Key", "AuditRecord", "Customer"]
+    page = context.platform.store.list_objects(kinds)
+    events = context.platform.store.watch(20, kinds, 0.0).events
+    text = page.model_dump_json() + "".join(e.model_dump_json() for e in events)
+    assert context.secret not in text
+
+
+@given("a host that runs")
+def start_host(context):
+    settings = host_settings("h1", "r", "d", context.platform.url, "r")
+    host = Host.from_config(settings)
+    host.start()
+    context.closing.append(host.kill)
+    wait_until(lambda: host.fleet.is_member, what="the host's membership")
+
+
+@when("somebody writes a customer past apply")
+def write_past(context):
+    direct = customer("direct").model_copy(update={"author": "somebody"})
+    context.direct = context.platform.store.put(direct)
+
+
+@then("within {seconds:d} s the audit trail names it")
+def check_backfilled(context, seconds):
+    def named():
+        return any(
+            r["to_revision"] == context.direct.revision and r["author"] == "somebody"
+            for r in audit_of(context)
+        )
+
+    wait_until(named, seconds, "the audit record")
+
+
+@when("a client with a budget of {rate:d} calls a second makes {count:d} calls at once")
+def spend_budget(context, rate, count):
+    client = new_client(context.platform, rate)
+    before = context.platform.calls
+    context.refused = 0
+    for _ in range(count):
+        try:
+            client.get("Customer", "seen", "test")
+        except BudgetExceeded:
+            context.refused += 1
+    context.reached = context.platform.calls - before
+
+
+@then("no more than {count:d} reach the platform")
+def check_budget(context, count):
+    assert 0 < context.reached <= count and context.refused > 0, context.reached
--- /dev/null
+++ b/features/steps/steering_steps.py
@@ -0,0 +1,299 @@
+"""Steps for choices, queues and look-ups: pure decisions on a fixed clock."""
+
+from collections import Counter
+from ipaddress import ip_address, ip_network
+from random import Random
+from threading import Thread
+
+from behave import given, then, when
+from common import wait_until
+
+from damasktally.escrow.slots import SlotTable
+from damasktally.platform import ChangeEvent, StoredObject
+from damasktally.resources.kinds import SteeringPolicy
+from damasktally.resources.view import View
+from damasktally.steering.choose import Candidate, choose
+from damasktally.steering.dispatcher import Dispatcher, NoSlot, Waiter
+from damasktally.steering.fair_queue import FairQueue
+from damasktally.steering.health import HealthTable, usable_slots
+from damasktally.steering.lookup import ClientTable, EntryHost, rank_hosts
+
+CLOCK_STEP_S = 0.001
+
+
+def candidate(name, region="here", latency=1.0, free=5, in_use=0, load=0.5):
+    """Return a server that may be chosen."""
+    return Candidate(name, region, latency, free, in_use, load)
+
+
+def choices(context, policy, count):
+    """Return how often each server is chosen."""
+    rng = Random(1)
+    return Counter(
+        choose(context.candidates, "here", policy, rng).server for _ in range(count)
+    )
+
+
+@given("servers with free slots here at 90 % load and far away at 0 %")
+def near_and_far(context):
+    context.candidates = [
+        candidate("near", in_use=9, free=1, load=0.9),
+        candidate("far", "there", 12.0, load=0.0),
+    ]
+
+
+@then("a server of this region is chosen {count:d} times out of {total:d}")
+def check_near(context, count, total):
+    assert choices(context, SteeringPolicy(), total)["near"] == count
+
+
+@given("2 equal servers")
+def equal_servers(context):
+    context.candidates = [candidate("a"), candidate("b")]
+
+
+@then("each is chosen between {least:d} and {most:d} times out of {total:d}")
+def check_equal(context, least, most, total):
+    found = choices(context, SteeringPolicy(), total)
+    assert all(least <= count <= most for count in found.values()), found
+    assert len(found) == 2
+
+
+@given("a near server that is busy and a farther one in the region that is idle")
+def busy_and_idle(context):
+    context.candidates = [
+        candidate("near", latency=0.1, in_use=4, free=1),
+        candidate("idle", latency=1.0),
+    ]
+
+
+@then("with a latency weight of {weight:g} the near one is chosen")
+def check_latency(context, weight):
+    policy = SteeringPolicy(latency_weight=weight)
+    assert choices(context, policy, 20) == {"near": 20}
+
+
+@then("with a headroom weight of {weight:g} the idle one is chosen")
+def check_headroom(context, weight):
+    policy = SteeringPolicy(headroom_weight=weight)
+    assert choices(context, policy, 20) == {"idle": 20}
+
+
+@given("a server that reported a load of {load:g}")
+def report_load(context, load):
+    context.now = 0.0
+    context.health = HealthTable(lambda: context.now, Random(1))
+    context.health.reported("s", load)
+
+
+@when("{seconds:g} s have gone by")
+def let_go_by(context, seconds):
+    context.now += seconds
+
+
+@then("its load hint is about {hint:g}")
+def check_hint(context, hint):
+    assert abs(context.health.load_hint("s", context.now) - hint) < 0.01
+
+
+def make_dispatcher(context, slots, max_wait=500, eject=0.5):
+    """Return a dispatcher with a pool of servers whose slots are all its own."""
+    objects = [
+        ("Pool", "p", {"eject_fraction": eject, "warmup_s": 0}),
+        *(
+            (
+                "BackendServer",
+                f"s{n}",
+                {
+                    "pool": "p",
+                    "address": "127.0.0.1:1",
+                    "region": "here",
+                    "data_centre": "d",
+                    "slots": count,
+                },
+            )
+            for n, count in enumerate(slots)
+        ),
+    ]
+    events = [
+        ChangeEvent(object=StoredObject(kind=k, name=n, revision=i + 1, spec=s))
+        for i, (k, n, s) in enumerate(objects)
+    ]
+    view = View().apply(events)
+    table = SlotTable(longest_s=30.0, own_until=1e9)
+    for n, count in enumerate(slots):
+        table.set_share(f"s{n}", "p", count)
+
+    def clock():
+        # Each look at the clock takes time, so that work counts as work.
+        context.now += CLOCK_STEP_S
+        return context.now
+
+    health = HealthTable(clock, Random(1))
+    return Dispatcher("here", "d", clock, Random(1), table, health, lambda: view)
+
+
+def waiter(customer, weight=1.0):
+    """Return a request that waits."""
+    return Waiter(customer, weight, 5.0, SteeringPolicy(), frozenset())
+
+
+@given("a pool of {count:d} servers that all fail, of which half may be ejected")
+def failing_pool(context, count):
+    context.now = 0.0
+    context.dispatcher = make_dispatcher(context, [1] * count)
+    for _ in range(5):
+        for n in range(count):
+            context.dispatcher.eject_if_spare("p", f"s{n}")
+
+
+@then("{count:d} of them are ejected")
+def check_ejected(context, count):
+    health = context.dispatcher.health
+    assert sum(health.ejected(f"s{n}", context.now) for n in range(4)) == count
+
+
+@then("after {seconds:d} s none is")
+def check_back(context, seconds):
+    context.now += seconds
+    health = context.dispatcher.health
+    assert not any(health.ejected(f"s{n}", context.now) for n in range(4))
+
+
+@then(
+    "of {slots:d} slots a server that warms up for {warm:d} s fills "
+    "{a:d}, {b:d} and {c:d} after 0, 5 and 10 s"
+)
+def check_warm_up(context, slots, warm, a, b, c):
+    found = [usable_slots(slots, 100.0, warm, 100.0 + at) for at in (0, 5, 10)]
+    assert found == [a, b, c], found
+
+
+@given("customers ana with weight {a:g} and bea with weight {b:g} that always wait")
+def weighted_customers(context, a, b):
+    context.weights = {"ana": a, "bea": b}
+    context.queue = FairQueue()
+    for name in context.weights:
+        for _ in range(1_000):
+            context.queue.push(name, object())
+
+
+@when("{count:d} slots of equal time become free")
+def free_slots(context, count):
+    context.served = Counter()
+    for _ in range(count):
+        name = context.queue.order()[0]
+        context.queue.pop(name)
+        context.queue.charge(name, 1.0, context.weights[name])
+        context.served[name] += 1
+
+
+@then("bea got about {factor:d} times as many as ana")
+def check_weighted(context, factor):
+    ratio = context.served["bea"] / context.served["ana"]
+    assert abs(ratio - factor) < 0.1, context.served
+
+
+@given("a pool of 1 busy slot whose queue holds {size:d}")
+def busy_pool(context, size):
+    context.now = 0.0
+    context.size = size
+    context.dispatcher = make_dispatcher(context, [1])
+    context.first = waiter("ana")
+    context.dispatcher.acquire("p", context.first, 1.0, size)
+    context.done = []
+
+
+def queue_up(context, customer):
+    """Let a request wait in a thread of its own."""
+
+    def wait():
+        request = waiter(customer)
+        found = context.dispatcher.acquire("p", request, 5.0, context.size)
+        context.done.append((customer, isinstance(found, NoSlot)))
+        if not isinstance(found, NoSlot):
+            context.dispatcher.release("p", request)
+
+    Thread(target=wait, daemon=True).start()
+
+
+@when("ana tries to queue {count:d} requests and then bea tries one")
+def flood_queue(context, count):
+    for _ in range(count):
+        queue_up(context, "ana")
+    half = context.size // 2
+    wait_until(lambda: len(context.done) == count - half, what="ana's refusals")
+    queue_up(context, "bea")
+    wait_until(lambda: context.dispatcher.queued() == half + 1, what="bea's place")
+
+
+@then("ana has {count:d} waiting and bea's request waits too")
+def check_waiting(context, count):
+    waiting = context.dispatcher.pools["p"].waiters.waiting
+    assert len(waiting["ana"]) == count and len(waiting["bea"]) == 1
+    assert all(refused for _, refused in context.done)
+    context.done.clear()
+
+
+@then("when the slot is free bea's request is among the next {count:d}")
+def check_next(context, count):
+    context.dispatcher.release("p", context.first)
+    wait_until(lambda: len(context.done) >= count, what="the next requests")
+    assert "bea" in [name for name, _ in context.done[:count]], context.done
+
+
+@given("12 entry hosts in 3 regions, one of them full")
+def entry_hosts(context):
+    context.hosts = [
+        EntryHost(f"h{n}", f"a{n}", f"r{n % 3}", f"r{n % 3}-{n // 3 % 2}", 1.0)
+        for n in range(12)
+    ]
+    context.hosts[4] = EntryHost("h4", "a4", "r1", "r1-1", 0.0)
+
+
+def ranked(context, region, customer, count=12):
+    """Return the names that a look-up gives."""
+    policy = SteeringPolicy(lookup_hosts=count)
+    latency = {"r0": 12.0, "r1": 12.0, "r2": 12.0}
+    found = rank_hosts(context.hosts, region, "", customer, latency, policy)
+    return [host.host for host in found]
+
+
+@then("a caller of r1 gets hosts of r1 first, the full one last of them")
+def check_rank(context):
+    found = ranked(context, "r1", "ana")
+    assert set(found[:4]) == {"h1", "h4", "h7", "h10"} and found[3] == "h4", found
+
+
+@then("two callers of one customer in one region get the same first host")
+def check_affinity(context):
+    assert ranked(context, "r2", "ana")[0] == ranked(context, "r2", "ana")[0]
+
+
+@then("eight customers do not all get the same first host")
+def check_spread(context):
+    assert len({ranked(context, "r2", f"c{n}")[0] for n in range(8)}) > 1
+
+
+@then("{count:d} random tables of nested blocks agree with a scan")
+def check_tables(context, count):
+    rng = Random(1)
+    for _ in range(count):
+        blocks = {}
+        for number in range(rng.randrange(1, 30)):
+            bits = rng.randrange(0, 33)
+            start = rng.getrandbits(8) << 24 >> (32 - bits) << (32 - bits)
+            blocks[str(ip_network((start & 0xFFFFFFFF, bits)))] = f"d{number}"
+        table = ClientTable(blocks.items())
+        for _ in range(50):
+            address = str(ip_address(rng.getrandbits(8) << 24 | rng.getrandbits(2)))
+            assert table.find(address) == scan(blocks, address), (blocks, address)
+
+
+def scan(blocks, address):
+    """Return the owner of the longest block that holds an address."""
+    parsed = ip_address(address)
+    holding = [ip_network(b) for b in blocks if parsed in ip_network(b)]
+    if not holding:
+        return None
+    return blocks[str(max(holding, key=lambda network: network.prefixlen))]
