--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,197 @@
+"""Measure what single decisions and tables cost, at sizes of today and of the plan."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from ipaddress import ip_address
+from random import Random
+from statistics import median
+from time import perf_counter
+from tracemalloc import get_traced_memory, start, stop
+
+from damasktally.clock import boot_time
+from damasktally.escrow.generations import GenerationWindow
+from damasktally.escrow.ledger import Ledger, customer_limit
+from damasktally.escrow.lending import HintTable, SpareHint, plan_asks, spare_hints
+from damasktally.escrow.shares import RosterHost, RosterView
+from damasktally.escrow.slots import SlotTable
+from damasktally.peers.peer_pb2 import Endpoint, Heartbeat, HeartbeatAnswer, Spare
+from damasktally.platform import ChangeEvent, StoredObject
+from damasktally.resources.kinds import SteeringPolicy
+from damasktally.resources.view import View
+from damasktally.steering.dispatcher import Dispatcher, Waiter
+from damasktally.steering.health import HealthTable
+from damasktally.steering.lookup import ClientTable, EntryHost, rank_hosts
+
+ROUNDS = 7
+BLOCKS = 390_000
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Hold the cost of one decision, in microseconds."""
+
+    name: str
+    least: float
+    middle: float
+    most: float
+
+    def __str__(self) -> str:
+        return (
+            f"{self.name:44} min {self.least:9.2f}  median {self.middle:9.2f}  "
+            f"max {self.most:9.2f} us"
+        )
+
+
+def cost(name: str, action: Callable[[], object], count: int) -> Cost:
+    """Run an action many times in several rounds."""
+    action()
+    rounds = []
+    for _ in range(ROUNDS):
+        began = perf_counter()
+        for _ in range(count):
+            action()
+        rounds.append(1e6 * (perf_counter() - began) / count)
+    return Cost(name, min(rounds), median(rounds), max(rounds))
+
+
+def view_of(customers: int, servers: int) -> View:
+    """Return a view with so many customers and servers of one pool."""
+    specs = [("Pool", "p", {})]
+    for n in range(customers):
+        specs.append(("Customer", f"c{n}", {"rate": 100.0, "burst": 100.0}))
+    for n in range(servers):
+        place = {"region": f"r{n % 3}", "data_centre": f"r{n % 3}-{n // 3 % 2}"}
+        spec = {"pool": "p", "address": "127.0.0.1:1", "slots": 4, **place}
+        specs.append(("BackendServer", f"s{n}", spec))
+    events = [
+        ChangeEvent(object=StoredObject(kind=k, name=n, revision=i + 1, spec=s))
+        for i, (k, n, s) in enumerate(specs)
+    ]
+    return View().apply(events)
+
+
+def roster_of(hosts: int) -> RosterView:
+    """Return a roster of so many hosts in three regions."""
+    members = tuple(
+        RosterHost(f"h{n:02d}", "1", f"r{n % 3}", f"r{n % 3}-{n // 3 % 2}")
+        for n in range(hosts)
+    )
+    return RosterView(1, members)
+
+
+def ledger_of(view: View, hosts: int = 12) -> Ledger:
+    """Return the ledger of one of so many hosts."""
+    window = GenerationWindow("h00/1", 5.0)
+    window.learn(roster_of(hosts), [], [], 0.0)
+    ledger = Ledger("h00/1", window, boot_time)
+    ledger.refresh(view)
+    ledger.confirm(boot_time() + 1e6)
+    return ledger
+
+
+def dispatcher_of(view: View) -> Dispatcher:
+    """Return a dispatcher that owns its part of the servers among 12 hosts."""
+    window = GenerationWindow("h00/1", 35.0)
+    window.learn(roster_of(12), [], [], 0.0)
+    table = SlotTable(30.0, own_until=1e12)
+    health = HealthTable(boot_time, Random(1))
+    dispatcher = Dispatcher(
+        "r0", "r0-0", boot_time, Random(1), table, health, lambda: view
+    )
+    dispatcher.refresh(view, window, "h00/1")
+    return dispatcher
+
+
+def measure_admit() -> None:
+    """Print the cost of taking a token."""
+    for customers in (8, 5_000):
+        ledger = ledger_of(view_of(customers, 0))
+        limit = customer_limit("c3")
+        admit = lambda e=ledger, name=limit: e.take(name, 0)
+        print(cost(f"admit, {customers} customers", admit, 5_000))
+
+
+def measure_choose() -> None:
+    """Print the cost of taking and giving back a slot."""
+    for servers in (42, 660):
+        dispatcher = dispatcher_of(view_of(0, servers))
+
+        def choose(owner: Dispatcher = dispatcher) -> None:
+            waiter = Waiter("c", 1.0, 5.0, SteeringPolicy(), frozenset())
+            owner.acquire("p", waiter, 0.1, 10)
+            owner.release("p", waiter)
+
+        print(cost(f"choose a server, {servers} servers", choose, 500))
+
+
+def measure_lookup() -> None:
+    """Print the cost of a look-up's decision, and the table's memory."""
+    rng = Random(1)
+    for hosts in (12, 112):
+        entries = [
+            EntryHost(f"h{n}", "a", f"r{n % 3}", f"r{n % 3}-{n % 2}", 1.0)
+            for n in range(hosts)
+        ]
+        policy = SteeringPolicy()
+        rank = lambda e=entries, p=policy: rank_hosts(e, "r1", "r1-1", "c", {}, p)
+        print(cost(f"rank entry hosts, {hosts} hosts", rank, 300))
+    blocks = [
+        (f"{ip_address(n << 11)}/{rng.choice((21, 22, 24))}", f"d{n % 660}")
+        for n in range(BLOCKS)
+    ]
+    start()
+    table = ClientTable(blocks)
+    held, _ = get_traced_memory()
+    stop()
+    print(f"client table, {BLOCKS} blocks: {held / 1e6:.1f} MB")
+    addresses = [str(ip_address(rng.getrandbits(29))) for _ in range(1_000)]
+    found = iter(range(10**9))
+    look = lambda: table.find(addresses[next(found) % 1_000])
+    print(cost(f"find a client's block, {BLOCKS} blocks", look, 5_000))
+
+
+def measure_control() -> None:
+    """Print the cost of control work, by hosts and by customers."""
+    for customers in (8, 100, 1_000):
+        ledger = ledger_of(view_of(customers, 0))
+        for entry in ledger.entries.values():
+            entry.demand.offer(50.0)
+        ledger.update_demand()
+        hints = HintTable()
+        for n in range(1, 12):
+            spares = [SpareHint(name, 1.0, 1.0) for name in ledger.entries]
+            hints.record(f"h{n:02d}/1", spares, boot_time())
+        plan = lambda e=ledger, h=hints: plan_asks(e, h, {})
+        print(cost(f"plan loans, {customers} active customers", plan, 5))
+        spare = lambda e=ledger: spare_hints(e)
+        print(cost(f"describe spares, {customers} customers", spare, 5))
+    for customers in (8, 1_000):
+        answer = HeartbeatAnswer(sender=Endpoint(host="h01", incarnation="0" * 12))
+        for n in range(customers):
+            answer.spares.append(Spare(limit=f"customer:c{n}", demand=1.5, tokens=2.5))
+        size = len(answer.SerializeToString())
+        print(f"heartbeat answer, {customers} active customers: {size} bytes")
+    print(f"heartbeat without asks: {len(Heartbeat().SerializeToString()) + 60} bytes")
+    for hosts in (12, 112):
+        window = GenerationWindow("h00/1", 5.0)
+        window.learn(roster_of(hosts), [], [], 0.0)
+        low = lambda w=window: w.smallest(lambda r: r.rate_weight("h00/1"), 1.0)
+        print(cost(f"smallest share, {hosts} hosts", low, 200))
+    for servers in (42, 660):
+        view = view_of(8, servers)
+        obj = next(iter(view.objects["BackendServer"].values())).stored
+        change = ChangeEvent(object=obj.model_copy(update={"revision": 10**6}))
+        apply = lambda v=view, c=change: v.apply([c])
+        print(cost(f"apply a change, {servers} servers", apply, 20))
+
+
+def main() -> None:
+    """Print all tables."""
+    measure_admit()
+    measure_choose()
+    measure_lookup()
+    measure_control()
+
+
+if __name__ == "__main__":
+    main()
--- a/damasktally/steering/dispatcher.py
+++ b/damasktally/steering/dispatcher.py
@@ -7,13 +7,19 @@
 
 from damasktally.clock import Clock
 from damasktally.escrow.generations import GenerationWindow
-from damasktally.escrow.slots import SlotHold, SlotLease, SlotTable
+from damasktally.escrow.slots import (
+    ServerSlots,
+    SlotHold,
+    SlotLease,
+    SlotTable,
+)
 from damasktally.resources.kinds import BackendServer, SteeringPolicy
 from damasktally.resources.view import View
 from damasktally.steering.choose import Candidate, choose, latency_ms
 from damasktally.steering.fair_queue import FairQueue
 from damasktally.steering.health import HealthTable, usable_slots
 
+PAIR = 2
 FIRST_SERVICE_S = 0.02
 SERVICE_SMOOTHING = 0.1
 MAX_WAITING_PART = 0.5
@@ -83,6 +89,7 @@
     lock: RLock = field(default_factory=RLock)
     pools: dict[str, PoolQueue] = field(default_factory=dict)
     _seen: set[str] | None = None
+    _by_pool: dict[str, list[ServerSlots]] = field(default_factory=dict)
 
     def acquire(
         self, pool: str, waiter: Waiter, wait_s: float, max_queue: int
@@ -130,6 +137,7 @@
                 own = _own_slots(window, identity, name, server, now)
                 self.slots.set_share(name, server.pool, own)
             self.slots.keep_only(view.servers)
+            self._by_pool.clear()
             self._start_warm_ups(view)
             self._dispatch_all()
 
@@ -179,6 +187,7 @@
             for server, lease in leases:
                 if server in servers:
                     self.slots.borrow(server, servers[server].pool, lease)
+            self._by_pool.clear()
             self._dispatch_all()
 
     def headroom(self) -> float:
@@ -210,36 +219,59 @@
             self._dispatch_all()
 
     def candidates(self, pool: str, waiter: Waiter) -> list[Candidate]:
-        """Return the servers that a request could be sent to now."""
+        """Return every server that a request could be sent to now."""
+        found = [self._candidate(entry, waiter) for entry in self._entries_of(pool)]
+        return [item for item in found if item is not None]
+
+    def _near_pair(self, pool: str, waiter: Waiter) -> list[Candidate]:
+        """Return up to two random servers of this region, without a look at all.
+
+        Each is the first with a free slot from a random place on, so that the cost
+        does not grow with the number of servers.
+        """
+        entries = self._entries_of(pool)
+        found: dict[str, Candidate] = {}
+        for _ in range(PAIR):
+            start = self.rng.randrange(len(entries)) if entries else 0
+            for step in range(len(entries)):
+                entry = entries[(start + step) % len(entries)]
+                item = self._candidate(entry, waiter)
+                near = item is not None and item.region == self.region
+                if near and item.server not in found:
+                    found[item.server] = item
+                    break
+        return list(found.values())
+
+    def _entries_of(self, pool: str) -> list[ServerSlots]:
+        entries = self._by_pool.get(pool)
+        if entries is None:
+            entries = [e for e in self.slots.servers.values() if e.pool == pool]
+            self._by_pool[pool] = entries
+        return entries
+
+    def _candidate(self, entry: ServerSlots, waiter: Waiter) -> Candidate | None:
         now = self.clock()
         view = self.view()
-        warmup_s = view.pools[pool].warmup_s if pool in view.pools else 0.0
-        found = []
-        servers = view.servers_of.get(pool, {})
-        for name, entry in self.slots.servers.items():
-            server = servers.get(name)
-            if server is None or name in waiter.avoid or name in view.drained_servers:
-                continue
-            if self.health.ejected(name, now):
-                continue
-            free = self._free(name, waiter.work_s, warmup_s, now)
-            if free <= 0:
-                continue
-            if server.region != self.region and not self.crossing_allowed(
-                server.region
-            ):
-                continue
-            found.append(
-                Candidate(
-                    server=name,
-                    region=server.region,
-                    latency_ms=latency_ms(view, self.region, self.data_centre, server),
-                    free=free,
-                    in_use=entry.in_use,
-                    load_hint=self.health.load_hint(name, now),
-                )
-            )
-        return found
+        name = entry.server
+        server = view.servers.get(name)
+        if server is None or name in waiter.avoid or name in view.drained_servers:
+            return None
+        if self.health.ejected(name, now):
+            return None
+        pool = view.pools.get(server.pool)
+        warmup_s = pool.warmup_s if pool is not None else 0.0
+        free = self._free(name, waiter.work_s, warmup_s, now)
+        is_far = server.region != self.region
+        if free <= 0 or (is_far and not self.crossing_allowed(server.region)):
+            return None
+        return Candidate(
+            server=name,
+            region=server.region,
+            latency_ms=latency_ms(view, self.region, self.data_centre, server),
+            free=free,
+            in_use=entry.in_use,
+            load_hint=self.health.load_hint(name, now),
+        )
 
     def _free(self, server: str, work_s: float, warmup_s: float, now: float) -> int:
         free = self.slots.free(server, now, work_s)
@@ -257,8 +289,12 @@
         return queue
 
     def _assign(self, pool: str, waiter: Waiter) -> bool:
+        near = self._near_pair(pool, waiter)
         found = choose(
-            self.candidates(pool, waiter), self.region, waiter.policy, self.rng
+            near or self.candidates(pool, waiter),
+            self.region,
+            waiter.policy,
+            self.rng,
         )
         if found is None:
             return False
