--- a/damasktally/cli/commands/apply.py
+++ b/damasktally/cli/commands/apply.py
@@ -16,6 +16,7 @@
 @explained
 def apply(
     file: Annotated[Path, Parameter(name=["--file", "-f"])],
+    *,
     platform: PlatformUrl,
     dry_run: Annotated[bool, Parameter(name="--dry-run", negative="")] = False,
 ) -> None:
--- a/damasktally/cli/commands/audit.py
+++ b/damasktally/cli/commands/audit.py
@@ -13,7 +13,7 @@
 
 
 @explained
-def audit(platform: PlatformUrl, last: int = 50, json: Json = False) -> None:
+def audit(*, platform: PlatformUrl, last: int = 50, json: Json = False) -> None:
     """Show who changed what, from and to which revision, and when.
 
     :param last: how many of the newest records.
--- a/damasktally/cli/commands/delete.py
+++ b/damasktally/cli/commands/delete.py
@@ -4,7 +4,7 @@
 
 
 @explained
-def delete(kind: str, name: str, platform: PlatformUrl) -> None:
+def delete(kind: str, name: str, *, platform: PlatformUrl) -> None:
     """Delete an object.
 
     :param kind: for example Customer.
--- a/damasktally/cli/commands/describe.py
+++ b/damasktally/cli/commands/describe.py
@@ -4,7 +4,9 @@
 
 
 @explained
-def describe(kind: str, name: str, platform: PlatformUrl, json: Json = False) -> None:
+def describe(
+    kind: str, name: str, *, platform: PlatformUrl, json: Json = False
+) -> None:
     """Show an object, which hosts have it in force, and what is wrong with it.
 
     :param kind: for example Customer.
--- a/damasktally/cli/commands/drain.py
+++ b/damasktally/cli/commands/drain.py
@@ -5,6 +5,7 @@
 
 @explained
 def start(
+    *,
     platform: PlatformUrl,
     server: str | None = None,
     data_centre: str | None = None,
@@ -30,7 +31,7 @@
 
 
 @explained
-def cancel(name: str, platform: PlatformUrl) -> None:
+def cancel(name: str, *, platform: PlatformUrl) -> None:
     """Cancel a drain.
 
     :param name: the drain's name, as ``get Drain`` lists it.
--- a/damasktally/cli/commands/get.py
+++ b/damasktally/cli/commands/get.py
@@ -11,7 +11,9 @@
 
 
 @explained
-def get(kind: str, platform: PlatformUrl, name: str = "", json: Json = False) -> None:
+def get(
+    kind: str, name: str = "", *, platform: PlatformUrl, json: Json = False
+) -> None:
     """List the objects of a kind, or one of them.
 
     :param kind: for example Customer.
--- a/damasktally/cli/commands/key.py
+++ b/damasktally/cli/commands/key.py
@@ -4,7 +4,7 @@
 
 
 @explained
-def issue(name: str, customer: str, platform: PlatformUrl) -> None:
+def issue(name: str, customer: str, *, platform: PlatformUrl) -> None:
     """Issue a key and print its secret, which is not shown again.
 
     :param name: a name for the key.
@@ -16,7 +16,7 @@
 
 
 @explained
-def withdraw(name: str, platform: PlatformUrl) -> None:
+def withdraw(name: str, *, platform: PlatformUrl) -> None:
     """Withdraw a key; every host refuses it within seconds.
 
     :param name: the key's name.
--- a/damasktally/cli/commands/lookup.py
+++ b/damasktally/cli/commands/lookup.py
@@ -11,7 +11,7 @@
 TIMEOUT_S = 5.0
 
 
-def lookup(entry: str, client: str = "", key: str = "", json: Json = False) -> None:
+def lookup(entry: str, *, client: str = "", key: str = "", json: Json = False) -> None:
     """Ask an entry host which hosts a caller should use.
 
     :param entry: a host's caller address.
--- a/damasktally/cli/commands/watch.py
+++ b/damasktally/cli/commands/watch.py
@@ -8,7 +8,7 @@
 
 
 @explained
-def watch(platform: PlatformUrl, kind: str = "", changes: int = 0) -> None:
+def watch(*, platform: PlatformUrl, kind: str = "", changes: int = 0) -> None:
     """Print changes as they are accepted.
 
     :param kind: only this kind; all kinds without it.
--- a/damasktally/forwarding/attempt.py
+++ b/damasktally/forwarding/attempt.py
@@ -23,6 +23,7 @@
     read_head,
     send_request,
 )
+from damasktally.resources.view import View
 from damasktally.steering.pacer import Crossing, Pacer
 
 CHUNK_BYTES = 65_536
@@ -49,6 +50,7 @@
     :param region: the region the caller is in, or nothing when it is not known.
     :param received_at: seconds.
     :param deadline: seconds on the same clock.
+    :param view: the view in which the key was checked.
     """
 
     request_id: str
@@ -63,6 +65,7 @@
     deadline: float
     customer: str = ""
     secret: str | None = None
+    view: View | None = None
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, by its lower-case name."""
--- a/damasktally/forwarding/forwarder.py
+++ b/damasktally/forwarding/forwarder.py
@@ -50,6 +50,7 @@
 IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
 MAX_ATTEMPTS = 3
 SHED_STATUS = 503
+DEFAULT_POOL = Pool()
 LONGEST_GAP_S = 2.0
 """Seconds between taking a slot and sending, connecting included."""
 IDEMPOTENCY_HEADER = "idempotency-key"
@@ -144,6 +145,7 @@
     ) -> Result[Customer, Refusal]:
         if not self.may_serve_keyed():
             return Err(Refusal(ISOLATED, 1.0))
+        req.view = view
         named = authenticate(view, req.secret)
         if isinstance(named, Err):
             record.key = named.err_value.reason
@@ -240,7 +242,7 @@
         self, req: CallerRequest, plan: Plan, waiter: Waiter, record: RequestRecord
     ):
         started = self.clock()
-        pool = self.view().pools.get(plan.route.pool, Pool())
+        pool = self.view().pools.get(plan.route.pool, DEFAULT_POOL)
         wait_s = min(waiter.policy.max_wait_ms / 1000, req.deadline - started)
         hold = self.dispatcher.acquire(
             plan.route.pool, waiter, max(0.0, wait_s), pool.max_queue
@@ -366,8 +368,10 @@
             return False
         if not req.customer:
             return True
-        known = authenticate(self.view(), req.secret)
-        return self.may_serve_keyed() and isinstance(known, Ok)
+        if not self.may_serve_keyed():
+            return False
+        view = self.view()
+        return view is req.view or isinstance(authenticate(view, req.secret), Ok)
 
     def _was_shed(self, plan: Plan, attempt: Attempt) -> bool:
         pool = self.view().pools.get(plan.route.pool)
--- a/damasktally/host/host.py
+++ b/damasktally/host/host.py
@@ -65,7 +65,8 @@
 DUTY_TICK_S = 0.5
 REPORT_TICK_S = 0.5
 QUIET_S = 0.5
-LOOKUP_LIFE_S = 5
+ENTRIES_LIFE_S = 0.1
+"""Seconds for which look-ups use the same list of hosts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,7 @@
         self._closing = False
         self._witnessed_at = -inf
         self._clients: tuple[View | None, ClientTable] = (None, ClientTable(()))
+        self._entries: tuple[float, list[EntryHost]] = (-inf, [])
         self._build_state()
         self._build_request_path()
         self._build_control()
@@ -191,7 +193,15 @@
         )
 
     def entry_hosts(self) -> list[EntryHost]:
-        """Return the hosts that a look-up may name."""
+        """Return the hosts that a look-up may name, as of the last moment."""
+        at, hosts = self._entries
+        now = self.clock()
+        if now - at > ENTRIES_LIFE_S:
+            hosts = self._find_entry_hosts()
+            self._entries = (now, hosts)
+        return hosts
+
+    def _find_entry_hosts(self) -> list[EntryHost]:
         drained = self.view().drained_hosts
         with self.fleet.lock:
             endpoints = [*self.fleet.heard_endpoints(), self.endpoint()]
@@ -326,7 +336,6 @@
                 explain=self.ring.find,
             ),
         )
-        self._requests_open = 0
 
     def _build_control(self) -> None:
         cfg = self.settings
--- /dev/null
+++ b/features/cli/cli.feature
@@ -0,0 +1,76 @@
+Feature: The command line, settings and pages tell the truth
+
+  Scenario Outline: The example settings of <name> are valid
+    When the command "check -c examples/<name>-host.ini" is run
+    Then it ends with 0
+
+    Examples:
+      | name |
+      | masa |
+      | raiz |
+
+  Scenario: Every fault of a settings file is listed at once
+    Given a settings file with a missing, an unknown and a wrong option
+    When it is checked
+    Then it ends with 2 and lists 3 faults with id, section, option and remedy
+
+  Scenario Outline: A check finds <fault> as <id>
+    Given the settings of an example with <option> set to <value>
+    Then the check <id> finds it
+
+    Examples:
+      | fault                 | option               | value           | id          |
+      | shared ports          | caller.address       | 127.0.0.1:17082 | checks.E101 |
+      | an open admin port    | admin.address        | 10.0.0.1:1      | checks.E102 |
+      | a short fence         | membership.fence_s   | 2               | checks.E103 |
+      | a short bound         | isolation.bound_s    | 1               | checks.W104 |
+      | keys that go on       | isolation.keyed      | serve           | checks.W105 |
+
+  Scenario: Operators write desired state and read it back
+    Given a platform for the command line
+    When the command "apply -f examples/masa.yaml" is run
+    Then it ends with 0
+    When the command "apply -f examples/masa.yaml --dry-run" is run
+    Then it ends with 0 and prints nothing
+    When the command "get Customer c0 --json" is run
+    Then it ends with 0 and prints "rate"
+    When the command "key issue k1 c0" is run
+    Then it ends with 0 and prints "Secret, shown only now"
+    When the command "key withdraw k1" is run
+    Then it ends with 0 and prints "withdrawn"
+    When the command "drain start --server suscripciones-00" is run
+    Then it ends with 0 and prints "drain-suscripciones-00"
+    When the command "describe Drain drain-suscripciones-00" is run
+    Then it ends with 0 and prints "Not yet at"
+    When the command "drain cancel drain-suscripciones-00" is run
+    Then it ends with 0 and prints "cancelled"
+    When the command "audit --last 5" is run
+    Then it ends with 0 and prints "Drain/drain-suscripciones-00"
+    When the command "delete Customer nobody" is run
+    Then it ends with 5
+    When the command "get Nothing" is run
+    Then it ends with 0
+
+  Scenario: A file with an invalid object writes nothing
+    Given a platform for the command line
+    And a file with one valid and one invalid object
+    When that file is applied
+    Then it ends with 2 and nothing was written
+
+  Scenario: A platform that does not answer gives exit code 3
+    Given a platform for the command line that has stopped
+    When the command "get Customer" is run
+    Then it ends with 3
+
+  Scenario: Random settings and object files give a clear error and no crash
+    Then 100 random INI files and 100 random object files load or name a remedy
+
+  Scenario: Generated pages and examples are current, and links lead somewhere
+    Then the generated pages are current
+    And every link in README and docs leads to a file
+
+  Scenario: Events have unique numbers, and the code uses every one
+    Then the events' numbers are unique and each is used
+
+  Scenario: The program starts no process
+    Then no module of the program imports what starts one
