--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -1,6 +1,7 @@
 """Send heartbeats, take in their answers, and keep this host's shares current."""
 
 from collections.abc import Callable, Iterable
+from concurrent.futures import Future
 from dataclasses import dataclass
 from itertools import count
 from math import inf
@@ -280,11 +281,17 @@
     def _send(self, address: str, identity: str, heartbeat: Heartbeat) -> None:
         sent_at = self._p.clock()
         fut = self._p.network.exchange(address, heartbeat, CALL_TIMEOUT_S)
-        fut.add_done_callback(
-            lambda done: self.actor_ref.tell(
-                Answered(address, identity, heartbeat.sequence, sent_at, done.result())
-            )
-        )
+
+        def hand_over(done: Future[HeartbeatAnswer | None]) -> None:
+            # The actor is gone when the host is stopping.
+            if self.actor_ref.is_alive():
+                answer = done.result()
+                number = heartbeat.sequence
+                self.actor_ref.tell(
+                    Answered(address, identity, number, sent_at, answer)
+                )
+
+        fut.add_done_callback(hand_over)
 
     def _answered(self, message: Answered) -> None:
         answer = message.answer
