Proved the links' caps over three hosts, and swept expired claims.

Cause: pacing had no scenario; claims stayed for ever. Conclusion: no link exceeded its cap; the checker sees it when one does.

--- a/damasktally/admission/admit.py
+++ b/damasktally/admission/admit.py
@@ -50,6 +50,7 @@
 
     :param ledger: this host's part of the rates.
     :param threads: threads of the caller port.
+    :param longest_wait_s: seconds that a request waits for a loan at most.
     :param want_loan: asks peers for units of a limit; returns whether any peer is
         believed to have some.
     """
@@ -57,6 +58,7 @@
     ledger: Ledger
     threads: int
     want_loan: Callable[[str, float], bool] = lambda limit, amount: False
+    longest_wait_s: float = MAX_BORROW_WAIT_S
     _lock: Lock = field(default_factory=Lock)
     _in_flight: dict[str, int] = field(default_factory=dict)
     _waiting: dict[str, int] = field(default_factory=dict)
@@ -92,7 +94,7 @@
         limit = customer_limit(customer)
         if self.ledger.take(limit, 1.0):
             return Ok(None)
-        if self._borrow(limit, min(wait_s, MAX_BORROW_WAIT_S)):
+        if self._borrow(limit, min(wait_s, self.longest_wait_s)):
             return Ok(None)
         return Err(OverRate(self.ledger.retry_after(limit, 1.0)))
 
--- a/damasktally/host/reporter.py
+++ b/damasktally/host/reporter.py
@@ -19,6 +19,9 @@
 STATUS_GAP_S = 1.0
 STATUS_REFRESH_S = 30.0
 AUDIT_BATCH = 20
+SWEEP_GAP_S = 60.0
+SWEEP_BATCH = 50
+"""Expired claims that one sweep deletes, so that sweeps stay in the budget."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +39,7 @@
     freshness: Freshness
     clock: Clock
     is_keeper: Callable[[], bool]
+    sweep_gap_s: float = SWEEP_GAP_S
 
 
 class Reporter(HostActor):
@@ -50,6 +54,7 @@
         self._audited: set[int] = set()
         self._audit_listed = False
         self._isolation: Isolation | None = None
+        self._swept_at = float("-inf")
 
     def handle(self, message: object) -> None:
         """Handle a tick."""
@@ -59,6 +64,7 @@
         self._report_status()
         if self._p.is_keeper():
             self._audit()
+            self._sweep_claims()
 
     def _note_isolation(self) -> None:
         state = self._p.freshness.state()
@@ -131,6 +137,20 @@
         except StoreError as exc:
             emit(AUDIT_GAP, reason=exc.message)
 
+    def _sweep_claims(self) -> None:
+        """Delete claims whose time is over."""
+        now = self._p.clock()
+        if now - self._swept_at < self._p.sweep_gap_s:
+            return
+        self._swept_at = now
+        try:
+            page = self._p.store.list_objects(["Claim"], "sweep")
+            old = [c for c in page.items if c.spec["expires_unix_s"] < time()]
+            for claim in old[:SWEEP_BATCH]:
+                self._p.store.delete("Claim", claim.name, claim.revision, "sweep")
+        except StoreError:
+            return  # The next sweep meets the same claims.
+
     def _record(self, stored: StoredObject) -> None:
         record = audit_object(
             stored, "write", 0, f"host:{self._p.fleet.own.host}", time()
--- a/features/platform/platform.feature
+++ b/features/platform/platform.feature
@@ -43,6 +43,11 @@
     When somebody writes a customer past apply
     Then within 10 s the audit trail names it
 
+  Scenario: Claims whose time is over are deleted, the others stay
+    Given one claim that has expired and one that has not
+    And a host that runs
+    Then within 10 s only the claim that has not expired is left
+
   Scenario: Calls beyond the budget are refused
     When a client with a budget of 2 calls a second makes 50 calls at once
     Then no more than 12 reach the platform
--- /dev/null
+++ b/features/steps/link_steps.py
@@ -0,0 +1,115 @@
+"""Steps that send work over capped links."""
+
+from threading import Event, Thread
+
+from behave import given, then, when
+from common import wait_until
+
+from damasktally.demo.callers import CallerClient
+from damasktally.escrow.ledger import BYTES_PER_MBIT, LINK_BURST_S
+from damasktally.proof.checkers import check_links, check_not_run
+from damasktally.proof.history import History, LinkLimit
+
+PATH = "/baskets/1"
+
+
+@given("every link is capped at {mbit:g} Mbit/s and answers have {size:d} bytes")
+def cap_links(context, mbit, size):
+    fleet = context.fleet
+    limits = fleet.history.limits
+    for source, target in list(limits.links):
+        spec = {"source": source, "target": target, "cap_mbit": mbit}
+        fleet.commands.apply("Link", f"{source}-{target}", spec)
+        rate = mbit * BYTES_PER_MBIT * 0.9
+        limits.links[source, target] = LinkLimit(rate, rate * LINK_BURST_S)
+    for server in fleet.servers.values():
+        server.behaviour.answer_bytes = size
+    context.size = size
+
+    def in_force():
+        return all(
+            link.cap_mbit == mbit
+            for host in fleet.hosts
+            for link in host.view().links.values()
+        )
+
+    wait_until(in_force, what="the caps")
+
+
+@given("the servers of {region} are drained")
+def drain_region(context, region):
+    fleet = context.fleet
+    names = [n for n in fleet.servers if n.startswith(f"s-{region}")]
+    for name in names:
+        fleet.commands.apply("Drain", f"drain-{name}", {"server": name})
+    context.region = region
+    wait_until(
+        lambda: all(set(names) <= h.view().drained_servers for h in fleet.hosts),
+        what="the drains",
+    )
+
+
+@given("a pacer that does not pace")
+def disarm_pacer(context):
+    for host in context.fleet.hosts:
+        before = host.pacer.take
+        host.pacer.take = lambda *args: True
+        context.closing.append(lambda h=host, b=before: setattr(h.pacer, "take", b))
+
+
+@when(
+    "{count:d} callers of the host in {region} send without a pause for {seconds:d} s"
+)
+def send_without_pause(context, count, region, seconds):
+    fleet = context.fleet
+    host = next(h for h in fleet.hosts if h.settings.host.region == region)
+    entry = host.settings.caller.address
+    stopping = Event()
+    context.started = len(fleet.history.ran)
+
+    def send():
+        client = CallerClient(
+            [entry], "", fleet.credentials["ana"], fleet.history, context.size
+        )
+        while not stopping.is_set():
+            client.send_to(host.settings.host.name, entry, "GET", PATH)
+
+    threads = [Thread(target=send, daemon=True) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    stopping.wait(seconds)
+    stopping.set()
+    for thread in threads:
+        thread.join()
+
+
+def crossed(context):
+    """Return the history of what this scenario sent to other regions."""
+    fleet = context.fleet
+    region_of = fleet.history.limits.region_of
+    runs = [
+        run
+        for run in fleet.history.ran[context.started :]
+        if region_of.get(run.host) != region_of.get(run.server)
+    ]
+    return History(fleet.history.limits, ran=runs)
+
+
+@then("more than {count:d} requests crossed to another region")
+def check_crossed(context, count):
+    assert len(crossed(context).ran) > count, len(crossed(context).ran)
+
+
+@then("no link carried more than its cap")
+def check_caps(context):
+    assert check_links(crossed(context)) == []
+
+
+@then("some link carried more than its cap")
+def check_over_cap(context):
+    assert check_links(crossed(context)) != []
+
+
+@then("every refusal was true")
+def check_refusals(context):
+    assert check_not_run(context.fleet.history) == []
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,7 +1,7 @@
 """Steps for the platform's API, its client, and commands over it."""
 
 from concurrent.futures import ThreadPoolExecutor
-from time import sleep
+from time import sleep, time
 
 from behave import given, then, when
 from common import wait_until
@@ -171,6 +171,22 @@
     assert context.secret not in text
 
 
+@given("one claim that has expired and one that has not")
+def make_claims(context):
+    for name, life_s in (("old", -1.0), ("new", 3600.0)):
+        spec = {"customer": "ana", "expires_unix_s": time() + life_s}
+        context.platform.store.put(StoredObject(kind="Claim", name=name, spec=spec))
+
+
+@then("within {seconds:d} s only the claim that has not expired is left")
+def check_swept(context, seconds):
+    def swept():
+        page = context.platform.store.list_objects(["Claim"])
+        return [claim.name for claim in page.items] == ["new"]
+
+    wait_until(swept, seconds, "the sweep")
+
+
 @given("a host that runs")
 def start_host(context):
     settings = host_settings("h1", "r", "d", context.platform.url, "r")
