Fuzzed peer messages and platform answers.

Cause: a peer's message could carry amounts that are no numbers, which would have poisoned a bucket; nothing proved that such input does no harm. Change: amounts that are not finite or negative are ignored; 300 random heartbeats and 300 random answers in the suite. Conclusion: callers' request heads are the border that is not fuzzed yet.

--- a/damasktally/escrow/lending.py
+++ b/damasktally/escrow/lending.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
+from math import isfinite
 
 from damasktally.escrow.bucket import Lease
 from damasktally.escrow.hints import HintTable, SpareHint
@@ -73,6 +74,11 @@
     urgent: bool = False
 
 
+def is_amount(number: float) -> bool:
+    """Tell whether a number of a message can be an amount: finite, not negative."""
+    return isfinite(number) and number >= 0
+
+
 def plan_asks(
     ledger: Ledger, hints: HintTable, urgent: Mapping[str, float]
 ) -> dict[str, list[LimitAsk]]:
--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -17,6 +17,7 @@
     LimitGrant,
     UrgentAsks,
     apply_grants,
+    is_amount,
     plan_asks,
 )
 from damasktally.escrow.slots import SlotLease
@@ -330,11 +331,16 @@
         grants = [
             LimitGrant(g.limit, g.rate, g.depth, g.tokens, g.duration_s, g.urgent)
             for g in answer.grants
+            if all(is_amount(x) for x in (g.rate, g.depth, g.tokens, g.duration_s))
         ]
         apply_grants(
             self._p.ledger, identity, message.sequence, grants, message.sent_at
         )
-        hints = [SpareHint(s.limit, s.demand, s.tokens) for s in answer.spares]
+        hints = [
+            SpareHint(s.limit, s.demand, s.tokens)
+            for s in answer.spares
+            if is_amount(s.demand) and is_amount(s.tokens)
+        ]
         with self._p.ledger.changed:
             self._p.fleet.hints.record(identity, hints, self._p.clock())
         now = self._p.clock()
--- a/damasktally/host/peer_handler.py
+++ b/damasktally/host/peer_handler.py
@@ -9,6 +9,7 @@
     LimitAsk,
     LimitGrant,
     answer_asks,
+    is_amount,
     spare_hints,
 )
 from damasktally.escrow.shares import RosterView
@@ -98,6 +99,7 @@
         asks = [
             LimitAsk(a.limit, a.demand, a.depth, a.tokens, a.applied, a.urgent)
             for a in heartbeat.asks
+            if is_amount(a.demand) and is_amount(a.depth) and is_amount(a.tokens)
         ]
         for grant in self._grants(identity, asks, heartbeat.sequence):
             answer.grants.append(
--- a/features/fleet/loans.feature
+++ b/features/fleet/loans.feature
@@ -26,3 +26,9 @@
     When a heartbeat with a wrong credential is sent to a host
     Then it gets no answer
     And a heartbeat with the right one gets an answer
+
+  Scenario: Random heartbeats neither break a host nor lend more than it holds
+    Given the fleet is settled
+    When 300 random heartbeats reach a host
+    Then what it holds and lends is still at most its share
+    And its answers parse
--- a/features/platform/platform.feature
+++ b/features/platform/platform.feature
@@ -51,3 +51,6 @@
   Scenario: Calls beyond the budget are refused
     When a client with a budget of 2 calls a second makes 50 calls at once
     Then no more than 12 reach the platform
+
+  Scenario: Random answers of the platform raise what a caller can handle
+    Then 300 random answers raise StoreUnavailable or parse
--- a/features/steps/loan_steps.py
+++ b/features/steps/loan_steps.py
@@ -5,13 +5,22 @@
 
 from behave import given, then, when
 from common import wait_until
+from hypothesis import given as for_all
+from hypothesis import seed, settings
+from hypothesis import strategies as st
 
 from damasktally.clock import boot_time
 from damasktally.conf.settings import split_address
 from damasktally.demo.callers import CallerClient, Credentials
 from damasktally.demo.fleet import CREDENTIAL, free_port
 from damasktally.peers import PeerNetwork
-from damasktally.peers.peer_pb2 import Endpoint, Heartbeat
+from damasktally.peers.peer_pb2 import (
+    Ask,
+    Endpoint,
+    Heartbeat,
+    HeartbeatAnswer,
+    Vouch,
+)
 
 PATH = "/baskets/1"
 
@@ -163,3 +172,59 @@
 def right_credential(context):
     answer = heartbeat(context, CREDENTIAL)
     assert answer is not None and not answer.confirmed
+
+
+@when("{count:d} random heartbeats reach a host")
+def fuzz_heartbeats(context, count):
+    host = context.fleet.hosts[0]
+    handler = host.network.handler
+    limits = ["customer:ana", "customer:nobody", "link:centro>sur", ""]
+    amounts = st.floats() | st.floats(0, 1e6)
+    asks = st.lists(
+        st.builds(
+            Ask,
+            limit=st.sampled_from(limits),
+            demand=amounts,
+            depth=amounts,
+            tokens=amounts,
+            applied=st.integers(0, 2**64 - 1),
+            urgent=st.booleans(),
+        ),
+        max_size=4,
+    )
+    numbers = st.integers(-(2**63), 2**63 - 1)
+    names = st.text(max_size=9)
+    senders = st.builds(Endpoint, host=names, incarnation=names)
+    context.parsed = 0
+
+    @seed(1)
+    @settings(max_examples=count, database=None, deadline=None)
+    @for_all(senders, numbers, asks, st.lists(st.text(max_size=9), max_size=3))
+    def exchange(sender, number, wanted, leases):
+        heartbeat = Heartbeat(
+            sender=sender,
+            generation=number,
+            rates_generation=number,
+            slots_generation=number,
+            revision=number,
+            asks=wanted,
+            returned_leases=leases,
+        )
+        heartbeat.removals.append(Vouch(identity=sender.host, generation=number))
+        answer = handler.exchange(heartbeat)
+        HeartbeatAnswer.FromString(answer.SerializeToString())
+        context.parsed += 1
+
+    exchange()
+
+
+@then("what it holds and lends is still at most its share")
+def check_still_within(context):
+    for report in context.fleet.hosts[0].ledger.report():
+        assert 0 <= report.tokens <= report.fleet_burst, report
+        assert 0 <= report.rate <= report.fleet_rate, report
+
+
+@then("its answers parse")
+def check_parsed(context):
+    assert context.parsed >= 100, context.parsed
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -2,9 +2,13 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from time import sleep, time
+from types import SimpleNamespace
 
 from behave import given, then, when
 from common import wait_until
+from hypothesis import given as for_all
+from hypothesis import seed, settings
+from hypothesis import strategies as st
 from prometheus_client import CollectorRegistry
 
 from damasktally import platform as platform_api
@@ -229,3 +233,33 @@
 @then("no more than {count:d} reach the platform")
 def check_budget(context, count):
     assert 0 < context.reached <= count and context.refused > 0, context.reached
+
+
+@then("{count:d} random answers raise StoreUnavailable or parse")
+def fuzz_answers(context, count):
+    client = context.client
+    pieces = [
+        b'{"revision": 1',
+        b'"items": []',
+        b"}",
+        b", ",
+        b'"events": [{}]',
+        b"null",
+    ]
+    bodies = st.binary() | st.lists(st.sampled_from(pieces)).map(b"".join)
+
+    @seed(1)
+    @settings(max_examples=count, database=None, deadline=None)
+    @for_all(bodies)
+    def reads(body):
+        client._send = lambda *args: SimpleNamespace(status=200, data=body)
+        for call in (
+            lambda: client.list_objects(["Customer"], "test"),
+            lambda: client.watch(0, ["Customer"], 0.0),
+        ):
+            try:
+                assert call().revision >= 0
+            except platform_api.StoreUnavailable as exc:
+                assert exc.remedy
+
+    reads()
