--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -72,5 +72,9 @@
   Scenario: Events have unique numbers, and the code uses every one
     Then the events' numbers are unique and each is used
 
+  Scenario: Alert rules and dashboard name metrics that exist
+    Given a host's registry of metrics
+    Then every metric of the alert rules and the dashboard is in it
+
   Scenario: The program starts no process
     Then no module of the program imports what starts one
--- a/features/fleet/processes.feature
+++ b/features/fleet/processes.feature
@@ -18,3 +18,9 @@
     And keyed writes were refused for want of the platform only while it was down
     And the stopped host ended with 0
     And no host logged a failure
+
+  Scenario: A large upload passes through a host without filling its memory
+    Given one host process with servers next to it
+    When a caller uploads 200 MB in chunks
+    Then the server got 200 MB
+    And the host's memory grew by less than 16 MB
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import json
 import re
 import subprocess
 import sys
@@ -12,12 +13,16 @@
 from hypothesis import given as for_all
 from hypothesis import seed, settings
 from hypothesis import strategies as st
+from pykka import ActorRegistry
+from yaml import safe_load
 
 from damasktally.checks import run_checks
 from damasktally.cli.app import build
 from damasktally.conf import Settings, load_settings
+from damasktally.demo.fleet import host_settings
 from damasktally.errors import DamasktallyError
 from damasktally.events import CATALOGUE
+from damasktally.host import Host
 from damasktally.platform.memory import MemoryStore
 from damasktally.platform.server import StandInPlatform
 from damasktally.resources.files import read_objects
@@ -201,6 +206,32 @@
         assert code.count(constant) >= 3, f"{constant} is never emitted"
 
 
+@given("a host's registry of metrics")
+def make_registry(context):
+    config = host_settings("h1", "r", "d", "http://127.0.0.1:1", "r")
+    host = Host.from_config(config)
+    context.closing.append(ActorRegistry.stop_all)
+    context.metrics = {
+        sample.name
+        for metric in host.metrics.registry.collect()
+        for sample in metric.samples
+    }
+    # A counter with labels has no sample before its first count.
+    context.metrics |= {
+        f"{metric.name}_total" for metric in host.metrics.registry.collect()
+    }
+
+
+@then("every metric of the alert rules and the dashboard is in it")
+def check_metrics(context):
+    for name in ("alerts.yaml", "dashboard.json"):
+        text = (ROOT / "docs" / "ops" / name).read_text()
+        assert name != "dashboard.json" or json.loads(text)["panels"]
+        assert name != "alerts.yaml" or safe_load(text)["groups"]
+        found = set(re.findall(r"damasktally_[a-z_]+", text))
+        assert len(found) > 4 and found <= context.metrics, found - context.metrics
+
+
 @then("no module of the program imports what starts one")
 def check_no_process(context):
     for path in (ROOT / "damasktally").glob("**/*.py"):
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -4,15 +4,19 @@
 from time import sleep
 
 from behave import given, then, when
+from psutil import Process
+from urllib3 import HTTPConnectionPool
 
 from benchmarks.load import FleetLoad
 from benchmarks.process_fleet import ProcessFleet
+from benchmarks.requests import one_host_fleet
 from damasktally.clock import boot_time
 from damasktally.demo.scenarios import SCENARIOS
 from damasktally.platform.server import FaultPlan
 from damasktally.proof.checkers import check_all
 
 CALL_SLACK_S = 1.0
+UPLOAD_CHUNK = 50_000
 
 
 @given("{count:d} host processes of {name} under load at {percent:d} % of every rate")
@@ -126,3 +130,62 @@
     logs = context.processes.logs()
     assert "Traceback" not in logs, logs[logs.index("Traceback") - 200 :][:3000]
     assert '"event":900' not in logs
+
+
+@given("one host process with servers next to it")
+def start_one(context):
+    fleet = one_host_fleet()
+    context.closing.append(fleet.stop)
+    fleet.start(1)
+    fleet.wait_ready()
+    context.processes = fleet
+    host = next(iter(fleet.processes.values()))
+    context.usage = Process(host.process.pid)
+    send_body(context, [b"x" * UPLOAD_CHUNK])
+
+
+def send_body(context, chunks):
+    """Upload chunks through the host; wait until the customer has a token."""
+    fleet = context.processes
+    host, port = fleet.entries()[0].rsplit(":", 1)
+    secret = fleet.credentials["ana"].secret
+    pool = HTTPConnectionPool(host, int(port), retries=False)
+    headers = {"Authorization": f"Bearer {secret}"}
+    end = boot_time() + 20
+    while boot_time() < end:
+        if (
+            pool.urlopen("GET", "/baskets", headers=headers, retries=False).status
+            == 200
+        ):
+            break
+        sleep(0.1)
+    resp = pool.urlopen("POST", "/baskets", body=chunks, headers=headers, retries=False)
+    assert resp.status == 200, resp.data
+
+
+@when("a caller uploads {size:d} MB in chunks")
+def upload(context, size):
+    context.before = context.usage.memory_info().rss
+    context.most = context.before
+    chunk = b"x" * UPLOAD_CHUNK
+
+    def chunks():
+        for number in range(size * 1_000_000 // UPLOAD_CHUNK):
+            if number % 100 == 0:
+                rss = context.usage.memory_info().rss
+                context.most = max(context.most, rss)
+            yield chunk
+
+    send_body(context, chunks())
+
+
+@then("the server got {size:d} MB")
+def check_uploaded(context, size):
+    assert context.processes.history.ran[-1].bytes_in == size * 1_000_000
+
+
+@then("the host's memory grew by less than {size:d} MB")
+def check_memory(context, size):
+    grown = (context.most - context.before) / 1e6
+    print(f"memory grew by {grown:.1f} MB")
+    assert grown < size, grown
