Let a stale answer of the platform confirm nothing, whatever brought the view.

Cause: reading the code again: a list or watch from a replica behind a view that a peer had brought still counted as a confirmation, so a withdrawn key could have worked on. Conclusion: a confirmation now always covers the view that it confirms.

--- a/damasktally/host/view_keeper.py
+++ b/damasktally/host/view_keeper.py
@@ -121,13 +121,19 @@
         """Handle one of this module's messages."""
         if isinstance(message, StoreListed):
             self._replace(message.page)
-            self._freshness.confirmed(message.sent_at)
+            self._confirm(message.page.revision, message.sent_at)
         elif isinstance(message, StoreChanged):
             self._apply(message.page.events)
-            self._freshness.confirmed(message.sent_at)
+            self._confirm(message.page.revision, message.sent_at)
         elif isinstance(message, PeerChanged):
             self._relayed(message)
 
+    def _confirm(self, revision: int, sent_at: float) -> None:
+        # A replica that is behind the view, which a peer may have brought, cannot
+        # tell what was accepted since.
+        if revision >= self._published.view.revision:
+            self._freshness.confirmed(sent_at)
+
     def _replace(self, page: ObjectPage) -> None:
         before = self._published.view
         after = before.replace(page.items, page.revision)
--- a/features/platform/platform.feature
+++ b/features/platform/platform.feature
@@ -54,3 +54,19 @@
 
   Scenario: Random answers of the platform raise what a caller can handle
     Then 300 random answers raise StoreUnavailable or parse
+
+  Scenario: An answer of a stale replica confirms nothing
+    Given a store that lists revision 10 and answers watches with 5
+    When a host follows that store for 1 s
+    Then the view keeper got the list and nothing else
+
+  Scenario: Metrics have a bounded number of customers and hold no secret
+    When 300 customers' requests are observed
+    Then at most 201 customer labels exist, and no sample holds a secret
+
+  Scenario: A list or watch that is behind the view confirms nothing
+    Given a view keeper whose view came from a peer at revision 9
+    When a list and a watch of revision 8 arrive
+    Then the view is still at revision 9 and nothing is confirmed
+    When a watch of revision 9 arrives
+    Then the view is confirmed
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,6 +1,8 @@
 """Steps for the platform's API, its client, and commands over it."""
 
 from concurrent.futures import ThreadPoolExecutor
+from random import Random
+from threading import Event
 from time import sleep, time
 from types import SimpleNamespace
 
@@ -14,8 +16,26 @@
 from damasktally import platform as platform_api
 from damasktally.clock import boot_time
 from damasktally.demo.fleet import host_settings
+from damasktally.forwarding.explain import RequestRecord
 from damasktally.host import Host
-from damasktally.platform import BudgetExceeded, Conflict, StoredObject
+from damasktally.host.store_watch import StoreWatch
+from damasktally.host.view_keeper import (
+    PeerChanged,
+    Published,
+    StoreChanged,
+    StoreListed,
+    ViewKeeper,
+)
+from damasktally.membership.freshness import Freshness
+from damasktally.metrics import HostMetrics
+from damasktally.platform import (
+    BudgetExceeded,
+    ChangeEvent,
+    Conflict,
+    ObjectPage,
+    StoredObject,
+    WatchPage,
+)
 from damasktally.platform.budget import CallBudget
 from damasktally.platform.client import HttpStore
 from damasktally.platform.memory import MemoryStore
@@ -263,3 +283,97 @@
                 assert exc.remedy
 
     reads()
+
+
+class StaleStore:
+    """Answer a list, and watches from a replica that is behind."""
+
+    def __init__(self, listed, stale):
+        self._listed = listed
+        self._stale = stale
+
+    def list_objects(self, kinds, purpose):
+        """Return an empty list."""
+        return ObjectPage(revision=self._listed, items=[])
+
+    def watch(self, after, kinds, wait_s):
+        """Return an empty answer of an older revision."""
+        sleep(0.05)
+        return WatchPage(revision=self._stale, events=[])
+
+
+@given("a store that lists revision {listed:d} and answers watches with {old:d}")
+def make_stale(context, listed, old):
+    context.stale = StaleStore(listed, old)
+
+
+@when("a host follows that store for {seconds:g} s")
+def follow_stale(context, seconds):
+    context.told = []
+    keeper = SimpleNamespace(tell=context.told.append)
+    silent = lambda at: None
+    watch = StoreWatch(
+        context.stale, context.stale, keeper, boot_time, 0.1, Random(1), silent
+    )
+    stopping = Event()
+    watch.start(stopping)
+    sleep(seconds)
+    stopping.set()
+
+
+@then("the view keeper got the list and nothing else")
+def check_told(context):
+    assert [type(message) for message in context.told] == [StoreListed], context.told
+
+
+@when("{count:d} customers' requests are observed")
+def observe_many(context, count):
+    context.metrics = HostMetrics()
+    for number in range(count):
+        record = RequestRecord("r", "GET", customer=f"c{number}", outcome="answered")
+        context.metrics.observe(record)
+
+
+@then("at most {most:d} customer labels exist, and no sample holds a secret")
+def check_labels(context, most):
+    samples = [s for m in context.metrics.registry.collect() for s in m.samples]
+    customers = {s.labels["customer"] for s in samples if "customer" in s.labels}
+    assert 1 < len(customers) <= most, len(customers)
+    assert not any({"key", "secret"} & set(s.labels) for s in samples)
+
+
+@given("a view keeper whose view came from a peer at revision {revision:d}")
+def make_keeper(context, revision):
+    context.published = Published()
+    context.freshness = Freshness(3.0, boot_time)
+    context.keeper = ViewKeeper.start(
+        context.published, context.freshness, boot_time, lambda view: None
+    )
+    context.closing.append(context.keeper.stop)
+    event = ChangeEvent(object=customer("ana", revision))
+    context.keeper.ask(PeerChanged((event,), False, revision, float("-inf")))
+
+
+@when("a list and a watch of revision {revision:d} arrive")
+def stale_arrive(context, revision):
+    now = boot_time()
+    context.keeper.ask(StoreListed(ObjectPage(revision=revision, items=[]), now))
+    context.keeper.ask(StoreChanged(WatchPage(revision=revision, events=[]), now))
+
+
+@when("a watch of revision {revision:d} arrives")
+def fresh_arrives(context, revision):
+    page = WatchPage(revision=revision, events=[])
+    context.keeper.ask(StoreChanged(page, boot_time()))
+
+
+@then("the view is still at revision {revision:d} and nothing is confirmed")
+def check_unmoved(context, revision):
+    assert context.published.view.revision == revision
+    assert "ana" in context.published.view.customers
+    assert context.freshness.confirmed_age() == -1.0
+
+
+@then("the view is confirmed")
+def check_view_confirmed(context):
+    assert context.freshness.confirmed_age() >= 0
