--- a/features/forwarding/forwarding.feature
+++ b/features/forwarding/forwarding.feature
@@ -163,3 +163,6 @@
     Then the outcome is none with status 200
     When ana repeats it
     Then the outcome is unknown with status 409
+
+  Scenario: Random heads, targets and chunked bodies are read or refused
+    Then 500 random heads, targets and bodies parse or raise what the port handles
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -1,6 +1,7 @@
 """Steps for the callers' port: raw requests, broken servers, claims."""
 
 import socket
+from io import BufferedReader, BytesIO
 from threading import Event
 from time import sleep
 
@@ -13,9 +14,18 @@
     wait_for_fleet,
     wait_until,
 )
+from hypothesis import given as for_all
+from hypothesis import seed, settings
+from hypothesis import strategies as st
 
 from damasktally.clock import boot_time
 from damasktally.demo.callers import CallerClient, Credentials
+from damasktally.forwarding.messages import (
+    BodyBroken,
+    RequestBody,
+    StrictHeaderReader,
+    check_target,
+)
 from damasktally.platform.server import FaultPlan
 
 PATH = "/baskets/1"
@@ -688,3 +698,36 @@
 def lose_answer(context):
     faults = FaultPlan(lose_answers=1, lose_only="Claim")
     context.fleet.platform.faults = faults
+
+
+@then("{count:d} random heads, targets and bodies parse or raise what the port handles")
+def fuzz_requests(context, count):
+    pieces = st.sampled_from(
+        [b"Host: a", b"Content-Length: 3", b"Transfer-Encoding: chunked", b"\r\n"]
+        + [b"\n", b":", b" ", b"X: \0", b"3\r\nabc\r\n", b"0\r\n\r\n", b"ffff", b"-1"]
+    )
+    data = st.binary(max_size=60) | st.lists(pieces, max_size=12).map(b"".join)
+
+    @seed(1)
+    @settings(max_examples=count, database=None, deadline=None)
+    @for_all(data)
+    def parses(raw):
+        reader = StrictHeaderReader()
+        try:
+            headers = reader(BufferedReader(BytesIO(raw)))
+            assert not {b"Content-Length", b"Transfer-Encoding"} <= headers.keys()
+        except ValueError:
+            pass
+        try:
+            assert b".." not in check_target(b"/" + raw).split(b"/")
+        except ValueError:
+            pass
+        body = RequestBody(BufferedReader(BytesIO(raw)), None)
+        try:
+            while body.read(16):
+                assert body.bytes_read <= len(raw)
+            assert body.finished
+        except BodyBroken as exc:
+            assert exc.remedy
+
+    parses()
