Took a link's bytes all at once, and made two scenarios independent of speed.

Cause: a run over links of 5 Mbit/s exceeded the cap: 16 requests gathered their tokens side by side in parts and then crossed together. Change: amounts are taken whole or the request is refused link-full; the link checker allows 0.1 s between taking and crossing, for it measures at the servers.

--- a/damasktally/forwarding/attempt.py
+++ b/damasktally/forwarding/attempt.py
@@ -28,6 +28,7 @@
 
 CHUNK_BYTES = 65_536
 CROSSING_CHUNK_BYTES = 16_384
+LEAST_CHUNK_BYTES = 512
 WIRE_OVERHEAD = 1.06
 """Factor from bytes of HTTP to bytes on the link: TCP and IP headers."""
 HEAD_BYTES = 1_024
@@ -213,7 +214,7 @@
         self._paid += due
 
     def _outgoing(self) -> Iterator[bytes]:
-        size = CROSSING_CHUNK_BYTES if self.outward else CHUNK_BYTES
+        size = self._chunk_bytes(self.outward)
         while data := self.req.body.read(size):
             for crossing in self.outward:
                 self._take(crossing, len(data) * WIRE_OVERHEAD, AnswerLost)
@@ -222,29 +223,37 @@
 
     def _read(self, resp: HTTPResponse, size: int) -> bytes:
         if self.homeward:
-            size = min(size, CROSSING_CHUNK_BYTES)
+            size = min(size, self._chunk_bytes(self.homeward))
             self._pay_ahead(size, AnswerLost)
         data = read_chunk(self.conn, resp, size, self.req.deadline, self.clock)
         self.bytes_out += len(data)
         return data
 
+    def _chunk_bytes(self, links: list[Crossing]) -> int:
+        """Return how much to move at once: no more than a link has room for."""
+        if not links:
+            return CHUNK_BYTES
+        room = min(self.pacer.room(crossing) for crossing in links)
+        fitting = int(room / WIRE_OVERHEAD / 2)
+        return max(LEAST_CHUNK_BYTES, min(CROSSING_CHUNK_BYTES, fitting))
+
     def _take(
         self,
         crossing: Crossing,
         amount: float,
         failure: type[LinkBusy] | type[AnswerLost],
     ) -> None:
-        left = amount
-        while left > 0:
-            part = min(left, max(1.0, self.pacer.room(crossing) / 2))
-            if not self.pacer.take(
-                crossing, part, self.req.customer, self.req.deadline
-            ):
-                raise failure(
-                    f"The link {crossing.source} to {crossing.target} is full.",
-                    "Send again later.",
-                )
-            left -= part
+        # All at once or not at all: parts that many requests gather side by side
+        # would cross together later.
+        room = self.pacer.room(crossing)
+        taken = amount <= room and self.pacer.take(
+            crossing, amount, self.req.customer, self.req.deadline
+        )
+        if not taken:
+            raise failure(
+                f"The link {crossing.source} to {crossing.target} has no room.",
+                "Send again later, or raise the link's cap.",
+            )
 
     def _headers(self) -> HTTPHeaderDict:
         named = set()
--- a/damasktally/proof/history.py
+++ b/damasktally/proof/history.py
@@ -121,6 +121,7 @@
     :param within_s: seconds for withdrawals and drains to be in force.
     :param config_within_s: seconds for a configuration to be in force everywhere.
     :param queue_s: seconds that an admitted request may wait before it starts.
+    :param link_lag_s: seconds by which bytes cross after they were taken.
     """
 
     customers: dict[str, RateLimit] = field(default_factory=dict)
@@ -130,6 +131,7 @@
     within_s: float = 3.0
     config_within_s: float = 6.0
     queue_s: float = 0.5
+    link_lag_s: float = 0.1
 
 
 @dataclass
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -6,8 +6,10 @@
 
 from damasktally.clock import boot_time
 from damasktally.escrow.ledger import limits_of
+from damasktally.resources.kinds import VIEW_KINDS
 
 ATTEMPT_GAP_S = 0.02
+RECENT_REVISIONS = 200
 SOCKET_TIMEOUT_S = 10.0
 SETTLE_S = 60.0
 """Slots of a removed host are free after hold and the longest request, 33.5 s."""
@@ -26,7 +28,14 @@
 def wait_for_fleet(fleet):
     """Wait until every host is a settled member with tokens to spend."""
 
+    def newest_change():
+        after = max(0, fleet.store.revision - RECENT_REVISIONS)
+        events = fleet.store.watch(after, VIEW_KINDS, 0.0).events
+        return events[-1].object.revision if events else 0
+
     def ready():
+        if any(host.view().revision < newest_change() for host in fleet.hosts):
+            return False
         generations = {h.fleet.roster.generation for h in fleet.hosts}
         if len(generations) != 1:
             return False
