Moved the object API's port and stand-ins out of the platform package.

The users' platform needs damasktally/platform/ for its adapter, which is to hold names, formats and calls alone. The port that the product's own commands use is now damasktally/objects, and the stand-ins live in damasktally/standins. A top-level platform/ folder was ruled out: it would shadow Python's own module of that name.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -15,8 +15,8 @@
 from damasktally.escrow.lending import plan_asks, spare_hints
 from damasktally.escrow.shares import RosterHost, RosterView
 from damasktally.escrow.slots import SlotTable
+from damasktally.objects import ChangeEvent, StoredObject
 from damasktally.peers.peer_pb2 import Endpoint, Heartbeat, HeartbeatAnswer, Spare
-from damasktally.platform import ChangeEvent, StoredObject
 from damasktally.resources.kinds import SteeringPolicy
 from damasktally.resources.view import View
 from damasktally.steering.dispatcher import Dispatcher, Waiter
--- a/benchmarks/loans.py
+++ b/benchmarks/loans.py
@@ -24,7 +24,7 @@
     spare_hints,
 )
 from damasktally.escrow.shares import RosterHost, RosterView
-from damasktally.platform import ChangeEvent, StoredObject
+from damasktally.objects import ChangeEvent, StoredObject
 from damasktally.resources.kinds import SteeringPolicy
 from damasktally.resources.view import View
 from damasktally.steering.lookup import EntryHost, rank_hosts
--- a/damasktally/cli/commands/apply.py
+++ b/damasktally/cli/commands/apply.py
@@ -8,7 +8,7 @@
 from yaml import safe_dump
 
 from damasktally.cli.common import PlatformUrl, commands, explained, queries
-from damasktally.platform import NotFound, StoredObject
+from damasktally.objects import NotFound, StoredObject
 from damasktally.resources.files import ObjectInFile, read_objects
 from damasktally.resources.kinds import parse_spec
 
--- a/damasktally/cli/commands/watch.py
+++ b/damasktally/cli/commands/watch.py
@@ -1,7 +1,7 @@
 """Follow changes."""
 
 from damasktally.cli.common import PlatformUrl, explained, open_store
-from damasktally.platform import HistoryGone
+from damasktally.objects import HistoryGone
 from damasktally.resources.kinds import KINDS
 
 WAIT_S = 5.0
--- a/damasktally/cli/common.py
+++ b/damasktally/cli/common.py
@@ -15,14 +15,14 @@
 from damasktally.clock import boot_time
 from damasktally.conf import Settings, load_settings
 from damasktally.errors import DamasktallyError
-from damasktally.platform import (
+from damasktally.objects import (
     Conflict,
     NotFound,
     OutcomeUnknown,
     StoreUnavailable,
 )
-from damasktally.platform.budget import CallBudget
-from damasktally.platform.client import HttpStore
+from damasktally.objects.budget import CallBudget
+from damasktally.objects.client import HttpStore
 from damasktally.resources.commands import Commands
 from damasktally.resources.exceptions import InvalidFile, InvalidObject, UnknownKind
 from damasktally.resources.queries import Queries
--- a/damasktally/demo/fleet.py
+++ b/damasktally/demo/fleet.py
@@ -10,8 +10,6 @@
 from damasktally.demo.scenarios import Scenario
 from damasktally.escrow.ledger import BYTES_PER_MBIT, LINK_BURST_S
 from damasktally.host import Host
-from damasktally.platform.memory import MemoryStore
-from damasktally.platform.server import StandInPlatform
 from damasktally.proof.history import (
     Accepted,
     Drained,
@@ -23,6 +21,8 @@
     Withdrawn,
 )
 from damasktally.resources.commands import Commands
+from damasktally.standins.memory import MemoryStore
+from damasktally.standins.server import StandInPlatform
 
 CREDENTIAL = "a credential for the demo only"
 RESERVED = 0.1
--- a/damasktally/forwarding/claims.py
+++ b/damasktally/forwarding/claims.py
@@ -5,7 +5,7 @@
 from hashlib import sha256
 from secrets import token_hex
 
-from damasktally.platform import (
+from damasktally.objects import (
     Conflict,
     NotFound,
     ObjectStore,
--- a/damasktally/forwarding/forwarder.py
+++ b/damasktally/forwarding/forwarder.py
@@ -44,7 +44,7 @@
 )
 from damasktally.forwarding.retry import RetryBudget
 from damasktally.forwarding.upstream import Connection, ConnectionPool
-from damasktally.platform import StoredObject
+from damasktally.objects import StoredObject
 from damasktally.resources.kinds import BackendServer, Customer, Pool, Route
 from damasktally.resources.view import View
 from damasktally.steering.dispatcher import Dispatcher, NoSlot, Waiter
--- a/damasktally/host/host.py
+++ b/damasktally/host/host.py
@@ -49,11 +49,11 @@
 from damasktally.host.view_keeper import Published, ViewKeeper
 from damasktally.membership.freshness import Freshness, Isolation
 from damasktally.metrics import HostMetrics
+from damasktally.objects import ObjectStore
+from damasktally.objects.budget import CallBudget
+from damasktally.objects.client import HttpStore
 from damasktally.peers import PeerNetwork
 from damasktally.peers.peer_pb2 import Endpoint
-from damasktally.platform import ObjectStore
-from damasktally.platform.budget import CallBudget
-from damasktally.platform.client import HttpStore
 from damasktally.resources.kinds import Member
 from damasktally.resources.view import View
 from damasktally.steering.dispatcher import Dispatcher
--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -27,6 +27,7 @@
 from damasktally.host.fleet import Fleet, identity_of
 from damasktally.host.view_keeper import PeerChanged, Published
 from damasktally.membership.freshness import Freshness
+from damasktally.objects import ChangeEvent
 from damasktally.peers import PeerNetwork
 from damasktally.peers.peer_pb2 import (
     Ask,
@@ -37,7 +38,6 @@
     SlotAsk,
     Vouch,
 )
-from damasktally.platform import ChangeEvent
 from damasktally.steering.dispatcher import Dispatcher
 
 TICK_S = 0.25
--- a/damasktally/host/reporter.py
+++ b/damasktally/host/reporter.py
@@ -12,7 +12,7 @@
 from damasktally.host.fleet import Fleet
 from damasktally.host.view_keeper import Published
 from damasktally.membership.freshness import Freshness, Isolation
-from damasktally.platform import Conflict, ObjectStore, StoredObject, StoreError
+from damasktally.objects import Conflict, ObjectStore, StoredObject, StoreError
 from damasktally.resources.audit import audit_object
 from damasktally.resources.kinds import OPERATOR_KINDS, HostStatus
 
--- a/damasktally/host/roster_keeper.py
+++ b/damasktally/host/roster_keeper.py
@@ -11,7 +11,7 @@
 from damasktally.host.actor import HostActor
 from damasktally.host.fleet import Fleet, new_incarnation
 from damasktally.membership.roster import joined, settled, without
-from damasktally.platform import NotFound, ObjectStore, StoredObject, StoreError
+from damasktally.objects import NotFound, ObjectStore, StoredObject, StoreError
 from damasktally.resources.exceptions import InvalidObject
 from damasktally.resources.kinds import ROSTER_NAME, Roster, parse_spec
 
--- a/damasktally/host/store_watch.py
+++ b/damasktally/host/store_watch.py
@@ -9,7 +9,7 @@
 
 from damasktally.clock import Clock
 from damasktally.host.view_keeper import StoreChanged, StoreListed
-from damasktally.platform import HistoryGone, ObjectStore, StoreError
+from damasktally.objects import HistoryGone, ObjectStore, StoreError
 from damasktally.resources.kinds import VIEW_KINDS
 
 PAUSE_S = 0.25
--- a/damasktally/host/view_keeper.py
+++ b/damasktally/host/view_keeper.py
@@ -10,7 +10,7 @@
 from damasktally.events.catalogue import OBJECT_INVALID, VIEW_CHANGED
 from damasktally.host.actor import HostActor
 from damasktally.membership.freshness import Freshness
-from damasktally.platform import ChangeEvent, ObjectPage, WatchPage
+from damasktally.objects import ChangeEvent, ObjectPage, WatchPage
 from damasktally.resources.view import View
 
 RELAYED_EVENTS = 1_000
--- a/damasktally/platform/__init__.py
+++ b/damasktally/objects/__init__.py
@@ -4,14 +4,14 @@
 is the real client; ``MemoryStore`` is the stand-in that the demo and the tests use.
 """
 
-from damasktally.platform.api import (
+from damasktally.objects.api import (
     ChangeEvent,
     ObjectPage,
     ObjectStore,
     StoredObject,
     WatchPage,
 )
-from damasktally.platform.exceptions import (
+from damasktally.objects.exceptions import (
     BudgetExceeded,
     Conflict,
     HistoryGone,
--- a/damasktally/platform/budget.py
+++ b/damasktally/objects/budget.py
@@ -6,7 +6,7 @@
 
 from damasktally.clock import Clock
 from damasktally.escrow.bucket import Bucket
-from damasktally.platform.exceptions import BudgetExceeded
+from damasktally.objects.exceptions import BudgetExceeded
 
 BURST_SECONDS = 5.0
 
--- a/damasktally/platform/client.py
+++ b/damasktally/objects/client.py
@@ -8,9 +8,9 @@
 from urllib3 import BaseHTTPResponse, PoolManager, Timeout
 from urllib3.exceptions import HTTPError
 
-from damasktally.platform.api import ObjectPage, StoredObject, WatchPage
-from damasktally.platform.budget import CallBudget
-from damasktally.platform.exceptions import (
+from damasktally.objects.api import ObjectPage, StoredObject, WatchPage
+from damasktally.objects.budget import CallBudget
+from damasktally.objects.exceptions import (
     Conflict,
     HistoryGone,
     NotFound,
--- a/damasktally/resources/audit.py
+++ b/damasktally/resources/audit.py
@@ -1,6 +1,6 @@
 """Name and build audit records, so that each change has exactly one."""
 
-from damasktally.platform import StoredObject
+from damasktally.objects import StoredObject
 from damasktally.resources.kinds import AuditRecord
 
 
--- a/damasktally/resources/commands.py
+++ b/damasktally/resources/commands.py
@@ -5,7 +5,7 @@
 from time import time
 
 from damasktally.admission.keys import digest_of, new_secret
-from damasktally.platform import (
+from damasktally.objects import (
     Conflict,
     NotFound,
     ObjectStore,
--- a/damasktally/resources/kinds.py
+++ b/damasktally/resources/kinds.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
-from damasktally.platform import StoredObject
+from damasktally.objects import StoredObject
 from damasktally.resources.exceptions import InvalidObject, UnknownKind
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9.\-]{0,61}[a-z0-9])?$")]
--- a/damasktally/resources/queries.py
+++ b/damasktally/resources/queries.py
@@ -1,6 +1,6 @@
 """Read objects, and what the hosts have in force."""
 
-from damasktally.platform import ObjectStore, StoredObject
+from damasktally.objects import ObjectStore, StoredObject
 from damasktally.resources.kinds import AuditRecord, HostStatus, parse_spec
 
 
--- a/damasktally/resources/view.py
+++ b/damasktally/resources/view.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from damasktally.errors import DamasktallyError
-from damasktally.platform import ChangeEvent, StoredObject
+from damasktally.objects import ChangeEvent, StoredObject
 from damasktally.resources.kinds import (
     ROSTER_NAME,
     BackendServer,
--- /dev/null
+++ b/damasktally/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for outside systems, for the demo and the tests."""
--- a/damasktally/platform/memory.py
+++ b/damasktally/standins/memory.py
@@ -5,8 +5,8 @@
 from threading import Condition
 
 from damasktally.clock import boot_time
-from damasktally.platform.api import ChangeEvent, ObjectPage, StoredObject, WatchPage
-from damasktally.platform.exceptions import Conflict, HistoryGone, NotFound
+from damasktally.objects.api import ChangeEvent, ObjectPage, StoredObject, WatchPage
+from damasktally.objects.exceptions import Conflict, HistoryGone, NotFound
 
 HISTORY_EVENTS = 10_000
 
--- a/damasktally/platform/server.py
+++ b/damasktally/standins/server.py
@@ -9,9 +9,9 @@
 from cheroot.wsgi import Server
 from pydantic import BaseModel
 
-from damasktally.platform.api import StoredObject
-from damasktally.platform.exceptions import Conflict, HistoryGone, NotFound, StoreError
-from damasktally.platform.memory import MemoryStore
+from damasktally.objects.api import StoredObject
+from damasktally.objects.exceptions import Conflict, HistoryGone, NotFound, StoreError
+from damasktally.standins.memory import MemoryStore
 
 STATUS_OF = {
     Conflict: "409 Conflict",
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -23,9 +23,9 @@
 from damasktally.errors import DamasktallyError
 from damasktally.events import CATALOGUE
 from damasktally.host import Host
-from damasktally.platform.memory import MemoryStore
-from damasktally.platform.server import StandInPlatform
 from damasktally.resources.files import read_objects
+from damasktally.standins.memory import MemoryStore
+from damasktally.standins.server import StandInPlatform
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 WITH_PLATFORM = ("apply", "get", "describe", "key", "drain", "audit", "delete", "watch")
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -12,8 +12,8 @@
 from benchmarks.requests import one_host_fleet
 from damasktally.clock import boot_time
 from damasktally.demo.scenarios import SCENARIOS
-from damasktally.platform.server import FaultPlan
 from damasktally.proof.checkers import check_all
+from damasktally.standins.server import FaultPlan
 
 CALL_SLACK_S = 1.0
 UPLOAD_CHUNK = 50_000
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -26,7 +26,7 @@
     StrictHeaderReader,
     check_target,
 )
-from damasktally.platform.server import FaultPlan
+from damasktally.standins.server import FaultPlan
 
 PATH = "/baskets/1"
 BODY = b"x" * 300_000
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -9,7 +9,7 @@
 
 from damasktally.clock import boot_time
 from damasktally.demo.callers import CallerClient, Credentials
-from damasktally.platform.server import FaultPlan
+from damasktally.standins.server import FaultPlan
 
 PATH = "/baskets/1"
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from prometheus_client import CollectorRegistry
 
-from damasktally import platform as platform_api
+from damasktally import objects as platform_api
 from damasktally.clock import boot_time
 from damasktally.demo.fleet import host_settings
 from damasktally.forwarding.explain import RequestRecord
@@ -28,7 +28,7 @@
 )
 from damasktally.membership.freshness import Freshness
 from damasktally.metrics import HostMetrics
-from damasktally.platform import (
+from damasktally.objects import (
     BudgetExceeded,
     ChangeEvent,
     Conflict,
@@ -36,11 +36,11 @@
     StoredObject,
     WatchPage,
 )
-from damasktally.platform.budget import CallBudget
-from damasktally.platform.client import HttpStore
-from damasktally.platform.memory import MemoryStore
-from damasktally.platform.server import FaultPlan, StandInPlatform
+from damasktally.objects.budget import CallBudget
+from damasktally.objects.client import HttpStore
 from damasktally.resources.commands import Commands
+from damasktally.standins.memory import MemoryStore
+from damasktally.standins.server import FaultPlan, StandInPlatform
 
 SPEC = {"rate": 10, "burst": 10}
 
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -9,7 +9,7 @@
 from common import wait_until
 
 from damasktally.escrow.slots import SlotTable
-from damasktally.platform import ChangeEvent, StoredObject
+from damasktally.objects import ChangeEvent, StoredObject
 from damasktally.resources.kinds import SteeringPolicy
 from damasktally.resources.view import View
 from damasktally.steering.choose import Candidate, choose
--- a/features/steps/view_steps.py
+++ b/features/steps/view_steps.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from damasktally.errors import DamasktallyError
-from damasktally.platform import ChangeEvent, StoredObject
-from damasktally.platform.memory import MemoryStore
+from damasktally.objects import ChangeEvent, StoredObject
 from damasktally.resources.kinds import KINDS, parse_spec
 from damasktally.resources.view import View
+from damasktally.standins.memory import MemoryStore
 
 SPECS = {
     "Customer": {"rate": 10, "burst": 10},
