--- /dev/null
+++ b/damasktally/decisions/choice.py
@@ -0,0 +1,60 @@
+"""Choose a server for a request, or refuse it.
+
+Warm servers decide how long work takes, so a request goes to one of the few servers
+that its object prefers. Free choice among all servers under overload would warm
+nothing and keep the overload going; bounded spill refuses instead (compare
+Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", 2018).
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from damasktally.fleet.model import Server
+
+QUEUE_PART = {0: 1.0, 1: 0.75}
+"""Waiting requests allowed for each slot, by priority; 0 is the most urgent."""
+LEAST_QUEUE_PART = 0.25
+SPILL_DEPTH = 3
+"""How many servers of an object's order are tried."""
+PREFER_FIRST = 1.0
+"""How many requests fewer another server must hold to go before the first."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRoom:
+    """Describe a server that a request may go to.
+
+    :param held: requests that it holds, as far as is known.
+    """
+
+    server: Server
+    held: float
+
+
+def queue_limit(slots: int, priority: int) -> float:
+    """Return how many requests a server may hold before one of a priority."""
+    return slots * (1.0 + QUEUE_PART.get(priority, LEAST_QUEUE_PART))
+
+
+def choose(
+    ranked: Sequence[Server],
+    held: Callable[[Server], float],
+    priority: int,
+) -> Server | None:
+    """Return the server for a request, or nothing when all are full.
+
+    :param ranked: servers that may be used, the preferred first.
+    :param held: returns how many requests a server holds.
+    :param priority: 0 is the most urgent.
+    """
+    best: ServerRoom | None = None
+    best_cost = 0.0
+    for place, server in enumerate(ranked[:SPILL_DEPTH]):
+        load = held(server)
+        if load + 1 > queue_limit(server.slots, priority):
+            continue
+        waits = max(0.0, load + 1 - server.slots)
+        cost = waits / server.slots + PREFER_FIRST * place * 0.25
+        if best is None or cost < best_cost:
+            best, best_cost = ServerRoom(server, load), cost
+    return best.server if best else None
--- /dev/null
+++ b/damasktally/decisions/cold.py
@@ -0,0 +1,48 @@
+"""Divide what a cold server bears among the hosts.
+
+Several hosts that find the same new server at once would crash it together. Its
+requests a second are dealt to hosts as whole tokens, by rendezvous hashing of the
+server and the host, so that no message is needed and small numbers stay usable.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+
+from damasktally.decisions.affinity import score
+
+WINDOW_S = 1.05
+"""A second and the difference between sending and arriving."""
+
+
+def tokens_of(host: str, hosts: Sequence[str], server: str, rate: float) -> int:
+    """Return how many requests a second a host may send to a cold server.
+
+    :param hosts: names of all hosts, this one included.
+    :param rate: requests a second that the server bears from all of them.
+    """
+    if not hosts:
+        return 0
+    whole = int(rate)
+    ranked = sorted(hosts, key=lambda name: score(server, name.encode()), reverse=True)
+    place = ranked.index(host)
+    return whole // len(ranked) + (1 if place < whole % len(ranked) else 0)
+
+
+class ColdSends:
+    """Count what this host sent to each cold server in the last second."""
+
+    def __init__(self) -> None:
+        self._sent: dict[str, deque[float]] = {}
+
+    def allowed(self, server: str, tokens: int, now: float) -> bool:
+        """Tell whether one more request may be sent."""
+        sent = self._sent.get(server)
+        if sent is None:
+            return tokens > 0
+        while sent and sent[0] <= now - WINDOW_S:
+            sent.popleft()
+        return len(sent) < tokens
+
+    def record(self, server: str, now: float) -> None:
+        """Count a request that is sent now."""
+        self._sent.setdefault(server, deque()).append(now)
--- /dev/null
+++ b/damasktally/entry/candidates.py
@@ -0,0 +1,101 @@
+"""Find the servers that a request may go to, in the order of preference."""
+
+from collections.abc import Mapping, Sequence
+
+from damasktally.decisions.affinity import AffinityRanking
+from damasktally.decisions.cold import ColdSends, tokens_of
+from damasktally.decisions.load import ServerLoads
+from damasktally.decisions.suspicion import Suspicions
+from damasktally.fleet.members import MemberTable
+from damasktally.fleet.model import Server
+from damasktally.fleet.view import FleetView
+
+RANK_DEPTH = 12
+
+
+class Candidates:
+    """Hold what this host knows of servers beside their registration.
+
+    :param view: registrations and evacuations.
+    :param members: the hosts among which a cold server's requests are divided.
+    :param region_of: the region of each data centre.
+    """
+
+    def __init__(
+        self, view: FleetView, members: MemberTable, region_of: Mapping[str, str]
+    ) -> None:
+        self._view = view
+        self._members = members
+        self._region_of = region_of
+        self._ranking = AffinityRanking(RANK_DEPTH)
+        self._groups: dict[tuple[str, frozenset[str]], tuple[int, list[Server]]] = {}
+        self.loads = ServerLoads()
+        self.suspicions = Suspicions()
+        self.cold_sends = ColdSends()
+
+    def group(self, service: str, homes: frozenset[str]) -> list[Server]:
+        """Return the servers of a service that may get requests.
+
+        :param homes: regions that may serve; empty allows all.
+        """
+        generation = self._view.generation
+        cached = self._groups.get((service, homes))
+        if cached is not None and cached[0] == generation:
+            return cached[1]
+        servers = [
+            server
+            for server in self._view.servers.usable()
+            if server.service == service
+            and server.data_centre not in self._view.evacuated
+            and (not homes or self._region_of.get(server.data_centre) in homes)
+        ]
+        servers.sort(key=lambda server: server.id)
+        self._groups[service, homes] = (generation, servers)
+        return servers
+
+    def ranked(
+        self,
+        service: str,
+        homes: frozenset[str],
+        key: bytes | None,
+        tried: Sequence[str],
+        now: float,
+    ) -> list[Server]:
+        """Return the servers for a request, the preferred first.
+
+        :param key: names the request's object, or nothing.
+        :param tried: servers that the request was sent to already.
+        """
+        servers = self.group(service, homes)
+        by_id = {server.id: server for server in servers}
+        if key is None:
+            order = sorted(by_id, key=lambda name: self.loads.estimate(name, now))
+        else:
+            group = f"{service}|{','.join(sorted(homes))}"
+            order = self._ranking.rank(group, list(by_id), key)
+        return [
+            by_id[name]
+            for name in order
+            if name not in tried and self._usable(by_id[name], now)
+        ]
+
+    def _usable(self, server: Server, now: float) -> bool:
+        if not self.suspicions.usable(server.id, now):
+            return False
+        if not self._view.servers.is_cold(server.id, now):
+            return True
+        return self.cold_sends.allowed(server.id, self._cold_tokens(server), now)
+
+    def _cold_tokens(self, server: Server) -> int:
+        cfg = self._view.configuration
+        service = cfg.services.get(server.service) if cfg else None
+        if service is None or service.cold_rate <= 0:
+            return 1
+        names = self._members.names()
+        return tokens_of(self._members.own.host, names, server.id, service.cold_rate)
+
+    def sent(self, server: str, now: float) -> None:
+        """Note that a request goes to a server."""
+        self.loads.begin(server)
+        if self._view.servers.is_cold(server, now):
+            self.cold_sends.record(server, now)
--- /dev/null
+++ b/damasktally/entry/metrics.py
@@ -0,0 +1,60 @@
+"""Define the metrics of an entry host; ``docs/ref/entry-metrics.md`` lists them."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8)
+
+
+class EntryMetrics:
+    """Hold an entry host's metrics in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "damasktally_entry_requests",
+            "Requests by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "damasktally_entry_refusals",
+            "Requests that were not passed on, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "damasktally_entry_request_seconds",
+            "Seconds from a request's first byte to its answer.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            "damasktally_entry_retries",
+            "Requests sent to another server.",
+            registry=self.registry,
+        )
+        self.lookups = Counter(
+            "damasktally_entry_lookups", "Look-ups answered.", registry=self.registry
+        )
+        self.store_calls = Counter(
+            "damasktally_entry_store_calls",
+            "Calls to the platform's store, by purpose.",
+            ["purpose"],
+            registry=self.registry,
+        )
+        self.log_lines_left_out = Gauge(
+            "damasktally_entry_log_lines_left_out",
+            "Log lines that were left out to keep the volume bounded.",
+            registry=self.registry,
+        )
+        self.view_age = Gauge(
+            "damasktally_entry_view_age_seconds",
+            "Seconds since the store or a peer confirmed the view, by topic.",
+            ["topic"],
+            registry=self.registry,
+        )
+        self.hosts_heard = Gauge(
+            "damasktally_entry_hosts_heard",
+            "Other hosts whose heartbeats arrive.",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/damasktally/entry/server_pool.py
@@ -0,0 +1,64 @@
+"""Keep connections to backend servers for reuse."""
+
+from asyncio import get_running_loop
+
+from damasktally.http1.outbound import ServerConnection, connect
+
+IDLE_LIMIT_S = 6.0
+IDLE_MARGIN_S = 1.5
+"""A server that is about to close an idle connection gets no request on it."""
+MAX_IDLE = 16
+
+
+class ServerPool:
+    """Hold idle connections by server.
+
+    A connection belongs to one run of a server: its id is the key, so that an
+    address that is used again starts with new connections.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[ServerConnection]] = {}
+        self._loop = get_running_loop()
+
+    async def take(
+        self, server: str, address: tuple[str, int], timeout_s: float, max_idle_s: float
+    ) -> ServerConnection:
+        """Return an idle connection, or a new one.
+
+        :param max_idle_s: connections that were idle for longer are not used.
+        :raises ConnectFailed: when no connection was made in time.
+        """
+        idle = self._idle.get(server, [])
+        now = self._loop.time()
+        while idle:
+            conn = idle.pop()
+            limit = min(IDLE_LIMIT_S, max_idle_s)
+            if conn.idle_limit_s is not None:
+                limit = min(limit, conn.idle_limit_s - IDLE_MARGIN_S)
+            if conn.open and now - conn.idle_since <= limit:
+                return conn
+            conn.close()
+        return await connect(address, timeout_s)
+
+    def give_back(self, server: str, conn: ServerConnection) -> None:
+        """Keep a connection for the next request if it can carry one."""
+        idle = self._idle.setdefault(server, [])
+        if conn.open and len(idle) < MAX_IDLE:
+            idle.append(conn)
+        else:
+            conn.close()
+
+    def drop(self, server: str) -> None:
+        """Close the idle connections of a server."""
+        for conn in self._idle.pop(server, ()):
+            conn.close()
+
+    def keep_only(self, servers: set[str]) -> None:
+        """Close the idle connections of servers that are gone."""
+        for server in [name for name in self._idle if name not in servers]:
+            self.drop(server)
+
+    def drop_all(self) -> None:
+        """Close every idle connection, as after a suspension of the host."""
+        self.keep_only(set())
--- /dev/null
+++ b/damasktally/entry/settings.py
@@ -0,0 +1,116 @@
+"""Load the INI settings of an entry host."""
+
+from configparser import ConfigParser
+from configparser import Error as IniError
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from damasktally.errors import DamasktallyError
+
+Name = Annotated[str, Meta(min_length=1)]
+AddressText = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]+$")]
+
+
+class SettingsInvalid(DamasktallyError):
+    """Tell what is wrong with the settings file."""
+
+
+class HostSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Say which host this is and where."""
+
+    name: Name
+    region: Name
+    data_centre: Name
+
+
+class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set the addresses that this host listens on.
+
+    :param peers: for heartbeats (UDP) and for passing on state (TCP).
+    :param metrics_port: port on the callers' address; 0 serves no metrics.
+    """
+
+    callers: AddressText
+    readiness: AddressText
+    directory: AddressText
+    peers: AddressText
+    metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 9464
+
+
+class FleetSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe the fleet.
+
+    :param data_centres: JSON object: the region of each data centre.
+    :param seeds: other hosts' peer addresses, separated by commas.
+    """
+
+    data_centres: str
+    seeds: str = ""
+
+
+class StoreSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Say where the platform's store is."""
+
+    address: AddressText
+
+
+class BoundsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the agreed figures, as the platform writes them."""
+
+    agreed: str = ""
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold all settings of an entry host."""
+
+    host: HostSection
+    listen: ListenSection
+    fleet: FleetSection
+    store: StoreSection
+    bounds: BoundsSection = BoundsSection()
+
+    @property
+    def region_of(self) -> dict[str, str]:
+        """Map data centres to regions."""
+        return msgspec.json.decode(self.fleet.data_centres, type=dict[str, str])
+
+    @property
+    def seeds(self) -> list[tuple[str, int]]:
+        """Return the peer addresses to ask at start."""
+        parts = [part.strip() for part in self.fleet.seeds.split(",")]
+        return [split_address(part) for part in parts if part]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def load_entry_settings(path: Path) -> EntrySettings:
+    """Load a settings file.
+
+    :raises SettingsInvalid: when it cannot be read or an option is wrong.
+    """
+    parser = ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, IniError) as exc:
+        raise SettingsInvalid(
+            f"{path} cannot be read: {' '.join(str(exc).split())}.",
+            "Check the path and that it is an INI file.",
+        ) from exc
+    raw: dict[str, Any] = {name: dict(parser.items(name)) for name in parser.sections()}
+    try:
+        settings = msgspec.convert(raw, EntrySettings, strict=False)
+        _ = settings.region_of
+        _ = settings.seeds
+    except (msgspec.MsgspecError, ValueError) as exc:
+        raise SettingsInvalid(
+            f"{path}: {exc}.", "docs/ref/entry-settings.md lists every option."
+        ) from exc
+    return settings
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -77,6 +77,55 @@
     "An audit record could not be written yet; it is tried again.",
     "None, unless it lasts: then check the platform.",
 )
+STORE_LOST = Event(
+    301,
+    "store-lost",
+    "The store does not answer for a topic; the last view stays in force.",
+    "Check the store; other hosts pass changes on meanwhile.",
+)
+STORE_REGAINED = Event(
+    302, "store-regained", "The store answers again for a topic.", "None."
+)
+PEER_LOST = Event(
+    410,
+    "peer-lost",
+    "Another host's heartbeats stopped; callers are not sent there.",
+    "Check the host that is named.",
+)
+PEER_REGAINED = Event(411, "peer-regained", "Another host is heard.", "None.")
+RELAY_FAILED = Event(
+    412,
+    "relay-failed",
+    "A message from or to another host could not be read or sent.",
+    "Check the network between the two hosts.",
+)
+REQUEST_ENDED = Event(
+    510,
+    "request-ended",
+    "A request got its final answer; the fields tell what decided it.",
+    "See docs/OPERATIONS.md.",
+)
+SERVER_PAUSED = Event(
+    511,
+    "server-paused",
+    "A backend server failed requests of this host and gets none for a while.",
+    "Check the server.",
+)
+SETTINGS_RELOADED = Event(
+    110, "settings-reloaded", "SIGHUP came and the settings were read.", "None."
+)
+HOST_RESUMED = Event(
+    111,
+    "host-resumed",
+    "The host was suspended; connections and the view are renewed.",
+    "None.",
+)
+LOG_LINES_LEFT_OUT = Event(
+    901,
+    "log-lines-left-out",
+    "Log lines were left out to keep the volume bounded.",
+    "Read standard output faster, or accept the gap.",
+)
 ACTOR_FAILED = Event(
     900,
     "actor-failed",
--- /dev/null
+++ b/damasktally/fleet/view.py
@@ -0,0 +1,208 @@
+"""Keep this host's view of desired state, which only moves forward."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from damasktally.errors import DamasktallyError
+from damasktally.fleet.model import Configuration, Server
+from damasktally.fleet.servers import ServerTable
+
+
+class Topic(Enum):
+    """Name the parts of the view that are read and passed on separately."""
+
+    CONFIGURATION = "configuration"
+    EVACUATIONS = "evacuations"
+    SERVERS = "servers"
+
+
+@dataclass(frozen=True, slots=True)
+class Decoders:
+    """Hold the functions that read stored objects.
+
+    Each raises :class:`~damasktally.errors.DamasktallyError` for an object that
+    cannot be read.
+    """
+
+    configuration: Callable[[Any], Configuration]
+    server: Callable[[str, Any], Server]
+    configuration_name: str
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChange:
+    """Describe a change of the view, for the log.
+
+    :param source: ``store`` or the host that passed it on.
+    """
+
+    topic: Topic
+    revision: int
+    source: str
+    detail: str
+
+
+class FleetView:
+    """Hold configuration, evacuations and servers, each with its revision.
+
+    :param decoders: read stored objects.
+    :param changed: told about every change.
+    """
+
+    def __init__(
+        self, decoders: Decoders, changed: Callable[[ViewChange], None]
+    ) -> None:
+        self._decoders = decoders
+        self._changed = changed
+        self._raw: dict[Topic, dict[str, Any]] = {topic: {} for topic in Topic}
+        self.revisions: dict[Topic, int] = dict.fromkeys(Topic, 0)
+        self.configuration: Configuration | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.servers = ServerTable()
+        self.generation = 0
+
+    def snapshot(self, topic: Topic) -> tuple[int, Mapping[str, Any]]:
+        """Return a topic's revision and stored objects, to pass them on."""
+        return self.revisions[topic], self._raw[topic]
+
+    def replace(
+        self,
+        topic: Topic,
+        revision: int,
+        specs: Mapping[str, Any],
+        source: str,
+        now: float,
+    ) -> bool:
+        """Take a whole topic, unless it is older than what is known.
+
+        :returns: whether it was taken.
+        """
+        known = self.revisions[topic]
+        if revision < known or (revision == known and known > 0):
+            return False
+        raw = self._raw[topic]
+        removed = [name for name in raw if name not in specs]
+        written = {name: spec for name, spec in specs.items() if raw.get(name) != spec}
+        first = known == 0
+        self.revisions[topic] = revision
+        if first or removed or written:
+            self._raw[topic] = dict(specs)
+            self._take(topic, written, removed, source, now)
+        return True
+
+    def apply(
+        self,
+        topic: Topic,
+        revision: int,
+        changes: Iterable[tuple[str, Any]],
+        source: str,
+        now: float,
+    ) -> bool:
+        """Take changes in order; a change without a spec is a removal.
+
+        :returns: whether they were newer than what is known.
+        """
+        if revision <= self.revisions[topic]:
+            return False
+        self.revisions[topic] = revision
+        raw = self._raw[topic]
+        written: dict[str, Any] = {}
+        removed: dict[str, None] = {}
+        for name, spec in changes:
+            if spec is None:
+                raw.pop(name, None)
+                written.pop(name, None)
+                removed[name] = None
+            else:
+                raw[name] = spec
+                written[name] = spec
+                removed.pop(name, None)
+        if written or removed:
+            self._take(topic, written, list(removed), source, now)
+        return True
+
+    def expire(self, now: float) -> None:
+        """Drop servers whose registration lapsed and did not come back."""
+        gone = self.servers.expire(now)
+        if gone:
+            self.generation += 1
+            self._tell(Topic.SERVERS, "self", f"gone: {', '.join(gone)}")
+
+    def drop_server(self, server: str) -> None:
+        """Drop a server whose address answers for another one."""
+        self.servers.drop(server)
+        self.generation += 1
+        self._tell(Topic.SERVERS, "self", f"replaced at its address: {server}")
+
+    def _take(
+        self,
+        topic: Topic,
+        written: Mapping[str, Any],
+        removed: list[str],
+        source: str,
+        now: float,
+    ) -> None:
+        self.generation += 1
+        if topic is Topic.CONFIGURATION:
+            self._take_configuration(written, source)
+        elif topic is Topic.EVACUATIONS:
+            self._take_evacuations(source, now)
+        else:
+            self._take_servers(written, removed, source, now)
+
+    def _take_configuration(self, written: Mapping[str, Any], source: str) -> None:
+        spec = written.get(self._decoders.configuration_name)
+        if spec is None:
+            return
+        try:
+            cfg = self._decoders.configuration(spec)
+        except DamasktallyError as exc:
+            self._tell(Topic.CONFIGURATION, source, f"kept the last one: {exc}")
+            return
+        if self.configuration is not None and cfg.version <= self.configuration.version:
+            return
+        self.configuration = cfg
+        self._tell(Topic.CONFIGURATION, source, f"version {cfg.version}")
+
+    def _take_evacuations(self, source: str, now: float) -> None:
+        evacuated = frozenset(self._raw[Topic.EVACUATIONS])
+        ended = self.evacuated - evacuated
+        self.evacuated = evacuated
+        for server in self.servers.usable():
+            if server.data_centre in ended:
+                # Servers of a data centre that was emptied may have become cold.
+                self.servers.mark_cold(server.id, now + self._cold_s(server))
+        names = ", ".join(sorted(evacuated)) or "none"
+        self._tell(Topic.EVACUATIONS, source, f"evacuated: {names}")
+
+    def _cold_s(self, server: Server) -> float:
+        cfg = self.configuration
+        service = cfg.services.get(server.service) if cfg else None
+        return service.cold_s if service else 0.0
+
+    def _take_servers(
+        self, written: Mapping[str, Any], removed: list[str], source: str, now: float
+    ) -> None:
+        notes = []
+        unreadable = []
+        for name, spec in written.items():
+            try:
+                server = self._decoders.server(name, spec)
+            except DamasktallyError as exc:
+                unreadable.append(name)
+                notes.append(f"unreadable {name}: {exc.message}")
+                continue
+            self.servers.put(server, now)
+            notes.append(f"{name} {'leaving' if server.leaving else 'ready'}")
+        self.servers.remove([*removed, *unreadable], now)
+        notes += [f"{name} removed" for name in removed]
+        self._tell(Topic.SERVERS, source, "; ".join(notes[:MAX_NOTES]))
+
+    def _tell(self, topic: Topic, source: str, detail: str) -> None:
+        self._changed(ViewChange(topic, self.revisions[topic], source, detail))
+
+
+MAX_NOTES = 20
+"""Servers that one line of the log names."""
--- /dev/null
+++ b/damasktally/http1/inbound.py
@@ -0,0 +1,249 @@
+"""Read callers' requests from their connections and write the answers."""
+
+from asyncio import Protocol, Task, TimerHandle, Transport, get_running_loop
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from damasktally.fleet.model import CallerLimits
+from damasktally.http1.messages import Headers, Request, Response, encode_response
+
+LINGER_S = 1.0
+"""How long bytes of a refused request are read, so that its answer arrives."""
+SWEEP_INTERVAL_S = 0.25
+QUEUED_REQUESTS = 2
+
+Handle = Callable[[Request], Awaitable[Response]]
+
+
+@dataclass(slots=True)
+class CallerPort:
+    """Hold what all connections of one listening port share.
+
+    :param handle: answers a request.
+    :param limits: returns the bounds that are in force.
+    :param draining: every answer asks its caller to connect elsewhere.
+    """
+
+    handle: Handle
+    limits: Callable[[], CallerLimits]
+    draining: bool = False
+    connections: set["CallerConnection"] = field(default_factory=set)
+
+    def connection(self) -> "CallerConnection":
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that are idle, or too slow with a request's head."""
+        limits = self.limits()
+        for conn in list(self.connections):
+            conn.check_age(now, limits)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request under way."""
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    @property
+    def under_way(self) -> int:
+        """Return how many connections have a request under way."""
+        return sum(conn.busy for conn in self.connections)
+
+
+class CallerConnection(Protocol):
+    """Read requests one after the other from one caller's connection."""
+
+    def __init__(self, port: CallerPort) -> None:
+        self._port = port
+        self._loop = get_running_loop()
+        self._parser = HttpRequestParser(self)
+        self._transport: Transport | None = None
+        self._queue: deque[Request] = deque()
+        self._task: Task | None = None
+        self._active: Request | None = None
+        self._refused = False
+        self._linger: TimerHandle | None = None
+        self._last_byte = self._loop.time()
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._began: float | None = None
+        self._in_head = True
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request is read or answered."""
+        return self._task is not None or self._began is not None
+
+    def connection_made(self, transport: Transport) -> None:
+        """Take the transport."""
+        self._transport = transport
+        self._port.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the request under way that its caller is gone."""
+        self._port.connections.discard(self)
+        if self._linger is not None:
+            self._linger.cancel()
+        self._leave()
+
+    def eof_received(self) -> bool:
+        """Treat a closed caller as gone."""
+        self._leave()
+        return False
+
+    def _leave(self) -> None:
+        self._queue.clear()
+        req = self._active
+        if req is not None and not req.gone:
+            req.gone = True
+            if req.on_gone is not None:
+                req.on_gone()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the caller sent."""
+        now = self._loop.time()
+        self._last_byte = now
+        if self._refused:
+            return
+        if self._began is None:
+            self._began = now
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade):
+            self._refuse(400)
+            return
+        if self._in_head and self._head_bytes > self._port.limits().head_bytes:
+            self._refuse(431)
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._reset_message()
+        self._began = self._last_byte
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head's size and ask for the body where the caller waits."""
+        self._in_head = False
+        size = len(self._target) + sum(
+            len(name) + len(value) + 4 for name, value in self._headers
+        )
+        if size > self._port.limits().head_bytes:
+            self._refuse(431)
+            return
+        for name, value in self._headers:
+            if name == b"content-length" and value.isdigit():
+                if int(value) > self._port.limits().body_bytes:
+                    self._refuse(413)
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        if self._refused:
+            return
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self._port.limits().body_bytes:
+            self._refuse(413)
+
+    def on_message_complete(self) -> None:
+        """Hand the request over when its turn comes."""
+        if self._refused:
+            return
+        req = Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=b"".join(self._body),
+            began=self._began or self._last_byte,
+            complete=self._last_byte,
+            keep_alive=self._parser.should_keep_alive(),
+        )
+        self._reset_message()
+        self._queue.append(req)
+        if len(self._queue) > QUEUED_REQUESTS:
+            self._transport.pause_reading()
+        if self._task is None:
+            self._task = self._loop.create_task(self._answer_all())
+
+    async def _answer_all(self) -> None:
+        try:
+            while self._queue and not self._transport.is_closing():
+                req = self._queue.popleft()
+                self._active = req
+                response = await self._port.handle(req)
+                self._active = None
+                if req.gone:
+                    return
+                if not self._write(req, response):
+                    return
+        finally:
+            self._active = None
+            self._task = None
+            self._last_byte = self._loop.time()
+            self._resume()
+
+    def _resume(self) -> None:
+        if self._transport.is_closing():
+            return
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+
+    def _write(self, req: Request, response: Response) -> bool:
+        """Write an answer; return whether the connection goes on."""
+        close = self._port.draining or not req.keep_alive
+        self._transport.write(encode_response(response, close, req.method == b"HEAD"))
+        if close:
+            self._finish()
+        return not close
+
+    def _refuse(self, status: int) -> None:
+        if self._refused:
+            return
+        self._refused = True
+        self._transport.write(encode_response(Response(status, [], b""), True, False))
+        self._finish()
+
+    def _finish(self) -> None:
+        """End the connection once the caller has read the answer."""
+        self._refused = True
+        if self._transport.is_closing():
+            return
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._linger = self._loop.call_later(LINGER_S, self._transport.abort)
+
+    def check_age(self, now: float, limits: CallerLimits) -> None:
+        """Close the connection if it is idle, or its request too slow, for long."""
+        if self._task is not None or self._refused:
+            return
+        if self._began is None:
+            if now - self._last_byte > limits.idle_timeout_s:
+                self._transport.close()
+        elif self._in_head and now - self._began > limits.head_timeout_s:
+            self._refuse(408)
+        elif now - self._last_byte > limits.idle_timeout_s:
+            self._refuse(408)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is under way."""
+        if not self.busy and not self._refused:
+            self._transport.close()
--- /dev/null
+++ b/damasktally/http1/outbound.py
@@ -0,0 +1,238 @@
+"""Keep connections to servers, and match each answer to its request."""
+
+from asyncio import (
+    AbstractEventLoop,
+    Future,
+    Protocol,
+    Transport,
+    get_running_loop,
+    wait_for,
+)
+from collections.abc import Callable
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+    socket,
+)
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
+
+from damasktally.errors import DamasktallyError
+from damasktally.http1.messages import BODYLESS_STATUSES, Headers, Response
+
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_LIMIT_MS = 3000
+INTERIM_BELOW = 200
+
+Accepts = Callable[[Response], bool]
+"""Tells whether an answer belongs to the request that waits."""
+
+
+class ConnectFailed(DamasktallyError):
+    """Tell that no connection was made, so that nothing was sent."""
+
+
+class AnswerLost(DamasktallyError):
+    """Tell that a request was sent, and that no whole answer came back."""
+
+
+class ServerConnection(Protocol):
+    """Send one request at a time and collect its answer.
+
+    An answer that the request does not accept is dropped: it belongs to an earlier
+    request of the same connection. Bytes that come while nothing waits, or after an
+    answer, end the connection, so that they can never meet another request.
+    """
+
+    def __init__(self) -> None:
+        self._loop: AbstractEventLoop = get_running_loop()
+        self._transport: Transport | None = None
+        self._parser = HttpResponseParser(self)
+        self._waiting: Future[Response] | None = None
+        self._accepts: Accepts | None = None
+        self._head_only = False
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._in_body = False
+        self._unexpected = False
+        self._clean_end = False
+        self.bytes_received = 0
+        self.requests = 0
+        self.idle_since = self._loop.time()
+        self.idle_limit_s: float | None = None
+        self.reusable = True
+
+    def connection_made(self, transport: Transport) -> None:
+        """Take the transport."""
+        self._transport = transport
+
+    @property
+    def open(self) -> bool:
+        """Tell whether the connection can carry another request."""
+        transport = self._transport
+        return (
+            self.reusable
+            and transport is not None
+            and not transport.is_closing()
+            and self._waiting is None
+        )
+
+    def send(
+        self, data: bytes, accepts: Accepts, head_only: bool = False
+    ) -> Future[Response]:
+        """Send a request.
+
+        :returns: its answer, or :class:`AnswerLost`.
+        """
+        self._waiting = self._loop.create_future()
+        self._accepts = accepts
+        self._head_only = head_only
+        self.requests += 1
+        self._transport.write(data)
+        return self._waiting
+
+    def close(self) -> None:
+        """Close the connection; an answer that is still expected is given up."""
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the server sent."""
+        self.bytes_received += len(data)
+        if self._waiting is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade) as exc:
+            self._fail(f"its bytes are no answer: {exc}")
+
+    def eof_received(self) -> bool:
+        """Note that the server closed its side in order."""
+        self._clean_end = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the answer that was under way."""
+        self.reusable = False
+        if self._waiting is None:
+            return
+        unframed = self._in_body and not self._has_length()
+        if unframed and self._clean_end and exc is None:
+            self._complete()
+            return
+        self._fail("the connection ended before the answer was whole")
+
+    def on_message_begin(self) -> None:
+        """Start a new answer."""
+        if self._waiting is None:
+            self._unexpected = True
+            self.reusable = False
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Note that the body follows."""
+        self._in_body = True
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            self._fail("its answer is too large")
+
+    def on_message_complete(self) -> None:
+        """Deliver the answer, or drop it."""
+        if not self._unexpected:
+            self._complete()
+
+    def _complete(self) -> None:
+        self._in_body = False
+        status = self._parser.get_status_code()
+        if status < INTERIM_BELOW or self._waiting is None:
+            return
+        response = Response(status, self._headers, b"".join(self._body))
+        keep = self._parser.should_keep_alive() and not self._clean_end
+        if not self._accepts(response):
+            self.reusable = False
+            return
+        # An answer that comes before the request is out leaves the rest of the body
+        # due, so that the next request must not follow on this connection.
+        flushed = self._transport.get_write_buffer_size() == 0
+        self.reusable = self.reusable and keep and flushed
+        self.idle_since = self._loop.time()
+        self.idle_limit_s = _idle_limit(response)
+        waiting, self._waiting = self._waiting, None
+        if not waiting.done():
+            waiting.set_result(response)
+        if not self.reusable:
+            self._transport.close() if flushed else self._transport.abort()
+
+    def _has_length(self) -> bool:
+        if self._parser.get_status_code() in BODYLESS_STATUSES or self._head_only:
+            return True
+        names = {name for name, _ in self._headers}
+        return b"content-length" in names or b"transfer-encoding" in names
+
+    def _fail(self, why: str) -> None:
+        waiting, self._waiting = self._waiting, None
+        self.close()
+        if waiting is not None and not waiting.done():
+            waiting.set_exception(
+                AnswerLost(f"The server gave no whole answer: {why}.", "Try again.")
+            )
+
+
+async def connect(address: tuple[str, int], timeout_s: float) -> ServerConnection:
+    """Open a connection.
+
+    :raises ConnectFailed: when there is none within the time.
+    """
+    loop = get_running_loop()
+    try:
+        transport, conn = await wait_for(
+            loop.create_connection(ServerConnection, *address), timeout_s
+        )
+    except (OSError, TimeoutError) as exc:
+        raise ConnectFailed(
+            f"No connection to {address[0]}:{address[1]}: {type(exc).__name__}.",
+            "Check that it runs and can be reached.",
+        ) from exc
+    detect_silence(transport.get_extra_info("socket"))
+    return conn
+
+
+def detect_silence(sock: socket) -> None:
+    """Let the kernel probe a connection, so that one that went silent ends."""
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+
+
+def _idle_limit(response: Response) -> float | None:
+    value = response.header(b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        key, _, number = part.strip().partition(b"=")
+        if key.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/damasktally/platform/codec.py
@@ -0,0 +1,284 @@
+"""Decode the objects of the platform's store into the product's own types.
+
+The structures whose names start with ``Wire`` spell their fields as the store does;
+nothing outside this module sees them.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from damasktally.errors import DamasktallyError
+from damasktally.fleet.model import (
+    CallerLimits,
+    Configuration,
+    Customer,
+    Member,
+    Repeat,
+    Route,
+    Server,
+    Service,
+    WeightedService,
+)
+
+UNITS_S = {"ms": 0.001, "s": 1.0}
+REPEATABLE_KIND = "idempotent"
+SERVER_STATES = frozenset({"ready", "draining"})
+LEAVING_STATE = "draining"
+VERSION_TAG = "r"
+
+
+class MalformedObject(DamasktallyError):
+    """Tell that an object of the store cannot be read."""
+
+
+class WirePart(msgspec.Struct):
+    """Part of a route's requests that one service gets."""
+
+    Service: str
+    Weight: float
+
+
+class WirePath(msgspec.Struct):
+    """One route. ``Kind`` tells whether a request may be repeated."""
+
+    Name: str
+    PathPrefix: str
+    Kind: str
+    MaxAttempts: int
+    Timeout: str | None = None
+    TargetLatency: str | None = None
+    Prio: int = 0
+    Service: str | None = None
+    Split: list[WirePart] | None = None
+    Public: bool = False
+    Sticky: bool = False
+    HomeRegions: list[str] | None = None
+
+
+class WireHost(msgspec.Struct):
+    """The routes of one host name."""
+
+    Host: str
+    Paths: list[WirePath]
+
+
+class WireService(msgspec.Struct):
+    """One pool of servers. ``Cold`` is a time, ``ColdPerS`` a request rate."""
+
+    Name: str
+    HealthPath: str = "/"
+    MaxConns: int = 0
+    Cold: str | None = None
+    ColdPerS: float = 0.0
+
+
+class WireCustomer(msgspec.Struct):
+    """One customer. Missing limits mean that there is none."""
+
+    Name: str
+    ApiKeys: list[str] | None = None
+    Prio: int | None = None
+    RatePerS: float | None = None
+    Burst: float | None = None
+    HomeRegions: list[str] | None = None
+
+
+class WireLimits(msgspec.Struct):
+    """What a caller may send."""
+
+    MaxHeaderBytes: int = 16_384
+    MaxBodyBytes: int = 67_108_864
+    HeaderTimeout: str = "3s"
+    IdleTimeout: str = "15s"
+
+
+class WireConfiguration(msgspec.Struct):
+    """One version of the configuration."""
+
+    Version: str
+    Vhosts: list[WireHost]
+    Services: list[WireService]
+    Tenants: list[WireCustomer] | None = None
+    Limits: WireLimits | None = None
+
+
+class WireServerInfo(msgspec.Struct):
+    """What does not change while a server runs."""
+
+    Service: str
+    Zone: str
+    Slots: int
+
+
+class WireServerStatus(msgspec.Struct):
+    """What a server reports; ``ColdLeft`` is how much longer it is slow."""
+
+    State: str
+    ColdLeft: str | None = None
+
+
+class WireServer(msgspec.Struct):
+    """A server's entry. ``born`` is the Unix time of its start in milliseconds."""
+
+    Addr: str
+    Info: WireServerInfo
+    Status: WireServerStatus
+    born: int = 0
+
+
+class WireMember(msgspec.Struct):
+    """An entry host's own object; its field names are this project's."""
+
+    host: str
+    started_ms: int
+    region: str
+    data_centre: str
+    caller_address: str
+    peer_host: str
+    peer_port: int
+
+
+def parse_duration(text: str | None) -> float:
+    """Parse a time with its unit, such as ``1500ms``.
+
+    :returns: seconds; 0 when there is no text.
+    :raises ValueError: when the number or the unit is malformed.
+    """
+    if not text:
+        return 0.0
+    for unit in ("ms", "s"):
+        if text.endswith(unit):
+            return float(text[: -len(unit)]) * UNITS_S[unit]
+    raise ValueError(f"{text!r} has no known unit")
+
+
+def decode_configuration(spec: Any) -> Configuration:
+    """Decode the configuration.
+
+    :raises MalformedObject: when a field is missing or of another type.
+    """
+    try:
+        wire = msgspec.convert(spec, WireConfiguration)
+        limits = wire.Limits or WireLimits()
+        return Configuration(
+            version=int(wire.Version.removeprefix(VERSION_TAG)),
+            routes=tuple(
+                _route(host.Host, path) for host in wire.Vhosts for path in host.Paths
+            ),
+            services={item.Name: _service(item) for item in wire.Services},
+            customers=tuple(_customer(item) for item in wire.Tenants or ()),
+            limits=CallerLimits(
+                head_bytes=limits.MaxHeaderBytes,
+                body_bytes=limits.MaxBodyBytes,
+                head_timeout_s=parse_duration(limits.HeaderTimeout),
+                idle_timeout_s=parse_duration(limits.IdleTimeout),
+            ),
+        )
+    except (msgspec.ValidationError, ValueError) as exc:
+        raise MalformedObject(
+            f"The configuration cannot be read: {exc}.", "Write it again, corrected."
+        ) from exc
+
+
+def decode_server(name: str, spec: Any) -> Server:
+    """Decode a server's entry.
+
+    :raises MalformedObject: when it names no server that can be used.
+    """
+    try:
+        wire = msgspec.convert(spec, WireServer)
+        host, _, port = wire.Addr.rpartition(":")
+        if wire.Status.State not in SERVER_STATES or not host or wire.Info.Slots < 1:
+            raise ValueError("its state, address or slots are not known")
+        return Server(
+            id=name,
+            service=wire.Info.Service,
+            address=(host, int(port)),
+            data_centre=wire.Info.Zone,
+            slots=wire.Info.Slots,
+            leaving=wire.Status.State == LEAVING_STATE,
+            cold_s=parse_duration(wire.Status.ColdLeft),
+            started_ms=wire.born,
+        )
+    except (msgspec.ValidationError, ValueError) as exc:
+        raise MalformedObject(
+            f"The entry of server {name} cannot be read: {exc}.",
+            "Remove the entry, or find its writer.",
+        ) from exc
+
+
+def decode_member(spec: Any) -> Member:
+    """Decode an entry host's own object.
+
+    :raises MalformedObject: when a field is missing or of another type.
+    """
+    try:
+        wire = msgspec.convert(spec, WireMember)
+    except msgspec.ValidationError as exc:
+        raise MalformedObject(
+            f"A host's object cannot be read: {exc}.", "Remove the object."
+        ) from exc
+    return Member(
+        host=wire.host,
+        started_ms=wire.started_ms,
+        region=wire.region,
+        data_centre=wire.data_centre,
+        caller_address=wire.caller_address,
+        peer_address=(wire.peer_host, wire.peer_port),
+    )
+
+
+def encode_member(member: Member) -> Mapping[str, Any]:
+    """Encode an entry host's own object."""
+    host, port = member.peer_address
+    wire = WireMember(
+        host=member.host,
+        started_ms=member.started_ms,
+        region=member.region,
+        data_centre=member.data_centre,
+        caller_address=member.caller_address,
+        peer_host=host,
+        peer_port=port,
+    )
+    return msgspec.to_builtins(wire)
+
+
+def _route(host: str, wire: WirePath) -> Route:
+    parts = wire.Split or [WirePart(wire.Service or "", 1.0)]
+    return Route(
+        name=wire.Name,
+        host=host,
+        prefix=wire.PathPrefix,
+        repeat=Repeat.ALLOWED if wire.Kind == REPEATABLE_KIND else Repeat.NEVER,
+        timeout_s=parse_duration(wire.Timeout),
+        target_latency_s=parse_duration(wire.TargetLatency),
+        priority=wire.Prio,
+        services=tuple(WeightedService(part.Service, part.Weight) for part in parts),
+        max_attempts=max(1, wire.MaxAttempts),
+        public=wire.Public,
+        affinity=wire.Sticky,
+        home_regions=frozenset(wire.HomeRegions or ()),
+    )
+
+
+def _service(wire: WireService) -> Service:
+    return Service(
+        name=wire.Name,
+        health_path=wire.HealthPath,
+        max_connections=wire.MaxConns,
+        cold_s=parse_duration(wire.Cold),
+        cold_rate=wire.ColdPerS,
+    )
+
+
+def _customer(wire: WireCustomer) -> Customer:
+    return Customer(
+        name=wire.Name,
+        keys=frozenset(wire.ApiKeys or ()),
+        rate=wire.RatePerS or 0.0,
+        burst=wire.Burst or 0.0,
+        priority=wire.Prio,
+        home_regions=frozenset(wire.HomeRegions or ()),
+    )
--- a/scripts/build.py
+++ b/scripts/build.py
@@ -6,7 +6,7 @@
 from shutil import rmtree
 
 ROOT = Path(__file__).resolve().parent.parent
-MEMORY_BACKED = "/dev/shm/damasktally"
+UNPACKED = "/tmp/damasktally"
 SITE = ROOT / "build" / "site"
 TARGET = ROOT / "dist" / "damasktally"
 PIP = [sys.executable, "-m", "pip", "install", "--quiet", "--target", str(SITE)]
@@ -33,7 +33,7 @@
         "--python",
         "/usr/bin/env python3.11",
         "--root",
-        MEMORY_BACKED,
+        UNPACKED,
         "--output-file",
         str(TARGET),
     )
