Split the entry host, so that tests can run it in one process.

Signals and standard output belong to __main__ now; look-ups, readiness and metrics have a module of their own.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -2,28 +2,23 @@
 
 from asyncio import (
     AbstractEventLoop,
-    CancelledError,
-    Event,
     Server,
+    Task,
     create_task,
     gather,
     get_running_loop,
     sleep,
 )
 from random import Random
-from signal import SIGHUP, SIGINT, SIGTERM
 from time import CLOCK_BOOTTIME, clock_gettime, monotonic, time
 
-from prometheus_client import generate_latest
-
-from damasktally.decisions.directory import Candidate, addresses_for
 from damasktally.decisions.quota import CustomerQuotas, QuotaReport
 from damasktally.entry.candidates import Candidates
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.output import LogOutput
 from damasktally.entry.peers import PeerNetwork
-from damasktally.entry.refusals import final
+from damasktally.entry.public_calls import PublicCalls
 from damasktally.entry.requests import RequestHandler
 from damasktally.entry.server_pool import ServerPool
 from damasktally.entry.settings import EntrySettings, split_address
@@ -43,9 +38,7 @@
 from damasktally.fleet.model import CallerLimits, Member
 from damasktally.fleet.view import Decoders, FleetView, Topic, ViewChange
 from damasktally.http1.inbound import CallerPort
-from damasktally.http1.messages import Request, Response
 from damasktally.platform.bounds import decode_bounds
-from damasktally.platform.calls import asks_readiness, lookup_answer, parse_lookup
 from damasktally.platform.codec import (
     decode_configuration,
     decode_member,
@@ -60,6 +53,7 @@
 )
 
 TICK_S = 0.25
+TICKS_A_SWEEP = 4
 LOOKUP_TTL_S = 2.0
 REGISTER_PAUSE_S = 1.0
 SUSPENDED_S = 0.5
@@ -67,6 +61,7 @@
 LISTEN_ON_S = 2.5
 """After SIGTERM, callers that have not looked up again may still connect."""
 STOP_MARGIN_S = 0.4
+STOP_POLL_S = 0.05
 QUOTA_SLACK_PART = 0.85
 """Part of the tolerated excess that hosts use; the rest covers late counts."""
 BACKLOG = 512
@@ -76,15 +71,16 @@
     """Run an entry host until it is told to stop.
 
     :param settings: the host's settings.
+    :param output: where log lines go, asked for how many it left out.
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, output: LogOutput | None) -> None:
         self._settings = settings
         self._loop: AbstractEventLoop = get_running_loop()
         self._rng = Random()
         self._bounds = decode_bounds(settings.bounds.agreed)
         self._metrics = EntryMetrics()
-        self._output = LogOutput(1, self._loop)
+        self._output = output
         self._own = _own_member(settings)
         self._members = MemberTable(self._own)
         self._view = FleetView(
@@ -115,30 +111,37 @@
             self._rng,
         )
         self._callers = CallerPort(self._requests.handle, self._limits)
+        calls = PublicCalls(
+            self._view,
+            self._members,
+            lambda: self.ready,
+            self._metrics,
+            self._bounds.lookup_ttl_s,
+            self._rng,
+        )
         self._inner = [
             CallerPort(handle, CallerLimits)
-            for handle in (self._readiness, self._lookup, self._metrics_page)
+            for handle in (calls.readiness, calls.lookup, calls.metrics)
         ]
         self._servers: list[Server] = []
+        self._tasks: list[Task] = []
         self._leaving = False
         self._stopped = False
         self._sequence = 0
-        self._asked_to_stop = Event()
         self._boot_offset = _boot_offset()
 
     @classmethod
-    def from_config(cls, settings: EntrySettings) -> "EntryHost":
+    def from_config(
+        cls, settings: EntrySettings, output: LogOutput | None = None
+    ) -> "EntryHost":
         """Return a host for some settings."""
-        return cls(settings)
+        return cls(settings, output)
 
-    async def run(self) -> None:
-        """Serve until SIGTERM, and then leave without cutting a request."""
-        for number in (SIGTERM, SIGINT):
-            self._loop.add_signal_handler(number, self._asked_to_stop.set)
-        self._loop.add_signal_handler(SIGHUP, lambda: emit(SETTINGS_RELOADED))
+    async def start(self) -> None:
+        """Listen, and follow the store and the other hosts."""
         await self._peers.start(split_address(self._settings.listen.peers))
         self._sync.start()
-        tasks = [create_task(self._register()), create_task(self._tick())]
+        self._tasks = [create_task(self._register()), create_task(self._tick())]
         await self._listen()
         emit(
             HOST_STARTED,
@@ -146,12 +149,6 @@
             data_centre=self._own.data_centre,
             callers=self._own.caller_address,
         )
-        await self._asked_to_stop.wait()
-        await self._stop()
-        for task in tasks:
-            task.cancel()
-        await gather(*tasks, return_exceptions=True)
-        await self._sync.stop()
 
     async def _listen(self) -> None:
         listen = self._settings.listen
@@ -169,23 +166,49 @@
             )
             self._servers.append(server)
 
-    async def _stop(self) -> None:
+    async def stop(self) -> int:
+        """Leave without cutting a request.
+
+        Callers that have not looked up again may still connect for a while; after
+        that, requests under way end, as far as the time until the kill allows.
+
+        :returns: how many requests were cut.
+        """
         began = self._loop.time()
         self._leaving = True
         self._callers.draining = True
         emit(HOST_LEAVING, under_way=self._callers.under_way)
         self._peers.send_heartbeats([])
-        await sleep(LISTEN_ON_S)
+        await sleep(min(LISTEN_ON_S, self._bounds.stop_s / 2))
         self._servers[0].close()
         ends = began + self._bounds.stop_s - STOP_MARGIN_S
         self._callers.close_idle()
         while self._callers.under_way and self._loop.time() < ends:
-            await sleep(0.05)
+            await sleep(STOP_POLL_S)
             self._callers.close_idle()
         self._stopped = True
         self._peers.send_heartbeats([])
-        emit(HOST_STOPPED, cut=self._callers.under_way)
-        self._output.flush()
+        cut = self._callers.under_way
+        emit(HOST_STOPPED, cut=cut)
+        await self.close()
+        return cut
+
+    async def close(self) -> None:
+        """End all tasks and close all ports at once."""
+        for task in self._tasks:
+            task.cancel()
+        await gather(*self._tasks, return_exceptions=True)
+        await self._sync.stop()
+        for server in self._servers:
+            server.close()
+        self._peers.close()
+        self._pool.drop_all()
+        for port in (self._callers, *self._inner):
+            port.abort_all()
+
+    def reload(self) -> None:
+        """Note that the settings changed; addresses need a restart."""
+        emit(SETTINGS_RELOADED, host=self._own.host)
 
     async def _register(self) -> None:
         """Make this host known in the store, and learn the others from it."""
@@ -211,21 +234,27 @@
             emit(VIEW_CHANGED, topic="hosts", detail=str(exc))
 
     async def _tick(self) -> None:
+        ticks = 0
         while True:
-            try:
-                await sleep(TICK_S)
-                self._tick_once(self._loop.time())
-            except CancelledError:
-                raise
+            await sleep(TICK_S)
+            ticks += 1
+            now = self._loop.time()
+            self._tick_once(now)
+            if ticks % TICKS_A_SWEEP == 0:
+                self._sweep(now)
 
     def _tick_once(self, now: float) -> None:
+        """Do what decisions depend on."""
         self._notice_suspension()
         self._peers.send_heartbeats(self._settings.seeds)
         self._peers.note_changes(now)
         self._peers.catch_up(now)
-        self._members.forget_silent(now)
         self._view.expire(now)
         self._divide(now)
+
+    def _sweep(self, now: float) -> None:
+        """Do what may wait for a second."""
+        self._members.forget_silent(now)
         for port in (self._callers, *self._inner):
             port.sweep(now)
         known = self._view.servers.ids()
@@ -251,15 +280,19 @@
         self._quotas.divide(cfg.customers, reports, unheard, now)
 
     def _publish(self, now: float) -> None:
-        left_out = self._output.left_out
-        if left_out > self._output.left_out_reported:
-            emit(LOG_LINES_LEFT_OUT, lines=left_out - self._output.left_out_reported)
-            self._output.left_out_reported = left_out
-        self._metrics.log_lines_left_out.set(left_out)
+        if self._output is not None:
+            self._publish_output(self._output)
         self._metrics.hosts_heard.set(len(self._members.heard(now)))
         for topic, when in self._confirmed.items():
             self._metrics.view_age.labels(topic.value).set(now - when)
 
+    def _publish_output(self, output: LogOutput) -> None:
+        left_out = output.left_out
+        if left_out > output.left_out_reported:
+            emit(LOG_LINES_LEFT_OUT, lines=left_out - output.left_out_reported)
+            output.left_out_reported = left_out
+        self._metrics.log_lines_left_out.set(left_out)
+
     def _notice_suspension(self) -> None:
         offset = _boot_offset()
         if offset - self._boot_offset > SUSPENDED_S:
@@ -280,7 +313,7 @@
             peer_host=own.peer_address[0],
             peer_port=own.peer_address[1],
             sequence=self._sequence,
-            ready=self._ready,
+            ready=self.ready,
             stopped=self._stopped,
             revisions={
                 topic.value: revision
@@ -291,7 +324,8 @@
         )
 
     @property
-    def _ready(self) -> bool:
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
         known = self._view.configuration is not None
         return known and len(self._view.servers) > 0 and not self._leaving
 
@@ -311,51 +345,6 @@
             detail=change.detail,
         )
 
-    async def _readiness(self, req: Request) -> Response:
-        if not asks_readiness(req):
-            return final(404, "unknown-path")
-        return final(200, "ready") if self._ready else final(503, "not-ready")
-
-    async def _lookup(self, req: Request) -> Response:
-        question = parse_lookup(req)
-        if question is None:
-            return final(404, "unknown-path")
-        if self._view.configuration is None:
-            return final(503, "no-configuration")
-        self._metrics.lookups.inc()
-        addresses = addresses_for(
-            self._named_hosts(),
-            question.region,
-            self._home_regions(question.host_name),
-            self._rng,
-        )
-        if not addresses:
-            return final(503, "no-host-ready")
-        return lookup_answer(addresses, min(LOOKUP_TTL_S, self._bounds.lookup_ttl_s))
-
-    def _named_hosts(self) -> list[Candidate]:
-        members = [
-            record.member
-            for record in self._members.heard(self._loop.time())
-            if record.ready
-        ]
-        if self._ready:
-            members.append(self._own)
-        return [
-            Candidate(item.caller_address, item.region, item.data_centre)
-            for item in members
-        ]
-
-    def _home_regions(self, host_name: str) -> frozenset[str]:
-        cfg = self._view.configuration
-        routes = cfg.routes_by_host.get(host_name.lower(), ()) if cfg else ()
-        homes = [route.home_regions for route in routes if route.home_regions]
-        return frozenset().union(*homes)
-
-    async def _metrics_page(self, req: Request) -> Response:
-        headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return Response(200, headers, generate_latest(self._metrics.registry))
-
 
 def _own_member(settings: EntrySettings) -> Member:
     return Member(
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -82,6 +82,15 @@
         await self._loop.create_datagram_endpoint(lambda: self, local_addr=address)
         self._server = await start_server(self._answer, *address)
 
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+        if self._transport is not None:
+            self._transport.close()
+        for task in self._tasks:
+            task.cancel()
+
     def connection_made(self, transport: DatagramTransport) -> None:
         """Take the transport."""
         self._transport = transport
--- /dev/null
+++ b/damasktally/entry/public_calls.py
@@ -0,0 +1,87 @@
+"""Answer look-ups, questions of readiness, and the metrics page."""
+
+from asyncio import get_running_loop
+from collections.abc import Callable
+from random import Random
+
+from prometheus_client import generate_latest
+
+from damasktally.decisions.directory import Candidate, addresses_for
+from damasktally.entry.metrics import EntryMetrics
+from damasktally.entry.refusals import final
+from damasktally.fleet.members import MemberTable
+from damasktally.fleet.view import FleetView
+from damasktally.http1.messages import Request, Response
+from damasktally.platform.calls import asks_readiness, lookup_answer, parse_lookup
+
+LOOKUP_TTL_S = 2.0
+
+
+class PublicCalls:
+    """Answer what is not forwarded.
+
+    :param ready: tells whether callers may be sent here.
+    :param longest_ttl_s: the longest time that callers may keep a look-up.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        members: MemberTable,
+        ready: Callable[[], bool],
+        metrics: EntryMetrics,
+        longest_ttl_s: float,
+        rng: Random,
+    ) -> None:
+        self._view = view
+        self._members = members
+        self._ready = ready
+        self._metrics = metrics
+        self._ttl_s = min(LOOKUP_TTL_S, longest_ttl_s)
+        self._rng = rng
+
+    async def readiness(self, req: Request) -> Response:
+        """Tell whether callers may be sent here."""
+        if not asks_readiness(req):
+            return final(404, "unknown-path")
+        return final(200, "ready") if self._ready() else final(503, "not-ready")
+
+    async def lookup(self, req: Request) -> Response:
+        """Tell a caller which hosts to use."""
+        question = parse_lookup(req)
+        if question is None:
+            return final(404, "unknown-path")
+        if self._view.configuration is None:
+            return final(503, "no-configuration")
+        self._metrics.lookups.inc()
+        homes = self._home_regions(question.host_name)
+        addresses = addresses_for(
+            self._named_hosts(), question.region, homes, self._rng
+        )
+        if not addresses:
+            return final(503, "no-host-ready")
+        return lookup_answer(addresses, self._ttl_s)
+
+    async def metrics(self, req: Request) -> Response:
+        """Return all metrics as text."""
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        return Response(200, headers, generate_latest(self._metrics.registry))
+
+    def _named_hosts(self) -> list[Candidate]:
+        members = [
+            record.member
+            for record in self._members.heard(get_running_loop().time())
+            if record.ready
+        ]
+        if self._ready():
+            members.append(self._members.own)
+        return [
+            Candidate(item.caller_address, item.region, item.data_centre)
+            for item in members
+        ]
+
+    def _home_regions(self, host_name: str) -> frozenset[str]:
+        cfg = self._view.configuration
+        routes = cfg.routes_by_host.get(host_name.lower(), ())
+        homes = [route.home_regions for route in routes if route.home_regions]
+        return frozenset().union(*homes)
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -47,6 +47,11 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    def abort_all(self) -> None:
+        """Close every connection at once."""
+        for conn in list(self.connections):
+            conn.abort()
+
     @property
     def under_way(self) -> int:
         """Return how many connections have a request under way."""
@@ -243,6 +248,10 @@
         elif now - self._last_byte > limits.idle_timeout_s:
             self._refuse(408)
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is under way."""
         if not self.busy and not self._refused:
