--- a/damasktally/decisions/quota.py
+++ b/damasktally/decisions/quota.py
@@ -10,14 +10,16 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from damasktally.fleet.model import Customer
 
 DEMAND_HALF_LIFE_S = 0.5
-EQUAL_PART = 0.5
+EQUAL_PART = 0.4
 """Part of what is left that is dealt equally, for callers that come anew."""
+SLACK_PART = 0.85
+OVERAGE_PART = 0.5
 REPORT_LAG_S = 0.35
 """Age that counts of other hosts may have: a heartbeat and its way."""
 
@@ -70,14 +72,29 @@
     return free * ((1 - EQUAL_PART) * own / total + EQUAL_PART / present)
 
 
+def overdraft_for(
+    customer: Customer, slack: float, overage: float, window_s: float
+) -> float:
+    """Return how far all hosts together may exceed a customer's bucket.
+
+    Only a part of what was agreed is used; the rest covers counts that are late.
+
+    :param slack: requests that were agreed on top of a window's limit.
+    :param overage: part of a window's limit that was agreed on top.
+    :param window_s: length of the window.
+    """
+    limit = customer.rate * window_s + customer.burst
+    return SLACK_PART * slack + OVERAGE_PART * overage * limit
+
+
 class CustomerQuotas:
     """Keep one account for each customer.
 
-    :param overdraft: how far all hosts together may exceed a customer's bucket for
-        a moment, in requests.
+    :param overdraft: returns how far all hosts together may exceed a customer's
+        bucket for a moment, in requests.
     """
 
-    def __init__(self, overdraft: float) -> None:
+    def __init__(self, overdraft: Callable[[Customer], float]) -> None:
         self._overdraft = overdraft
         self._accounts: dict[str, _Account] = {}
         self._measured = 0.0
@@ -145,8 +162,10 @@
             account.share = share_of(account.demand, others, unheard) / free
             account.rate = customer.rate * free
             account.depth = customer.burst * free
-            account.overdraft = self._overdraft / hosts
+            overdraft = self._overdraft(customer)
+            account.overdraft = overdraft / hosts
             self._settle(account, customer.name, heard, now)
+            account.left = max(-overdraft, account.left)
 
     def _account(self, name: str, now: float) -> _Account:
         account = self._accounts.get(name)
@@ -174,7 +193,7 @@
             seen[report.run] = count
         account.seen = seen
         left = account.left + (now - account.filled) * account.rate - used
-        account.left = max(-self._overdraft, min(account.depth, left))
+        account.left = min(account.depth, left)
         account.filled = now
 
     def _move_own(self, account: _Account, now: float) -> int:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -12,7 +12,7 @@
 from random import Random
 from time import CLOCK_BOOTTIME, clock_gettime, monotonic, time
 
-from damasktally.decisions.quota import CustomerQuotas, QuotaReport
+from damasktally.decisions.quota import CustomerQuotas, QuotaReport, overdraft_for
 from damasktally.entry.candidates import Candidates
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.metrics import EntryMetrics
@@ -35,7 +35,7 @@
     VIEW_CHANGED,
 )
 from damasktally.fleet.members import Heartbeat, MemberTable
-from damasktally.fleet.model import CallerLimits, Member
+from damasktally.fleet.model import CallerLimits, Customer, Member
 from damasktally.fleet.view import Decoders, FleetView, Topic, ViewChange
 from damasktally.http1.inbound import CallerPort
 from damasktally.platform.bounds import decode_bounds
@@ -62,8 +62,6 @@
 """After SIGTERM, callers that have not looked up again may still connect."""
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
-QUOTA_SLACK_PART = 0.85
-"""Part of the tolerated excess that hosts use; the rest covers late counts."""
 BACKLOG = 512
 
 
@@ -96,7 +94,7 @@
         self._peers = PeerNetwork(
             self._members, self._view, self._heartbeat, self._confirm
         )
-        self._quotas = CustomerQuotas(QUOTA_SLACK_PART * self._bounds.quota_slack)
+        self._quotas = CustomerQuotas(self._overdraft)
         self._pool = ServerPool()
         self._candidates = Candidates(self._view, self._members, settings.region_of)
         forwarder = Forwarder(self._view, self._candidates, self._pool)
@@ -279,6 +277,12 @@
         ]
         self._quotas.divide(cfg.customers, reports, unheard, now)
 
+    def _overdraft(self, customer: Customer) -> float:
+        bounds = self._bounds
+        return overdraft_for(
+            customer, bounds.quota_slack, bounds.quota_overage, bounds.quota_window_s
+        )
+
     def _publish(self, now: float) -> None:
         if self._output is not None:
             self._publish_output(self._output)
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -189,8 +189,10 @@
     :param retry_ratio: repeats allowed for each request of a service.
     :param retry_window_s: window over which repeats are counted.
     :param retry_slack: repeats allowed on top in each window, all hosts together.
-    :param quota_slack: requests by which a customer may exceed its limit for a
-        moment, all hosts together.
+    :param quota_slack: requests by which a customer may exceed its limit in a
+        window, all hosts together.
+    :param quota_overage: part of the limit by which it may exceed it besides.
+    :param quota_window_s: window over which customers' requests are counted.
     """
 
     stop_s: float
@@ -199,3 +201,5 @@
     retry_window_s: float
     retry_slack: float
     quota_slack: float
+    quota_overage: float
+    quota_window_s: float
--- a/damasktally/platform/bounds.py
+++ b/damasktally/platform/bounds.py
@@ -22,6 +22,8 @@
     RetryWindow: str
     RetrySlack: float
     QuotaSlack: float
+    QuotaOverage: float
+    QuotaWindow: str
 
 
 def decode_bounds(text: str) -> Bounds:
@@ -38,6 +40,8 @@
             retry_window_s=parse_duration(wire.RetryWindow),
             retry_slack=wire.RetrySlack,
             quota_slack=wire.QuotaSlack,
+            quota_overage=wire.QuotaOverage,
+            quota_window_s=parse_duration(wire.QuotaWindow),
         )
     except (msgspec.MsgspecError, ValueError) as exc:
         raise MalformedObject(
--- /dev/null
+++ b/features/entry/host.feature
@@ -0,0 +1,202 @@
+Feature: An entry host serves callers from what the store says
+
+  Background:
+    Given a stand-in store with a configuration and 2 servers
+    And an entry host that is ready
+
+  Scenario: A request reaches a server with the customer's name and without the key
+    When a caller asks for /read/1
+    Then the caller gets 200 with the body of a server
+    And the server got customer acme, the server's own id, no key and at most 1000 ms
+
+  Scenario Outline: A request that no configuration allows is refused: <case>
+    When a caller asks for <path> with key "<key>"
+    Then the caller gets <status>
+    And no server got a request
+
+    Examples:
+      | case            | path     | key  | status |
+      | unknown key     | /read/1  | nope | 401    |
+      | no key          | /read/1  |      | 401    |
+      | no route        | /none/1  | k-1  | 404    |
+
+  Scenario: A public route needs no key and forwards no customer
+    When a caller asks for /open/1 with a customer header of its own
+    Then the caller gets 200 with the body of a server
+    And the server got no customer
+
+  Scenario: A withdrawn key stops working and a new route starts
+    When the operator writes version 2 without key k-1 and with route /new/
+    Then a caller with key k-1 gets 401 within 1 s
+    And a caller with key k-2 gets 200 for /new/1
+
+  Scenario: An older version or an unreadable one changes nothing
+    When the operator writes version 0 without key k-1 and with route /new/
+    And the operator writes an unreadable configuration
+    And another 0.3 s pass
+    Then a caller with key k-1 gets 200 for /read/1
+
+  Scenario Outline: A server that refuses without running leads to another server: <kind>
+    Given the first server of the object answers 503 and that it did not run
+    When a caller sends <method> <path>
+    Then the caller gets 200 with the body of a server
+    And each server got 1 request
+
+    Examples:
+      | kind           | method | path    |
+      | idempotent     | GET    | /read/1 |
+      | non-idempotent | POST   | /pay/1  |
+      | upload         | POST   | /send/1 |
+
+  Scenario: An address that answers for another server is not used again
+    Given the first server of the object answers 421
+    When a caller asks for /read/1
+    Then the caller gets 200 with the body of a server
+    When a caller asks for /read/1
+    Then the first server of the object got 1 request
+
+  Scenario Outline: A lost answer: <kind>
+    Given the first server of the object breaks off after it got a request
+    When a caller sends <method> <path>
+    Then the caller gets <status>
+    And the servers got <arrivals> requests together
+
+    Examples:
+      | kind           | method | path    | status | arrivals |
+      | idempotent     | GET    | /read/1 | 200    | 2        |
+      | non-idempotent | POST   | /pay/1  | 502    | 1        |
+      | upload         | POST   | /send/1 | 502    | 1        |
+
+  Scenario Outline: An answer that cannot be trusted is no success: <fault>
+    Given every server answers with <fault>
+    When a caller sends POST /pay/1
+    Then the caller gets 502
+
+    Examples:
+      | fault                        |
+      | a body that ends too early   |
+      | bytes that are no answer     |
+      | an encoded body              |
+
+  Scenario: An answer to another request is dropped, and the right one awaited
+    Given every server answers with only another request's id
+    When a caller sends POST /pay/1
+    Then the caller gets 504 after 1 s
+
+  Scenario: An answer without a length is whole when the connection ends in order
+    Given every server answers without a length and ends the connection
+    When a caller sends POST /pay/1
+    Then the caller gets 200 with the body of a server
+
+  Scenario: A late second answer never reaches the next request
+    Given every server sends a second answer after each answer
+    When 6 callers ask one after the other
+    Then each caller gets the answer to its own request
+
+  Scenario Outline: A worker that is too slow for the route's timeout: <kind>
+    Given every server takes 3 s
+    When a caller sends <method> <path>
+    Then the caller gets 504 after 1 s
+    And the servers got 1 request together
+
+    Examples:
+      | kind           | method | path    |
+      | idempotent     | GET    | /read/1 |
+      | non-idempotent | POST   | /pay/1  |
+
+  Scenario: Work ends when the caller of an idempotent request leaves
+    Given every server takes 3 s
+    When a caller of /read/1 leaves after 0.2 s
+    Then a server sees its connection close within 0.5 s
+
+  Scenario: A payment goes on when its caller leaves
+    Given every server takes 0.6 s
+    When a caller of /pay/1 leaves after 0.2 s
+    Then no server sees its connection close within 0.6 s
+
+  Scenario: A server that leaves or whose entry is removed gets nothing more
+    Given the servers' ids are known in the order that the object prefers
+    When the first server of the object says that it leaves
+    And a caller asks for /read/1
+    Then the first server of the object got 0 requests
+    When the entry of the second server is removed
+    And a caller asks for /read/1
+    Then the caller gets 503 with a time to come back
+
+  Scenario: A data centre that is evacuated gets nothing until it is taken back
+    When data centre dc-1 is evacuated
+    And a caller asks for /read/1
+    Then the caller gets 503 with a time to come back
+    When the evacuation of dc-1 ends
+    Then a caller with key k-1 gets 200 for /read/1
+
+  Scenario Outline: A forged entry names no server and harms none: <entry>
+    When a server entry <entry> is written
+    And a caller asks for /read/1
+    Then the caller gets 200 with the body of a server
+
+    Examples:
+      | entry                       |
+      | with an unknown state       |
+      | without an address          |
+      | with a text for its slots   |
+      | that is a number            |
+
+  Scenario Outline: The store misbehaves and service goes on: <fault>
+    When the stand-in store <fault>
+    And a caller asks for /read/1
+    Then the caller gets 200 with the body of a server
+    When the stand-in store works again
+    And the operator writes version 2 without key k-1 and with route /new/
+    Then a caller with key k-1 gets 401 within 3 s
+
+    Examples:
+      | fault                 |
+      | answers 503           |
+      | answers 429           |
+      | forgets its history   |
+
+  Scenario: Registrations that lapse together are used until they may be back
+    Given 4 more servers
+    When all entries of servers are removed at once
+    And a caller asks for /read/1
+    Then the caller gets 200 with the body of a server
+    When another 3 s pass
+    And a caller asks for /read/1
+    Then the caller gets 503 with a time to come back
+
+  Scenario: A planned stop ends requests under way and asks callers to leave
+    Given every server takes 0.5 s
+    When the host is stopped while a caller waits for /pay/1
+    Then that caller gets 200 and is told that the connection ends
+    And the host cut no request
+
+  Scenario: A look-up names this host, and readiness follows the configuration
+    Then a look-up from region north names this host
+    And the host says that it is ready
+
+  Scenario Outline: A caller outside the limits is refused: <case>
+    When the raw bytes of <case> are sent
+    Then the caller gets <status>
+    And no server got a request
+
+    Examples:
+      | case                    | status |
+      | a head that is too long | 431    |
+      | a body that is too long | 413    |
+      | bytes that are no head  | 400    |
+      | half a head and waits   | 408    |
+
+  Scenario: Two requests in one packet are answered one after the other
+    When a caller sends two requests in one packet
+    Then it gets both answers in order
+
+  Scenario: Requests of a customer beyond its rate are refused with a time to come back
+    When the operator gives customer acme 5 requests a second
+    And 30 callers ask at once
+    Then at least 10 of them get 429 with a time to come back
+
+  Scenario: A host without a configuration says 503 and is not ready
+    Given an entry host whose store is empty
+    Then a caller with key k-1 gets 503 for /read/1
+    And the host says that it is not ready
--- /dev/null
+++ b/features/steps/boundary_steps.py
@@ -0,0 +1,324 @@
+"""Check the border to the platform, and what hosts tell each other."""
+
+import ast
+import json
+import os
+import re
+from asyncio import new_event_loop
+from pathlib import Path
+from time import monotonic
+
+from behave import given, then, when
+
+from damasktally.entry.output import LogOutput
+from damasktally.entry.settings import SettingsInvalid, load_entry_settings
+from damasktally.fleet.members import Heartbeat, MemberTable
+from damasktally.fleet.model import Member
+from damasktally.fleet.view import Decoders, FleetView, Topic
+from damasktally.platform.bounds import decode_bounds
+from damasktally.platform.codec import (
+    MalformedObject,
+    decode_configuration,
+    decode_server,
+    parse_duration,
+)
+from features.steps.entry_steps import settings_for, start_host
+from features.steps.entry_world import (
+    BOUNDS,
+    DEFAULT_ROUTES,
+    LoopThread,
+    StandInStore,
+    configuration,
+    route,
+    until,
+)
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+WIRE_NAMES = (
+    "ApiKeys AllowStale Affinity-Key ColdLeft ColdPerS Cold-Ms Deadline-Ms "
+    "Expect-Instance HealthPath HeaderTimeout HomeRegions IdleTimeout Instance-Id "
+    "MaxAttempts MaxBodyBytes MaxConns MaxHeaderBytes Not-Run PathPrefix RatePerS "
+    "ReadyAddr Request-Id Server-Load Server-Stamp StoreRevision TargetLatency "
+    "Tombstone Vhosts WaitMs DAMASKTALLY_BOOT RetrySlack QuotaSlack"
+).split()
+ALLOWED_IMPORTS = ("errors", "fleet.model", "http1", "platform")
+
+
+@then("no source file outside damasktally/platform contains a wire name")
+def then_no_names(context):
+    """Search all of the product's sources."""
+    pattern = re.compile(
+        "|".join(rf"(?<![\w-]){re.escape(name)}\b" for name in WIRE_NAMES)
+    )
+    found = []
+    for path in (ROOT / "damasktally").rglob("*.py"):
+        if "platform" in path.parent.name:
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if pattern.search(line):
+                found.append(f"{path.name}:{number}: {line.strip()}")
+    assert not found, found
+
+
+@then("damasktally/platform imports no module that decides or serves")
+def then_adapter(context):
+    """Read the adapter's imports."""
+    for path in (ROOT / "damasktally" / "platform").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.module:
+                name = node.module.removeprefix("damasktally.")
+                if name != node.module:
+                    assert name.startswith(ALLOWED_IMPORTS), (path.name, name)
+
+
+@then('the time "{text}" is {seconds:g} s')
+def then_time(context, text, seconds):
+    """Check a time."""
+    assert parse_duration(text) == seconds
+
+
+def broken(fault):
+    """Return a configuration with one fault."""
+    cfg = configuration(1, [route("r", "/r/")])
+    path = cfg["Vhosts"][0]["Paths"][0]
+    if fault == "without routes":
+        del cfg["Vhosts"]
+    elif fault == "whose version has no number":
+        cfg["Version"] = "r"
+    elif fault == "whose timeout has no unit":
+        path["Timeout"] = "1000"
+    else:
+        path["Split"] = [{"Service": "svc", "Weight": "much"}]
+    return cfg
+
+
+def refused(decode, *args):
+    """Return the error of a decoder, or nothing."""
+    try:
+        decode(*args)
+    except MalformedObject as exc:
+        return exc
+    return None
+
+
+@then("a configuration {fault} cannot be decoded")
+def then_malformed(context, fault):
+    """Check a fault, and that the same without it is fine."""
+    assert refused(decode_configuration, configuration(1, [])) is None
+    assert refused(decode_configuration, broken(fault)) is not None
+
+
+@then("the bounds of the users' table are decoded")
+def then_bounds(context):
+    """Check the agreed figures."""
+    bounds = decode_bounds(json.dumps({**BOUNDS, "More": "2s"}))
+    assert (bounds.stop_s, bounds.retry_slack, bounds.quota_slack) == (2.0, 60, 20)
+
+
+@then("bounds without RetryRatio are refused with its name")
+def then_no_bound(context):
+    """Check a missing figure."""
+    figures = {key: value for key, value in BOUNDS.items() if key != "RetryRatio"}
+    assert "RetryRatio" in str(refused(decode_bounds, json.dumps(figures)))
+    assert refused(decode_bounds, "Grace=6s") is not None
+
+
+def render(fields):
+    """Render the template's placeholders as the platform does."""
+    text = (ROOT / "deploy" / "host.ini.template").read_text()
+
+    def value(match):
+        name, _, how = match.group(1).partition("|")
+        found = fields
+        for part in name.split("."):
+            found = found[part]
+        if how == "json":
+            return json.dumps(found)
+        return ",".join(found) if isinstance(found, list) else str(found)
+
+    return re.sub(r"\{\{([^}]+)\}\}", value, text)
+
+
+FIELDS = {
+    "NodeName": "host-1",
+    "Region": "north",
+    "Zone": "dc-1",
+    "Listen": {
+        "Front": "127.0.0.1:1",
+        "ReadyAddr": "127.0.0.1:2",
+        "Directory": "127.0.0.1:3",
+        "Control": "127.0.0.1:4",
+    },
+    "Zones": {"dc-1": "north"},
+    "Seeds": ["127.0.0.1:5", "127.0.0.1:6"],
+    "Provider": {"Addr": "127.0.0.1:7"},
+    "Bounds": BOUNDS,
+}
+
+
+@then("the rendered template loads and names this host's ports")
+def then_template(context):
+    """Load what the platform would render."""
+    path = Path(context.config.userdata.get("tmp", "/tmp")) / "host.ini"
+    path.write_text(render(FIELDS))
+    settings = load_entry_settings(path)
+    assert settings.listen.peers == "127.0.0.1:4"
+    assert settings.seeds == [("127.0.0.1", 5), ("127.0.0.1", 6)]
+    assert settings.region_of == {"dc-1": "north"}
+
+
+@then("settings without a store address are refused with a remedy")
+def then_settings(context):
+    """Load settings that lack an option."""
+    path = Path("/tmp/host-broken.ini")
+    path.write_text(render(FIELDS).replace("address =", "adress ="))
+    try:
+        load_entry_settings(path)
+    except SettingsInvalid as exc:
+        assert "adress" in str(exc) or "address" in str(exc)
+        assert exc.remedy
+        return
+    raise AssertionError("the settings were accepted")
+
+
+@then("5000 lines in one moment to a reader that does not read return at once")
+def then_bounded(context):
+    """Write far more than a pipe holds."""
+    reader, writer = os.pipe()
+    loop = new_event_loop()
+    output = LogOutput(writer, loop)
+    began = monotonic()
+    for number in range(5000):
+        output.accept({"number": number, "text": "x" * 400})
+        if number % 100 == 0:
+            output.flush()
+    context.seconds = monotonic() - began
+    context.left_out = output.left_out
+    loop.close()
+    os.close(reader)
+    os.close(writer)
+    assert context.seconds < 2.0, context.seconds
+
+
+@then("the lines left out are counted")
+def then_counted(context):
+    """Check the count."""
+    assert 4000 < context.left_out < 5000, context.left_out
+
+
+def beat(host="h-2", started=5, sequence=1, **fields):
+    """Return a heartbeat."""
+    known = {
+        "ready": True,
+        "stopped": False,
+        "revisions": {},
+        "demand": {},
+        "admitted": {},
+    }
+    return Heartbeat(
+        host=host,
+        started_ms=started,
+        region="north",
+        data_centre="dc-1",
+        caller_address="127.0.0.1:1",
+        peer_host="127.0.0.1",
+        peer_port=2,
+        sequence=sequence,
+        **{**known, **fields},
+    )
+
+
+def table():
+    """Return an empty table of hosts."""
+    own = Member("h-1", 1, "north", "dc-1", "127.0.0.1:9", ("127.0.0.1", 9))
+    return MemberTable(own)
+
+
+@then("the table of hosts ignores older runs and older heartbeats")
+def then_older(context):
+    """Check the order of heartbeats."""
+    hosts = table()
+    assert hosts.hear(beat(sequence=4), 0.0)
+    hosts.hear(beat(sequence=3, ready=False), 1.0)
+    hosts.hear(beat(started=4, sequence=9, ready=False), 1.0)
+    assert hosts.records()[0].ready and hosts.records()[0].heard == 0.0
+    assert hosts.hear(beat(started=6, sequence=1), 1.0)
+
+
+@then("a host that stops is forgotten at once and a silent one is not named")
+def then_gone(context):
+    """Check stopping and silence."""
+    hosts = table()
+    hosts.hear(beat(), 0.0)
+    assert len(hosts.heard(1.9)) == 1
+    assert not hosts.heard(2.1)
+    assert hosts.names() == ["h-1", "h-2"]
+    hosts.hear(beat(sequence=2, stopped=True), 2.2)
+    assert hosts.names() == ["h-1"]
+
+
+def view_at(revision):
+    """Return a view with a configuration at a revision."""
+    decoders = Decoders(decode_configuration, decode_server, "main")
+    view = FleetView(decoders, lambda change: None)
+    cfg = configuration(5, DEFAULT_ROUTES)
+    view.replace(Topic.CONFIGURATION, revision, {"main": cfg}, "store", 0.0)
+    return view
+
+
+@then("a view at revision 9 ignores a list of revision 8 from a peer")
+def then_ignored(context):
+    """Check that a view never moves back."""
+    view = view_at(9)
+    old = {"main": configuration(7, DEFAULT_ROUTES)}
+    assert not view.replace(Topic.CONFIGURATION, 8, old, "h-2", 0.0)
+    assert view.configuration.version == 5
+
+
+@then("a view at revision 9 takes revision 10 from a peer")
+def then_taken(context):
+    """Check that a peer's newer view is taken."""
+    view = view_at(9)
+    new = {"main": configuration(7, DEFAULT_ROUTES)}
+    assert view.replace(Topic.CONFIGURATION, 10, new, "h-2", 0.0)
+    assert view.configuration.version == 7
+
+
+@given("two hosts of which one cannot reach the store")
+def given_two(context):
+    """Start two hosts that know each other; one has a store that refuses."""
+    context.world = LoopThread()
+    context.add_cleanup(context.world.close)
+    context.hosts = []
+
+    async def begin():
+        context.store, away = StandInStore(), StandInStore()
+        away.refuse = 503
+        await context.store.start()
+        await away.start()
+        await context.store.write("config", "main", configuration(1, DEFAULT_ROUTES))
+        near = settings_for(context.store.port, "near")
+        await start_host(context, near)
+        far = settings_for(away.port, "far", seeds=near.listen.peers)
+        context.far = await start_host(context, far)
+
+    context.world.run(begin())
+    context.add_cleanup(lambda: [context.world.run(h.close()) for h in context.hosts])
+
+
+@when("the operator writes to the store that one host reaches")
+def when_written(context):
+    """Write a newer configuration."""
+    cfg = configuration(2, DEFAULT_ROUTES)
+    context.world.run(context.store.write("config", "main", cfg))
+
+
+@then("the other host has the change within {seconds:g} s")
+def then_relayed(context, seconds):
+    """Check that the change was passed on."""
+
+    def known():
+        cfg = context.far._view.configuration
+        return cfg is not None and cfg.version == 2
+
+    context.world.run(until(known, seconds))
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,332 @@
+"""Check the pure decisions, over many hosts where the rule is over many hosts."""
+
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings, strategies
+
+from damasktally.decisions.affinity import order_for
+from damasktally.decisions.choice import SPILL_DEPTH, choose
+from damasktally.decisions.cold import ColdSends, tokens_of
+from damasktally.decisions.directory import Candidate, addresses_for
+from damasktally.decisions.load import ServerLoads
+from damasktally.decisions.quota import (
+    CustomerQuotas,
+    QuotaReport,
+    overdraft_for,
+    share_of,
+)
+from damasktally.decisions.retry_budget import RetryBudget
+from damasktally.decisions.split import WeightedDeal
+from damasktally.decisions.suspicion import Suspicions
+from damasktally.fleet.model import Customer, Server, WeightedService
+
+STEP_S = 0.005
+TICK_S = 0.25
+WARM_UP_S = 10.0
+WINDOW_S = 5.0
+OVERAGE = 0.1
+SLACK = 20
+OBJECTS = [str(number).encode() for number in range(600)]
+
+
+@given("a customer with a rate and burst of {rate:g} that asks {asked:g} a second")
+def given_customer(context, rate, asked):
+    """Describe a customer."""
+    context.customer = Customer("c", frozenset(), rate, rate, None, frozenset())
+    context.asked = asked
+
+
+def overdraft(customer):
+    """Return what the agreed figures allow on top."""
+    return overdraft_for(customer, SLACK, OVERAGE, WINDOW_S)
+
+
+def simulate(context, hosts, used, cut=()):
+    """Send Poisson arrivals to hosts that exchange reports four times a second."""
+    rng = Random(7)
+    customer = context.customer
+    quotas = [CustomerQuotas(overdraft) for _ in range(hosts)]
+    due = [rng.random() * TICK_S for _ in range(hosts)]
+    reports = {}
+    context.admitted = []
+    context.refused = 0
+    now = 0.0
+    while now < WARM_UP_S + 40.0:
+        now += STEP_S
+        for index, quota in enumerate(quotas):
+            if now < due[index]:
+                continue
+            due[index] += TICK_S
+            if index not in cut:
+                reports[index] = QuotaReport(
+                    (str(index), 1), quota.admitted(), quota.demand()
+                )
+            heard = [
+                report
+                for peer, report in reports.items()
+                if peer != index and index not in cut
+            ]
+            quota.divide([customer], heard, hosts - 1 - len(heard), now)
+        if now > WARM_UP_S and rng.random() < context.asked * STEP_S:
+            if quotas[rng.choice(used)].take(customer, now):
+                context.admitted.append(now)
+            else:
+                context.refused += 1
+
+
+@when("its requests reach {hosts:d} hosts at random for 40 s")
+def when_spread(context, hosts):
+    """Play all hosts."""
+    simulate(context, hosts, range(hosts))
+
+
+@when("its requests reach 2 of {hosts:d} hosts for 40 s")
+def when_two(context, hosts):
+    """Play a customer that uses few hosts."""
+    simulate(context, hosts, range(2))
+
+
+@when("one of {hosts:d} hosts is cut off and all are flooded")
+def when_cut(context, hosts):
+    """Play a host that neither hears nor is heard."""
+    simulate(context, hosts, range(hosts), cut={0})
+
+
+@then("at most {percent:g} percent of the requests are refused")
+def then_refused(context, percent):
+    """Check refusals."""
+    total = len(context.admitted) + context.refused
+    assert context.refused <= percent / 100 * total, (context.refused, total)
+
+
+@then("no 5 s hold more than the limit allows")
+def then_window(context):
+    """Check every window against the agreed limit."""
+    customer = context.customer
+    limit = (customer.rate * WINDOW_S + customer.burst) * (1 + OVERAGE) + SLACK
+    times = context.admitted
+    most = max(sum(start <= t < start + WINDOW_S for t in times) for start in times)
+    assert most <= limit, (most, limit)
+
+
+@then("for random demands and silent hosts the parts add up to at most 1")
+def then_parts(context):
+    """Check conservation."""
+    rates = strategies.lists(strategies.floats(0, 1e4), min_size=1, max_size=40)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @for_all(rates, strategies.integers(0, 10))
+    def check(demands, unheard):
+        parts = [
+            share_of(own, demands[:index] + demands[index + 1 :], unheard)
+            for index, own in enumerate(demands)
+        ]
+        hosts = len(demands) + unheard
+        assert sum(parts) <= 1 - unheard / hosts + 1e-6
+
+    check()
+
+
+@then("12 hosts with 1000 requests in 10 s repeat at most {most:d} of them")
+def then_repeats(context, most):
+    """Check the fleet's sum of repeats."""
+    repeated = 0
+    for _ in range(12):
+        budget = RetryBudget(0.2, 10.0)
+        for index in range(1000 // 12):
+            now = index * 0.1
+            budget.request(now)
+            repeated += budget.take(now, 64 / 12)
+    assert 0 < repeated <= most, repeated
+
+
+@then("for 1 to 100 hosts the tokens of a cold server add up to its whole rate")
+def then_tokens(context):
+    """Check that tokens are dealt once."""
+    for count in range(1, 101):
+        hosts = [f"h-{number}" for number in range(count)]
+        dealt = sum(tokens_of(host, hosts, "s-1", 9.2) for host in hosts)
+        assert dealt == 9, (count, dealt)
+
+
+@then("a host with 1 token sends 1 request in each second")
+def then_cold(context):
+    """Check the window of a cold server."""
+    sends = ColdSends()
+    assert sends.allowed("s", 1, 0.0)
+    sends.record("s", 0.0)
+    assert not sends.allowed("s", 1, 1.0)
+    assert sends.allowed("s", 1, 1.06)
+    assert not sends.allowed("s", 0, 9.0)
+
+
+@then("1000 requests over weights 90 and 10 give 900 and 100, within 1")
+def then_weights(context):
+    """Check weights."""
+    deal = WeightedDeal()
+    services = (WeightedService("a", 90), WeightedService("b", 10))
+    picks = [deal.pick("r", services) for _ in range(1000)]
+    assert abs(picks.count("a") - 900) <= 1
+
+
+def server(name, region):
+    """Return a server with 4 slots."""
+    return Server(name, "svc", ("h", 1), f"dc-{region}", 4, False, 0.0, 1)
+
+
+@given("34 servers in three regions of unequal size")
+def given_servers(context):
+    """Place servers as unevenly as a real fleet does."""
+    context.regions = {
+        region: [server(f"i-{region}-{number:04d}", region) for number in range(count)]
+        for region, count in (("a", 4), ("b", 14), ("c", 16))
+    }
+
+
+def firsts(regions, home):
+    """Return the first server of each object."""
+    return [order_for(key, home, regions, 3)[0] for key in OBJECTS]
+
+
+@then("fewer than {percent:d} percent of the first servers change when one joins")
+def then_few_move(context, percent):
+    """Check that a joining server moves few objects."""
+    before = firsts(context.regions, "b")
+    grown = {**context.regions, "b": [*context.regions["b"], server("i-new", "b")]}
+    after = firsts(grown, "b")
+    moved = sum(x != y for x, y in zip(before, after, strict=True))
+    assert 0 < moved < percent / 100 * len(OBJECTS), moved
+
+
+@then("only objects of a server that leaves change their first server")
+def then_leaving(context):
+    """Check that a leaving server moves its own objects alone."""
+    gone = context.regions["b"][0].id
+    before = firsts(context.regions, "b")
+    after = firsts({**context.regions, "b": context.regions["b"][1:]}, "b")
+    for x, y in zip(before, after, strict=True):
+        assert x == y or x == gone
+
+
+@then("a region with a third of the slots or more serves all objects at home")
+def then_at_home(context):
+    """Check large regions."""
+    for home in ("b", "c"):
+        assert all(
+            name.startswith(f"i-{home}") for name in firsts(context.regions, home)
+        )
+
+
+@then(
+    "a region with 16 of 136 slots serves {low:d} to {high:d} percent of them at home"
+)
+def then_small(context, low, high):
+    """Check the small region."""
+    home = sum(name.startswith("i-a") for name in firsts(context.regions, "a"))
+    assert low <= 100 * home / len(OBJECTS) <= high, home
+
+
+def ranked(context):
+    """Return servers in an object's order."""
+    by_id = {s.id: s for group in context.regions.values() for s in group}
+    return [by_id[name] for name in order_for(b"1", "b", context.regions, 3)]
+
+
+@then("an object's request goes to one of its first 3 servers or to none")
+def then_bounded(context):
+    """Check that spill is bounded."""
+    order = ranked(context)
+    full = {item.id for item in order[:SPILL_DEPTH]}
+    held = lambda item: 100.0 if item.id in full else 0.0
+    assert choose(order, held, 1) is None
+    assert choose(order, lambda item: 0.0 if item is order[2] else 100.0, 1) is order[2]
+
+
+@then("a request goes to the first server while that one has room")
+def then_first(context):
+    """Check the preference."""
+    order = ranked(context)
+    assert choose(order, lambda item: 3.0, 1) is order[0]
+
+
+@then("a more urgent request finds room where a less urgent one does not")
+def then_urgent(context):
+    """Check priorities."""
+    order = ranked(context)
+    assert choose(order, lambda item: 6.0, 0) is not None
+    assert choose(order, lambda item: 6.0, 3) is None
+
+
+@then("one refused connection pauses a server for 0.5 s and the next for 1 s")
+def then_paused(context):
+    """Check the growing pause."""
+    suspicions = Suspicions()
+    assert suspicions.failed("s", 0.0, unreachable=True)
+    assert not suspicions.usable("s", 0.4)
+    assert suspicions.usable("s", 0.6)
+    assert suspicions.failed("s", 0.6, unreachable=True)
+    assert not suspicions.usable("s", 1.5)
+    assert suspicions.succeeded("s")
+    assert not suspicions.succeeded("s")
+
+
+@then("one failed answer does not pause a server and two in a row do")
+def then_two(context):
+    """Check single failures."""
+    suspicions = Suspicions()
+    assert not suspicions.failed("s", 0.0, unreachable=False)
+    assert suspicions.usable("s", 0.0)
+    assert suspicions.failed("s", 0.1, unreachable=False)
+
+
+@then("a server that answers half of its requests with failures is paused")
+def then_grey(context):
+    """Check a server that fails now and then."""
+    suspicions = Suspicions()
+    paused = False
+    for number in range(40):
+        paused |= suspicions.failed("s", number * 5.0, unreachable=False)
+        suspicions.succeeded("s")
+    assert paused
+
+
+@then("a report of 3 requests beside 1 own counts as 4 and fades within 1 s")
+def then_reported(context):
+    """Check reports and their age."""
+    loads = ServerLoads()
+    loads.begin("s")
+    loads.begin("s")
+    loads.report("s", 3, 1, 10.0)
+    loads.end("s")
+    assert loads.estimate("s", 10.0) == 4.0
+    assert 1.0 < loads.estimate("s", 10.5) < 4.0
+    assert loads.estimate("s", 11.5) == 1.0
+
+
+HOSTS = [
+    Candidate("n-1", "north", "d1"),
+    Candidate("n-2", "north", "d2"),
+    Candidate("s-1", "south", "d3"),
+    Candidate("e-1", "east", "d4"),
+]
+
+
+@then("a caller of north gets the hosts of north")
+def then_near(context):
+    """Check the caller's own region."""
+    got = addresses_for(HOSTS, "north", frozenset({"south"}), Random(1))
+    assert sorted(got) == ["n-1", "n-2"]
+
+
+@then("a caller of a region without hosts gets the hosts of the home regions")
+def then_homes(context):
+    """Check home regions."""
+    assert addresses_for(HOSTS, "west", frozenset({"south"}), Random(1)) == ["s-1"]
+
+
+@then("a caller of a region without hosts gets all hosts when there is no home")
+def then_any(context):
+    """Check the last resort."""
+    assert len(addresses_for(HOSTS, "west", frozenset(), Random(1))) == len(HOSTS)
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,681 @@
+"""Play an entry host against a stand-in store and stand-in servers."""
+
+import json
+from asyncio import create_task, gather, open_connection, sleep
+from time import monotonic
+
+from behave import given, then, when
+from msgspec import convert
+
+from damasktally.decisions.affinity import order_for
+from damasktally.entry.host import EntryHost
+from damasktally.entry.settings import EntrySettings
+from features.steps.entry_world import (
+    BOUNDS,
+    CLOSE,
+    DEFAULT_ROUTES,
+    LoopThread,
+    StandInServer,
+    StandInStore,
+    answer,
+    call,
+    configuration,
+    free_port,
+    read_answer,
+    route,
+    until,
+)
+
+
+def settings_for(store_port, name="host-1", **extra):
+    """Return the settings of a host on free loopback ports."""
+    ports = {
+        key: f"127.0.0.1:{free_port()}"
+        for key in ("callers", "readiness", "directory", "peers")
+    }
+    raw = {
+        "host": {"name": name, "region": "north", "data_centre": "dc-1"},
+        "listen": {**ports, "metrics_port": 0},
+        "fleet": {"data_centres": json.dumps({"dc-1": "north", "dc-2": "south"})},
+        "store": {"address": f"127.0.0.1:{store_port}"},
+        "bounds": {"agreed": json.dumps(BOUNDS)},
+    }
+    raw["fleet"].update(extra)
+    return convert(raw, EntrySettings)
+
+
+def port_of(settings, which):
+    """Return one of a host's ports."""
+    return int(getattr(settings.listen, which).rpartition(":")[2])
+
+
+async def start_host(context, settings):
+    """Start a host; it is closed after the scenario."""
+    host = EntryHost.from_config(settings)
+    await host.start()
+    context.hosts.append(host)
+    return host
+
+
+async def add_servers(context, count, **fields):
+    """Start servers and register them."""
+    for _ in range(count):
+        server = StandInServer(id=f"s-{len(context.servers) + 1}", **fields)
+        await server.start()
+        context.servers.append(server)
+        await context.store.write("servers", server.id, server.entry())
+
+
+def prefer(context):
+    """Return the servers in the order that the object of all requests prefers."""
+    known = [
+        record.server
+        for record in (
+            context.host._view.servers.get(item.id) for item in context.servers
+        )
+        if record is not None
+    ]
+    order = order_for(b"7", "north", {"north": known}, 2)
+    by_id = {server.id: server for server in context.servers}
+    return [by_id[name] for name in order]
+
+
+def arrivals(context):
+    """Return how many requests reached servers."""
+    return sum(len(server.arrivals) for server in context.servers)
+
+
+@given("a stand-in store with a configuration and {count:d} servers")
+def given_store(context, count):
+    """Start the stand-ins."""
+    context.world = LoopThread()
+    context.add_cleanup(context.world.close)
+    context.hosts = []
+    context.servers = []
+    context.store = StandInStore()
+
+    async def begin():
+        await context.store.start()
+        cfg = configuration(1, DEFAULT_ROUTES)
+        await context.store.write("config", "main", cfg)
+        await add_servers(context, count)
+
+    context.world.run(begin())
+
+
+@given("an entry host that is ready")
+def given_host(context):
+    """Start a host and wait until it is ready."""
+    context.settings = settings_for(context.store.port)
+    context.port = port_of(context.settings, "callers")
+
+    async def begin():
+        host = await start_host(context, context.settings)
+        await until(lambda: host.ready)
+        return host
+
+    context.host = context.world.run(begin())
+    context.add_cleanup(lambda: [context.world.run(h.close()) for h in context.hosts])
+
+
+@given("an entry host whose store is empty")
+def given_empty(context):
+    """Start another host on a store that knows nothing."""
+
+    async def begin():
+        store = StandInStore()
+        await store.start()
+        context.settings = settings_for(store.port, "host-2")
+        context.host = await start_host(context, context.settings)
+
+    context.world.run(begin())
+    context.port = port_of(context.settings, "callers")
+
+
+@given("{count:d} more servers")
+def given_more(context, count):
+    """Register more servers and wait until the host knows them."""
+
+    async def add():
+        await add_servers(context, count)
+        await until(lambda: len(context.host._view.servers) == len(context.servers))
+
+    context.world.run(add())
+
+
+@given("the first server of the object answers 503 and that it did not run")
+def given_not_run(context):
+    """Let the preferred server shed."""
+    prefer(context)[0].respond = lambda arrival: answer(
+        arrival.headers["request-id"], 503, extra="Not-Run: 1\r\n"
+    )
+
+
+@given("the first server of the object answers 421")
+def given_misdirected(context):
+    """Let the preferred server's address answer for another one."""
+    context.first = prefer(context)[0]
+    context.first.respond = lambda arrival: answer(arrival.headers["request-id"], 421)
+
+
+@given("the first server of the object breaks off after it got a request")
+def given_broken(context):
+    """Let the preferred server close without an answer."""
+    prefer(context)[0].respond = lambda arrival: None
+
+
+FAULTS = {
+    "a body that ends too early": lambda a: answer(
+        a.headers["request-id"], body="part!", length=50
+    ),
+    "bytes that are no answer": lambda a: b"\x00\x01garbage\r\n\r\n",
+    "an encoded body": lambda a: answer(
+        a.headers["request-id"], body="x", extra="Content-Encoding: gzip\r\n"
+    ),
+    "only another request's id": lambda a: answer("other", body="x"),
+}
+
+
+@given("every server answers with {fault}")
+def given_fault(context, fault):
+    """Let all servers misbehave in one way."""
+    for server in context.servers:
+        server.respond = FAULTS[fault]
+
+
+@given("every server answers without a length and ends the connection")
+def given_unframed(context):
+    """Let answers end with their connections."""
+
+    def respond(arrival):
+        request_id = arrival.headers["request-id"]
+        head = f"HTTP/1.1 200 X\r\nRequest-Id: {request_id}\r\n\r\n"
+        return head.encode() + b"s-1" + CLOSE
+
+    for server in context.servers:
+        server.respond = respond
+
+
+@given("every server sends a second answer after each answer")
+def given_extra(context):
+    """Let every answer be followed by another one."""
+    for server in context.servers:
+
+        def respond(arrival, server=server):
+            request_id = arrival.headers["request-id"]
+            late = answer(request_id, body="late")
+            return answer(request_id, body=server.id) + late
+
+        server.respond = respond
+
+
+@given("every server takes {seconds:g} s")
+def given_slow(context, seconds):
+    """Let all servers take time."""
+    for server in context.servers:
+        server.delay_s = seconds
+
+
+@given("the servers' ids are known in the order that the object prefers")
+def given_order(context):
+    """Remember the order of preference."""
+    context.first, context.second = prefer(context)
+
+
+def play(context, *args, **fields):
+    """Send one request and keep its answer."""
+    began = monotonic()
+    context.answer = context.world.run(call(context.port, *args, **fields))
+    context.seconds = monotonic() - began
+
+
+@when('a caller asks for {path} with key "{key}"')
+def when_keyed(context, path, key):
+    """Send a request with a key."""
+    play(context, path, key=key)
+
+
+@when('a caller asks for {path} with key ""')
+def when_no_key(context, path):
+    """Send a request without a key."""
+    play(context, path, key=None)
+
+
+@when("a caller asks for {path} with a customer header of its own")
+def when_forged_customer(context, path):
+    """Send a request that claims a customer."""
+    play(context, path, key=None, extra="Tenant: other\r\n")
+
+
+@when("a caller asks for {path}")
+def when_asks(context, path):
+    """Send a request."""
+    play(context, path)
+
+
+@when("a caller sends {method:w} /{path}")
+def when_sends(context, method, path):
+    """Send a request with a method."""
+    body = b"x" * 1000 if method == "POST" else b""
+    play(context, f"/{path}", method=method, body=body)
+
+
+@when("the operator writes version {version:d} without key k-1 and with route {path}")
+def when_version(context, version, path):
+    """Write another configuration."""
+    tenants = [{"Name": "acme", "ApiKeys": ["k-2"], "RatePerS": 0, "Burst": 0}]
+    cfg = configuration(version, [*DEFAULT_ROUTES, route("new", path)], Tenants=tenants)
+    context.world.run(context.store.write("config", "main", cfg))
+
+
+@when("the operator writes an unreadable configuration")
+def when_unreadable(context):
+    """Write a configuration without routes, of a newer version."""
+    context.world.run(context.store.write("config", "main", {"Version": "r9"}))
+
+
+@when("the operator gives customer acme 5 requests a second")
+def when_limited(context):
+    """Lower a customer's limit."""
+    tenants = [{"Name": "acme", "ApiKeys": ["k-1"], "RatePerS": 5, "Burst": 5}]
+    cfg = configuration(2, DEFAULT_ROUTES, Tenants=tenants)
+
+    async def write():
+        await context.store.write("config", "main", cfg)
+        await until(lambda: context.host._view.configuration.version == 2)
+
+    context.world.run(write())
+
+
+@when("{count:d} callers ask at once")
+def when_many(context, count):
+    """Send many requests at the same moment."""
+
+    async def ask():
+        return await gather(
+            *(call(context.port, "/read/1", request_id=f"m-{i}") for i in range(count))
+        )
+
+    context.answers = context.world.run(ask())
+
+
+@when("{count:d} callers ask one after the other")
+def when_in_turn(context, count):
+    """Send requests one by one."""
+
+    async def ask():
+        return [
+            await call(context.port, "/read/1", request_id=f"q-{i}")
+            for i in range(count)
+        ]
+
+    context.answers = context.world.run(ask())
+
+
+@when("a caller of {path} leaves after {seconds:g} s")
+def when_leaves(context, path, seconds):
+    """Send a request and close the connection early."""
+
+    async def leave():
+        task = create_task(call(context.port, path, "POST"))
+        await sleep(seconds)
+        task.cancel()
+
+    context.world.run(leave())
+
+
+@when("the first server of the object says that it leaves")
+def when_leaving(context):
+    """Write that a server drains."""
+    spec = context.first.entry("draining")
+
+    async def write():
+        await context.store.write("servers", context.first.id, spec)
+        known = context.host._view.servers
+        await until(lambda: known.get(context.first.id).server.leaving)
+
+    context.world.run(write())
+
+
+@when("the entry of the second server is removed")
+def when_removed(context):
+    """Remove a server's entry."""
+
+    async def write():
+        await context.store.write("servers", context.second.id, None)
+        known = context.host._view.servers
+        await until(lambda: known.get(context.second.id) is None)
+
+    context.world.run(write())
+
+
+@when("data centre {name} is evacuated")
+def when_evacuated(context, name):
+    """Write an evacuation."""
+
+    async def write():
+        await context.store.write("evacuations", name, {})
+        await until(lambda: name in context.host._view.evacuated)
+
+    context.world.run(write())
+
+
+@when("the evacuation of {name} ends")
+def when_taken_back(context, name):
+    """Remove an evacuation."""
+
+    async def write():
+        await context.store.write("evacuations", name, None)
+        await until(lambda: name not in context.host._view.evacuated)
+
+    context.world.run(write())
+
+
+FORGED = {
+    "with an unknown state": {
+        "Addr": "127.0.0.1:1",
+        "Info": {"Service": "svc", "Zone": "dc-1", "Slots": 4},
+        "Status": {"State": "happy"},
+    },
+    "without an address": {
+        "Info": {"Service": "svc", "Zone": "dc-1", "Slots": 4},
+        "Status": {"State": "ready"},
+    },
+    "with a text for its slots": {
+        "Addr": "127.0.0.1:1",
+        "Info": {"Service": "svc", "Zone": "dc-1", "Slots": "many"},
+        "Status": {"State": "ready"},
+    },
+    "that is a number": 7,
+}
+
+
+@when("a server entry {entry} is written")
+def when_forged(context, entry):
+    """Write an entry that no server wrote."""
+
+    async def write():
+        await context.store.write("servers", "forged", FORGED[entry])
+        await sleep(0.2)
+
+    context.world.run(write())
+
+
+@when("the stand-in store {fault}")
+def when_store(context, fault):
+    """Let the store misbehave, or work again."""
+    if fault == "works again":
+        context.store.refuse = 0
+        return
+    if fault.startswith("answers"):
+        context.store.refuse = int(fault.split()[1])
+    context.world.run(context.store.compact())
+
+
+@when("all entries of servers are removed at once")
+def when_lapsed(context):
+    """Remove all entries in one batch, as a store that was away does."""
+
+    async def lapse():
+        store = context.store
+        for server in context.servers:
+            store.objects["servers"].pop(server.id)
+            store.revision += 1
+            obj = {"Metadata": {"Name": server.id, "Rev": store.revision}, "Spec": None}
+            store.events.append(("servers", {"Tombstone": True, "Object": obj}))
+        changed, store._changed = store._changed, type(store._changed)()
+        changed.set()
+        await sleep(0.2)
+
+    context.world.run(lapse())
+
+
+@when("another {seconds:g} s pass")
+def when_pass(context, seconds):
+    """Wait."""
+    context.world.run(sleep(seconds))
+
+
+@when("the host is stopped while a caller waits for {path}")
+def when_stopped(context, path):
+    """Stop the host during a request."""
+
+    async def stop():
+        task = create_task(call(context.port, path, "POST"))
+        await sleep(0.2)
+        cut = await context.host.stop()
+        return cut, await task
+
+    context.cut, context.answer = context.world.run(stop())
+
+
+async def raw(port, data, pause_s=0.0):
+    """Send bytes and read one answer."""
+    reader, writer = await open_connection("127.0.0.1", port)
+    writer.write(data)
+    await sleep(pause_s)
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+LONG_HEADER = "X-Long: " + "a" * 5000 + "\r\n"
+CASES = {
+    "a head that is too long": f"GET /read/1 HTTP/1.1\r\n{LONG_HEADER}\r\n",
+    "a body that is too long": "POST /pay/1 HTTP/1.1\r\nContent-Length: 200000\r\n\r\n",
+    "bytes that are no head": "\x00\x00 nonsense\r\n\r\n",
+    "half a head and waits": "GET /read/1 HTT",
+}
+
+
+@when("the raw bytes of {case} are sent")
+def when_case(context, case):
+    """Send bytes that the limits forbid."""
+    context.answer = context.world.run(raw(context.port, CASES[case].encode()))
+
+
+@when("a caller sends two requests in one packet")
+def when_pipelined(context):
+    """Send two requests without waiting for the first answer."""
+
+    async def send():
+        reader, writer = await open_connection("127.0.0.1", context.port)
+        for name in ("p-1", "p-2"):
+            writer.write(
+                f"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {name}\r\n"
+                "Affinity-Key: 7\r\nKey: k-1\r\n\r\n".encode()
+            )
+        answers = [await read_answer(reader), await read_answer(reader)]
+        writer.close()
+        return answers
+
+    context.answers = context.world.run(send())
+
+
+@then("the caller gets {status:d} with the body of a server")
+def then_served(context, status):
+    """Check a whole answer."""
+    assert context.answer.status == status, context.answer
+    ids = {server.id for server in context.servers}
+    body = context.answer.body.decode().rstrip("!")
+    assert body in ids, body
+    assert context.answer.headers["request-id"] == "r-1"
+
+
+@then("the caller gets {status:d} with a time to come back")
+def then_refused(context, status):
+    """Check a refusal."""
+    assert context.answer.status == status, context.answer
+    assert 0 < float(context.answer.headers["retry-after"]) < 2
+
+
+@then("the caller gets {status:d} after {seconds:g} s")
+def then_timed(context, status, seconds):
+    """Check when an answer came."""
+    assert context.answer.status == status, context.answer
+    assert seconds - 0.1 <= context.seconds <= seconds + 0.4, context.seconds
+
+
+@then("the caller gets {status:d}")
+def then_status(context, status):
+    """Check a status."""
+    assert context.answer.status == status, context.answer
+
+
+@then("the server got customer acme, the server's own id, no key and at most 1000 ms")
+def then_headers(context):
+    """Check what was forwarded."""
+    server = next(item for item in context.servers if item.arrivals)
+    headers = server.arrivals[0].headers
+    assert headers["tenant"] == "acme"
+    assert headers["expect-instance"] == server.id
+    assert "key" not in headers
+    assert 0 < int(headers["deadline-ms"]) <= 1000
+    assert headers["request-id"] == "r-1"
+
+
+@then("the server got no customer")
+def then_no_customer(context):
+    """Check that a claimed customer is not forwarded."""
+    server = next(item for item in context.servers if item.arrivals)
+    assert "tenant" not in server.arrivals[0].headers
+
+
+@then("no server got a request")
+def then_nothing(context):
+    """Check that nothing was forwarded."""
+    assert arrivals(context) == 0
+
+
+@then("each server got {count:d} request")
+def then_each(context, count):
+    """Check the arrivals of each server."""
+    assert [len(server.arrivals) for server in context.servers] == [count] * len(
+        context.servers
+    )
+
+
+@then("the servers got {count:d} requests together")
+@then("the servers got {count:d} request together")
+def then_together(context, count):
+    """Check the arrivals of all servers."""
+    assert arrivals(context) == count, arrivals(context)
+
+
+@then("the first server of the object got {count:d} requests")
+@then("the first server of the object got {count:d} request")
+def then_first(context, count):
+    """Check the arrivals of the preferred server."""
+    assert len(context.first.arrivals) == count, len(context.first.arrivals)
+
+
+async def status_until(context, key, path, status, limit_s):
+    """Ask until a status comes."""
+    ends = monotonic() + limit_s
+    while True:
+        got = await call(context.port, path, key=key)
+        if got.status == status or monotonic() > ends:
+            return got.status
+        await sleep(0.05)
+
+
+@then("a caller with key {key} gets {status:d} within {seconds:g} s")
+def then_within(context, key, status, seconds):
+    """Check how soon a change is in force."""
+    got = context.world.run(status_until(context, key, "/read/1", status, seconds))
+    assert got == status, got
+
+
+@then("a caller with key {key} gets {status:d} for {path}")
+def then_gets(context, key, status, path):
+    """Check a status now."""
+    got = context.world.run(status_until(context, key, path, status, 0.5))
+    assert got == status, got
+
+
+@then("each caller gets the answer to its own request")
+def then_own(context):
+    """Check that answers were not crossed."""
+    for index, got in enumerate(context.answers):
+        assert got.status == 200, got
+        assert got.headers["request-id"] == f"q-{index}", got
+        assert got.body != b"late", got
+
+
+@then("a server sees its connection close within {seconds:g} s")
+def then_cancelled(context, seconds):
+    """Check that work was cancelled."""
+    context.world.run(
+        until(lambda: any(server.closed_early for server in context.servers), seconds)
+    )
+
+
+@then("no server sees its connection close within {seconds:g} s")
+def then_not_cancelled(context, seconds):
+    """Check that work went on."""
+    context.world.run(sleep(seconds))
+    assert not any(server.closed_early for server in context.servers)
+    assert arrivals(context) == 1
+
+
+@then("that caller gets {status:d} and is told that the connection ends")
+def then_ended(context, status):
+    """Check the answer during a stop."""
+    assert context.answer.status == status, context.answer
+    assert context.answer.headers["connection"] == "close"
+
+
+@then("the host cut no request")
+def then_uncut(context):
+    """Check a planned stop."""
+    assert context.cut == 0
+
+
+async def get(port, target):
+    """Ask one of the inner ports."""
+    reader, writer = await open_connection("127.0.0.1", port)
+    writer.write(f"GET {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+@then("a look-up from region {region} names this host")
+def then_lookup(context, region):
+    """Check a look-up."""
+    port = port_of(context.settings, "directory")
+    target = f"/resolve?Name=shop.example&Region={region}&Zone=dc-1"
+    got = context.world.run(get(port, target))
+    wire = json.loads(got.body)
+    assert wire["Addrs"] == [context.settings.listen.callers], wire
+    assert wire["Ttl"] == "2000ms"
+
+
+@then("the host says that it is ready")
+def then_ready(context):
+    """Check readiness."""
+    port = port_of(context.settings, "readiness")
+    assert context.world.run(get(port, "/readyz")).status == 200
+
+
+@then("the host says that it is not ready")
+def then_not_ready(context):
+    """Check readiness before anything is known."""
+    port = port_of(context.settings, "readiness")
+    assert context.world.run(get(port, "/readyz")).status == 503
+
+
+@then("it gets both answers in order")
+def then_both(context):
+    """Check pipelined answers."""
+    assert [got.headers["request-id"] for got in context.answers] == ["p-1", "p-2"]
+
+
+@then("at least {count:d} of them get 429 with a time to come back")
+def then_limited(context, count):
+    """Check a rate."""
+    refused = [got for got in context.answers if got.status == 429]
+    assert len(refused) >= count, len(refused)
+    assert all(float(got.headers["retry-after"]) > 0 for got in refused)
--- /dev/null
+++ b/features/steps/entry_world.py
@@ -0,0 +1,413 @@
+"""Run an entry host against a stand-in store and stand-in servers, in one process.
+
+The stand-ins speak the users' protocol; they are test code and import nothing of the
+adapter, so that a mistake there cannot hide itself.
+"""
+
+import json
+import socket
+from asyncio import (
+    AbstractEventLoop,
+    CancelledError,
+    Event,
+    StreamReader,
+    StreamWriter,
+    all_tasks,
+    current_task,
+    gather,
+    new_event_loop,
+    open_connection,
+    run_coroutine_threadsafe,
+    set_event_loop,
+    sleep,
+    start_server,
+    wait_for,
+)
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from threading import Thread
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+CALL_LIMIT_S = 20.0
+BOUNDS = {
+    "Grace": "2s",
+    "ttl_max": "5s",
+    "RetryRatio": 0.2,
+    "RetryWindow": "10s",
+    "RetrySlack": 60,
+    "QuotaSlack": 20,
+    "QuotaOverage": 0.1,
+    "QuotaWindow": "5s",
+}
+
+
+class LoopThread:
+    """Run an event loop beside the test."""
+
+    def __init__(self) -> None:
+        self.loop: AbstractEventLoop = new_event_loop()
+        self._thread = Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        set_event_loop(self.loop)
+        self.loop.run_forever()
+
+    def run(self, coro: Any) -> Any:
+        """Run a coroutine to its end."""
+        return run_coroutine_threadsafe(coro, self.loop).result(CALL_LIMIT_S)
+
+    async def _cancel_all(self) -> None:
+        tasks = all_tasks() - {current_task()}
+        for task in tasks:
+            task.cancel()
+        await gather(*tasks, return_exceptions=True)
+
+    def close(self) -> None:
+        """End all tasks and stop the loop."""
+        self.run(self._cancel_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(CALL_LIMIT_S)
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+async def read_head(reader: StreamReader) -> tuple[str, dict[str, str]] | None:
+    """Read a message's first line and headers."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (EOFError, OSError):
+        return None
+    lines = head.decode().split("\r\n")
+    pairs = (line.split(":", 1) for line in lines[1:] if line)
+    return lines[0], {key.strip().lower(): value.strip() for key, value in pairs}
+
+
+async def read_body(reader: StreamReader, headers: dict[str, str]) -> bytes:
+    """Read a body that has a length."""
+    return await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+def quietly(serve: Callable) -> Callable:
+    """Let a connection's task end without complaint when the test ends."""
+
+    async def run(reader: StreamReader, writer: StreamWriter) -> None:
+        with suppress(CancelledError, ConnectionError):
+            await serve(reader, writer)
+
+    return run
+
+
+class StandInStore:
+    """Keep objects as the users' store does.
+
+    ``refuse`` answers every call with that status; ``silent`` answers none.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, dict[str, dict]] = {}
+        self.events: list[tuple[str, dict]] = []
+        self.revision = 1
+        self.oldest = 0
+        self.refuse = 0
+        self.silent = False
+        self.lose_answers = False
+        self.calls: list[str] = []
+        self._changed = Event()
+        self._server = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await start_server(quietly(self._serve), "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def write(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object, or remove it when there is no spec."""
+        self.revision += 1
+        metadata = {"Name": name, "Rev": self.revision}
+        obj = {"Metadata": metadata, "Spec": spec, "Status": None}
+        objects = self.objects.setdefault(kind, {})
+        if spec is None:
+            objects.pop(name, None)
+        else:
+            objects[name] = obj
+        self.events.append((kind, {"Tombstone": spec is None, "Object": obj}))
+        self._changed.set()
+        self._changed = Event()
+
+    async def compact(self) -> None:
+        """Forget the history and cut the watches that wait."""
+        self.oldest = self.revision
+        self._changed.set()
+        self._changed = Event()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        while (head := await read_head(reader)) is not None:
+            line, headers = head
+            body = await read_body(reader, headers)
+            method, target, _ = line.split(" ")
+            self.calls.append(f"{method} {target}")
+            if self.silent:
+                await sleep(CALL_LIMIT_S)
+            status, answer = await self._answer(method, target, body)
+            if self.lose_answers and method != "GET":
+                writer.transport.abort()
+                return
+            data = json.dumps(answer).encode()
+            writer.write(
+                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+                + data
+            )
+            await writer.drain()
+        writer.close()
+
+    async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, Any]:
+        if self.refuse:
+            return self.refuse, {}
+        url = urlsplit(target)
+        parts = [unquote(part) for part in url.path.split("/")[2:]]
+        query = {key: value[0] for key, value in parse_qs(url.query).items()}
+        objects = self.objects.setdefault(parts[0], {})
+        if method == "POST":
+            return await self._create(parts[0], json.loads(body))
+        if method == "PUT":
+            await self.write(parts[0], parts[1], json.loads(body)["Spec"])
+            return 200, objects[parts[1]]
+        if "Watch" in query:
+            return await self._watch(parts[0], query)
+        items = [objects[name] for name in sorted(objects)]
+        return 200, {"items": items, "More": False, "StoreRevision": self.revision}
+
+    async def _create(self, kind: str, obj: dict) -> tuple[int, Any]:
+        name = obj["Metadata"]["Name"]
+        if name in self.objects.setdefault(kind, {}):
+            return 409, self.objects[kind][name]
+        await self.write(kind, name, obj["Spec"])
+        return 200, self.objects[kind][name]
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
+        after = int(query["Watch"])
+        ends = int(query["WaitMs"]) / 1000
+        while True:
+            if self.refuse:
+                return self.refuse, {}
+            if after < self.oldest:
+                return 410, {}
+            found = [
+                event
+                for name, event in self.events
+                if name == kind and event["Object"]["Metadata"]["Rev"] > after
+            ]
+            if found:
+                return 200, {"events": found, "StoreRevision": self.revision}
+            try:
+                await wait_for(self._changed.wait(), ends)
+            except TimeoutError:
+                return 200, {"events": [], "StoreRevision": self.revision}
+
+
+@dataclass
+class Arrival:
+    """Describe a request that reached a server."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class StandInServer:
+    """Answer requests as told by a function of each request.
+
+    ``respond`` returns the bytes to send, or nothing to close the connection.
+    """
+
+    id: str
+    service: str = "svc"
+    zone: str = "dc-1"
+    slots: int = 4
+    respond: Callable[[Arrival], bytes | None] | None = None
+    delay_s: float = 0.0
+    arrivals: list[Arrival] = field(default_factory=list)
+    connections: int = 0
+    closed_early: int = 0
+    port: int = 0
+    server: Any = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await start_server(quietly(self._serve), "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def entry(self, state: str = "ready", cold: str = "0ms", born: int = 1) -> dict:
+        """Return what the server writes about itself."""
+        return {
+            "Addr": f"127.0.0.1:{self.port}",
+            "born": born,
+            "Info": {
+                "Service": self.service,
+                "Version": "v1",
+                "Zone": self.zone,
+                "Slots": self.slots,
+            },
+            "Status": {"State": state, "Seq": 1, "ColdLeft": cold},
+        }
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while (head := await read_head(reader)) is not None:
+                arrival = Arrival(head[0], head[1], await read_body(reader, head[1]))
+                self.arrivals.append(arrival)
+                if self.delay_s and not await self._work(reader):
+                    return
+                data = (self.respond or self.answer)(arrival)
+                if data is None:
+                    writer.transport.abort()
+                    return
+                writer.write(data)
+                await writer.drain()
+                if data.endswith(CLOSE):
+                    return
+        finally:
+            writer.close()
+
+    async def _work(self, reader: StreamReader) -> bool:
+        """Take time; return whether the caller is still there."""
+        try:
+            await wait_for(reader.read(1), self.delay_s)
+        except TimeoutError:
+            return True
+        self.closed_early += 1
+        return False
+
+    def answer(self, arrival: Arrival) -> bytes:
+        """Return an ordinary answer."""
+        return answer(arrival.headers["request-id"], body=self.id)
+
+
+CLOSE = b"!"
+"""An answer that ends with this is followed by the end of the connection."""
+
+
+def answer(
+    request_id: str,
+    status: int = 200,
+    body: str = "",
+    extra: str = "",
+    length: int | None = None,
+) -> bytes:
+    """Return the bytes of a server's answer."""
+    size = len(body) if length is None else length
+    return (
+        f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\nServer-Stamp: s.{body}\r\n"
+        f"{extra}Content-Length: {size}\r\n\r\n{body}"
+    ).encode()
+
+
+def route(name: str, prefix: str, kind: str = "idempotent", **fields: Any) -> dict:
+    """Return a route as an operator writes it."""
+    return {
+        "Name": name,
+        "PathPrefix": prefix,
+        "Kind": kind,
+        "Timeout": "1000ms",
+        "TargetLatency": "250ms",
+        "Prio": 1,
+        "Service": "svc",
+        "MaxAttempts": 2,
+        "Public": False,
+        "Sticky": True,
+        "HomeRegions": [],
+        **fields,
+    }
+
+
+def configuration(version: int, routes: list[dict], **fields: Any) -> dict:
+    """Return a configuration as an operator writes it."""
+    service = {"HealthPath": "/healthz", "MaxConns": 390, "Cold": "3s", "ColdPerS": 9.2}
+    return {
+        "Version": f"r{version}",
+        "Services": [{"Name": "svc", **service}, {"Name": "other", **service}],
+        "Limits": {
+            "MaxHeaderBytes": 4096,
+            "MaxBodyBytes": 100_000,
+            "HeaderTimeout": "500ms",
+            "IdleTimeout": "2000ms",
+        },
+        "Tenants": [
+            {"Name": "acme", "ApiKeys": ["k-1", "k-2"], "RatePerS": 0, "Burst": 0}
+        ],
+        "Vhosts": [{"Host": "shop.example", "Paths": routes}],
+        **fields,
+    }
+
+
+DEFAULT_ROUTES = [
+    route("read", "/read/"),
+    route("pay", "/pay/", "non_idempotent"),
+    route("send", "/send/", "upload"),
+    route("open", "/open/", Public=True),
+]
+
+
+@dataclass
+class CallerAnswer:
+    """Hold what a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+async def call(
+    port: int,
+    path: str,
+    method: str = "GET",
+    key: str | None = "k-1",
+    request_id: str = "r-1",
+    body: bytes = b"",
+    deadline_ms: int = 2000,
+    extra: str = "",
+) -> CallerAnswer:
+    """Send one request on a new connection and read its answer."""
+    reader, writer = await open_connection("127.0.0.1", port)
+    key_line = f"Key: {key}\r\n" if key else ""
+    writer.write(
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"Request-Id: {request_id}\r\nAffinity-Key: 7\r\n"
+        f"Deadline-Ms: {deadline_ms}\r\n{key_line}{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader: StreamReader) -> CallerAnswer:
+    """Read one answer."""
+    head = await read_head(reader)
+    assert head is not None, "the connection ended without an answer"
+    line, headers = head
+    return CallerAnswer(
+        int(line.split(" ")[1]), headers, await read_body(reader, headers)
+    )
+
+
+async def until(check: Callable[[], bool], limit_s: float = 5.0) -> None:
+    """Wait until something holds."""
+    for _ in range(int(limit_s / 0.02)):
+        if check():
+            return
+        await sleep(0.02)
+    raise AssertionError("it did not come to hold in time")
