--- a/damasktally/cli/commands/explain.py
+++ b/damasktally/cli/commands/explain.py
@@ -1,30 +1,61 @@
-"""Explain how a request was decided."""
+"""Explain how a request was decided, from hosts or from their log lines."""
 
+import sys
 from json import loads
+from pathlib import Path
 
 from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
 
 from damasktally.cli.common import leave, print_json
 from damasktally.cli.exit_codes import ExitCode
+from damasktally.events.story import tell
 
 TIMEOUT_S = 5.0
+STANDARD_INPUT = Path("-")
 
 
-def explain(request_id: str, admin: list[str], token: str = "") -> None:
-    """Ask hosts how a request was decided.
+def explain(
+    request_id: str,
+    admin: list[str] | None = None,
+    token: str = "",
+    log: Path | None = None,
+) -> None:
+    """Tell how a request was decided.
 
-    :param request_id: the ``X-Request-Id`` of its answer.
+    :param request_id: the request's id.
     :param admin: admin addresses of the hosts to ask.
     :param token: the hosts' admin token.
+    :param log: a file of log lines to read instead; ``-`` is standard input.
     """
+    if log is not None:
+        _from_log(request_id, log)
+        return
+    _from_hosts(request_id, admin or [], token)
+
+
+def _from_log(request_id: str, log: Path) -> None:
+    if log == STANDARD_INPUT:
+        story = tell(request_id, sys.stdin)
+    else:
+        with log.open(encoding="utf-8", errors="replace") as file:
+            story = tell(request_id, file)
+    if not story:
+        print("The log has no line of that request.")
+        leave(ExitCode.NOT_FOUND)
+    for line in story:
+        print(line)
+
+
+def _from_hosts(request_id: str, admin: list[str], token: str) -> None:
     headers = {"Authorization": f"Bearer {token}"} if token else {}
     http = PoolManager(retries=False)
     for address in admin:
         url = f"http://{address}/explain/{request_id}"
         try:
             resp = http.request("GET", url, headers=headers, timeout=TIMEOUT_S)
-        except Exception:
-            print(f"{address} does not answer.")
+        except HTTPError as exc:
+            print(f"{address} does not answer ({type(exc).__name__}).")
             continue
         if resp.status == 200:
             print_json(loads(resp.data))
--- a/damasktally/decisions/quota.py
+++ b/damasktally/decisions/quota.py
@@ -124,6 +124,21 @@
         missing = 1.0 - self._allowance(account, now)
         return max(0.0, missing) / (account.rate * account.share)
 
+    def state(self, customer: Customer, now: float) -> dict[str, float]:
+        """Return what a decision about a customer rests on, for the log.
+
+        :returns: requests left in the fleet's bucket, this host's part of them,
+            what it may admit now, and the seconds since the counts were taken.
+        """
+        account = self._account(customer.name, now)
+        return {
+            "left": round(account.left, 1),
+            "share": round(account.share, 3),
+            "allowance": round(self._allowance(account, now), 2),
+            "rate": customer.rate,
+            "counts_age_s": round(now - account.filled, 3),
+        }
+
     def demand(self) -> dict[str, float]:
         """Return the requests a second that each customer sends this host."""
         return {
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -339,6 +339,7 @@
 
     def _confirm(self, topic: Topic) -> None:
         self._confirmed[topic] = self._loop.time()
+        self._view.confirmed_at = self._loop.time()
 
     def _log_change(self, change: ViewChange) -> None:
         emit(
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from damasktally.events.reasons import Reason
 from damasktally.fleet.model import Customer, Route
 from damasktally.http1.messages import Response
 
@@ -38,12 +39,16 @@
 
 @dataclass(slots=True)
 class Trace:
-    """Collect what decided a request, for its line in the log."""
+    """Collect what decided a request, for its line in the log.
+
+    :param inputs: figures that the last decision rested on.
+    """
 
     request_id: str
     configuration: int = 0
     route: Route | None = None
     customer: Customer | None = None
     service: str = ""
-    reason: str = ""
+    reason: Reason | None = None
     attempts: list[Attempt] = field(default_factory=list)
+    inputs: dict[str, float] = field(default_factory=dict)
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -3,7 +3,7 @@
 from asyncio import get_running_loop
 from random import Random
 
-from damasktally.decisions.choice import choose
+from damasktally.decisions.choice import SPILL_DEPTH, choose
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.retry_budget import RetryBudget
 from damasktally.decisions.split import WeightedDeal
@@ -14,6 +14,7 @@
 from damasktally.entry.refusals import final, not_run
 from damasktally.events import emit
 from damasktally.events.catalogue import REQUEST_ENDED
+from damasktally.events.reasons import Reason
 from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import (
     Bounds,
@@ -86,23 +87,25 @@
         """Return the answer to a request that is not admitted, or nothing."""
         cfg = self._view.configuration
         if cfg is None:
-            trace.reason = "no-configuration"
-            return not_run(503, trace.reason, self._jitter(WAIT_FOR_VIEW_S))
+            trace.reason = Reason.NO_CONFIGURATION
+            return not_run(503, trace.reason.value, self._jitter(WAIT_FOR_VIEW_S))
         trace.configuration = cfg.version
         trace.route = _route(cfg, req)
         if trace.route is None:
-            trace.reason = "no-route"
-            return final(404, trace.reason)
+            trace.reason = Reason.NO_ROUTE
+            return final(404, trace.reason.value)
         if cfg.customers and not trace.route.public:
             key = req.header(API_KEY) or b""
             trace.customer = cfg.customer_by_key.get(key.decode("latin-1"))
             if trace.customer is None:
-                trace.reason = "unknown-key"
-                return final(401, trace.reason)
-            if not self._quotas.take(trace.customer, self._loop.time()):
-                trace.reason = "over-rate"
-                wait_s = self._quotas.wait_s(trace.customer, self._loop.time())
-                return not_run(429, trace.reason, self._jitter(wait_s))
+                trace.reason = Reason.UNKNOWN_KEY
+                return final(401, trace.reason.value)
+            now = self._loop.time()
+            if not self._quotas.take(trace.customer, now):
+                trace.reason = Reason.OVER_RATE
+                trace.inputs = self._quotas.state(trace.customer, now)
+                wait_s = self._quotas.wait_s(trace.customer, now)
+                return not_run(429, trace.reason.value, self._jitter(wait_s))
         return None
 
     async def _serve(self, req: Request, trace: Trace) -> Response:
@@ -127,14 +130,14 @@
         while True:
             now = self._loop.time()
             if req.gone:
-                trace.reason = "caller-gone"
+                trace.reason = Reason.CALLER_GONE
                 return self._give_up(trace)
             if ends - now < LEAST_TIME_S:
-                trace.reason = "time-is-up"
+                trace.reason = Reason.TIME_IS_UP
                 return self._give_up(trace)
             server = self._choose(req, trace, tried, now)
             if server is None:
-                trace.reason = trace.reason or "no-room"
+                trace.reason = trace.reason or Reason.NO_ROOM
                 return self._give_up(trace)
             if sends and not self._may_repeat(trace, sends, now):
                 return self._give_up(trace)
@@ -152,26 +155,34 @@
     ) -> Server | None:
         homes = _homes(trace.route, trace.customer)
         if homes is None:
-            trace.reason = "no-common-home"
+            trace.reason = Reason.NO_COMMON_HOME
             return None
         key = req.header(OBJECT) if trace.route.affinity else None
         ranked = self._candidates.ranked(trace.service, homes, key, tried, now)
         if not ranked and not tried:
-            trace.reason = "no-server"
-        return choose(
+            trace.reason = Reason.NO_SERVER
+        held = self._candidates.loads.estimate
+        chosen = choose(
             ranked,
-            lambda server: self._candidates.loads.estimate(server.id, now),
+            lambda server: held(server.id, now),
             _priority(trace.route, trace.customer),
         )
+        if chosen is None:
+            trace.inputs = {
+                f"held by {server.id}": round(held(server.id, now), 1)
+                for server in ranked[:SPILL_DEPTH]
+            }
+        return chosen
 
     def _may_repeat(self, trace: Trace, sends: int, now: float) -> bool:
         if sends >= trace.route.max_attempts:
-            trace.reason = "attempts-used"
+            trace.reason = Reason.ATTEMPTS_USED
             return False
         hosts = len(self._members.names())
         extra = self._bounds.retry_slack / hosts
         if not self._budget(trace.service).take(now, extra):
-            trace.reason = "retry-budget-used"
+            trace.reason = Reason.RETRY_BUDGET_USED
+            trace.inputs = {"extra": round(extra, 2), "hosts": hosts}
             return False
         self._metrics.retries.inc()
         return True
@@ -181,24 +192,26 @@
         endings = {item.ending for item in trace.attempts}
         answered = [i for i in trace.attempts if i.ending is Ending.ANSWERED]
         if Ending.LOST in endings or Ending.TIMED_OUT in endings:
-            return final(502, trace.reason)
+            return final(502, trace.reason.value)
         if answered:
             return self._pass_on(answered[-1], trace)
-        wait_s = WAIT_FOR_SERVERS_S if trace.reason == "no-server" else WAIT_FOR_ROOM_S
-        return not_run(503, trace.reason, self._jitter(wait_s))
+        wait_s = (
+            WAIT_FOR_SERVERS_S if trace.reason is Reason.NO_SERVER else WAIT_FOR_ROOM_S
+        )
+        return not_run(503, trace.reason.value, self._jitter(wait_s))
 
     def _pass_on(self, attempt: Attempt, trace: Trace) -> Response:
         if attempt.ending is Ending.TIMED_OUT:
-            trace.reason = "server-too-slow"
-            return final(504, trace.reason)
+            trace.reason = Reason.SERVER_TOO_SLOW
+            return final(504, trace.reason.value)
         if attempt.ending is Ending.LOST:
-            trace.reason = "answer-lost"
-            return final(502, trace.reason)
+            trace.reason = Reason.ANSWER_LOST
+            return final(502, trace.reason.value)
         response = attempt.response
         if response.header(CONTENT_ENCODING) is not None:
-            trace.reason = "encoded-answer"
-            return final(502, trace.reason)
-        trace.reason = trace.reason or "answered"
+            trace.reason = Reason.ENCODED_ANSWER
+            return final(502, trace.reason.value)
+        trace.reason = trace.reason or Reason.ANSWERED
         headers = end_to_end(response.headers, NO_HEADERS)
         return Response(response.status, headers, response.body)
 
@@ -215,16 +228,16 @@
 
     def _tell(self, req: Request, trace: Trace, response: Response) -> None:
         seconds = self._loop.time() - req.began
-        outcome = "answered" if trace.reason == "answered" else "refused"
-        self._metrics.requests.labels(outcome).inc()
+        answered = trace.reason is Reason.ANSWERED
+        self._metrics.requests.labels("answered" if answered else "refused").inc()
         self._metrics.seconds.observe(seconds)
-        if outcome == "refused":
-            self._metrics.refusals.labels(trace.reason).inc()
+        if not answered:
+            self._metrics.refusals.labels(trace.reason.value).inc()
         emit(
             REQUEST_ENDED,
             request=trace.request_id,
             status=response.status,
-            reason=trace.reason,
+            reason=trace.reason.value,
             route=trace.route.name if trace.route else "",
             customer=trace.customer.name if trace.customer else "",
             service=trace.service,
@@ -232,6 +245,8 @@
             servers_revision=self._view.revisions[Topic.SERVERS],
             ms=round(seconds * 1000, 1),
             caller_gone=req.gone,
+            view_age_s=round(self._loop.time() - self._view.confirmed_at, 2),
+            inputs=trace.inputs,
             attempts=[
                 [item.server, item.ending.value, round(item.seconds * 1000, 1)]
                 for item in trace.attempts
--- /dev/null
+++ b/damasktally/events/story.py
@@ -0,0 +1,98 @@
+"""Tell the story of one request from hosts' log lines."""
+
+from collections.abc import Iterable, Iterator
+from json import JSONDecodeError, loads
+
+from damasktally.events.catalogue import (
+    HOST_LEAVING,
+    PEER_LOST,
+    REQUEST_ENDED,
+    SERVER_PAUSED,
+    STORE_LOST,
+    STORE_REGAINED,
+    VIEW_CHANGED,
+)
+from damasktally.events.reasons import Reason
+
+CONTEXT_S = 5.0
+"""How far back a host's own changes can explain a request."""
+CONTEXT_EVENTS = frozenset(
+    event.number
+    for event in (
+        HOST_LEAVING,
+        PEER_LOST,
+        SERVER_PAUSED,
+        STORE_LOST,
+        STORE_REGAINED,
+        VIEW_CHANGED,
+    )
+)
+
+
+def parse_lines(lines: Iterable[str]) -> Iterator[dict]:
+    """Yield the log records among some lines; other text is passed over."""
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            record = loads(line[start:])
+        except JSONDecodeError:
+            continue
+        if isinstance(record, dict) and "event" in record:
+            yield record
+
+
+def tell(request_id: str, lines: Iterable[str]) -> list[str]:
+    """Return the story of a request, one sentence a line; empty if it is not there.
+
+    :param lines: log lines of the host, in order.
+    """
+    context: list[dict] = []
+    for record in parse_lines(lines):
+        number = record["event"]
+        ended = number == REQUEST_ENDED.number
+        if ended and record.get("request") == request_id:
+            return _story(record, context)
+        if number in CONTEXT_EVENTS:
+            context.append(record)
+    return []
+
+
+def _story(record: dict, context: list[dict]) -> list[str]:
+    reason = record.get("reason", "")
+    meaning = _meaning(reason)
+    story = [
+        f"Request {record['request']} ended with {record['status']} after "
+        f"{record['ms']} ms: {reason}, {meaning}.",
+        f"Route {record['route'] or '-'}, customer {record['customer'] or '-'}, "
+        f"service {record['service'] or '-'}, configuration "
+        f"{record['configuration']}, servers as of revision "
+        f"{record['servers_revision']}, view confirmed "
+        f"{record.get('view_age_s', 'unknown')} s before.",
+    ]
+    if record.get("inputs"):
+        figures = ", ".join(f"{key} {value}" for key, value in record["inputs"].items())
+        story.append(f"Decided by: {figures}.")
+    for server, ending, took_ms in record.get("attempts", []):
+        story.append(f"Server {server}: {ending} after {took_ms} ms.")
+    earliest = record["timestamp"] - CONTEXT_S
+    for item in context:
+        if item["timestamp"] >= earliest:
+            before_s = record["timestamp"] - item["timestamp"]
+            story.append(f"{before_s:.2f} s before: {_summary(item)}.")
+    return story
+
+
+def _meaning(word: str) -> str:
+    try:
+        return Reason(word).meaning
+    except ValueError:
+        return "a reason that this version does not know"
+
+
+def _summary(record: dict) -> str:
+    kind = record.get("message_type", "").partition(":")[2]
+    left_out = {"event", "timestamp", "message_type"}
+    fields = [f"{key} {value}" for key, value in record.items() if key not in left_out]
+    return f"{kind} ({', '.join(fields)})"
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -47,6 +47,8 @@
 class FleetView:
     """Hold configuration, evacuations and servers, each with its revision.
 
+    ``confirmed_at`` is when the store or a peer confirmed any of them last.
+
     :param decoders: read stored objects.
     :param changed: told about every change.
     """
@@ -62,6 +64,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.servers = ServerTable()
         self.generation = 0
+        self.confirmed_at = 0.0
 
     def snapshot(self, topic: Topic) -> tuple[int, Mapping[str, Any]]:
         """Return a topic's revision and stored objects, to pass them on."""
--- a/features/entry/boundary.feature
+++ b/features/entry/boundary.feature
@@ -50,3 +50,11 @@
     Given two hosts of which one cannot reach the store
     When the operator writes to the store that one host reaches
     Then the other host has the change within 2 s
+
+  Scenario: The story of a request is told from the log of its host
+    Given log lines of a host where the store was lost and a request was refused
+    Then the story of that request names its reason, its attempts and the lost store
+    And an id that is not in the log is reported as not found
+
+  Scenario: Every reason that a request can end with has a meaning
+    Then each reason has a word, a meaning and a place in the code
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -12,6 +12,8 @@
 
 from damasktally.entry.output import LogOutput
 from damasktally.entry.settings import SettingsInvalid, load_entry_settings
+from damasktally.events.reasons import Reason
+from damasktally.events.story import tell
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Member
 from damasktally.fleet.view import Decoders, FleetView, Topic
@@ -322,3 +324,45 @@
         return cfg is not None and cfg.version == 2
 
     context.world.run(until(known, seconds))
+
+
+LINES = """\
+-3.1 host-1 starting
+{"event":301,"topic":"servers","revision":9,"reason":"The store answered 503.",\
+"timestamp":100.0,"message_type":"damasktally:store-lost"}
+{"event":510,"request":"r-7","status":503,"reason":"no-room","route":"pay",\
+"customer":"acme","service":"svc","configuration":3,"servers_revision":9,"ms":12.5,\
+"caller_gone":false,"attempts":[["s-1","not-run",8.1]],"timestamp":101.5,\
+"message_type":"damasktally:request-ended"}
+{"event":510,"broken
+"""
+
+
+@given("log lines of a host where the store was lost and a request was refused")
+def given_log(context):
+    """Keep log lines as a host writes them, with noise around."""
+    context.lines = LINES.splitlines()
+
+
+@then("the story of that request names its reason, its attempts and the lost store")
+def then_story(context):
+    """Check the story."""
+    story = tell("r-7", context.lines)
+    assert "no-room" in story[0] and "503" in story[0], story
+    assert "Server s-1: not-run after 8.1 ms." in story
+    assert story[-1].startswith("1.50 s before: store-lost"), story
+
+
+@then("an id that is not in the log is reported as not found")
+def then_unknown_id(context):
+    """Check an id that the log lacks."""
+    assert tell("r-8", context.lines) == []
+
+
+@then("each reason has a word, a meaning and a place in the code")
+def then_reasons(context):
+    """Check that no reason is left over."""
+    source = (ROOT / "damasktally" / "entry" / "requests.py").read_text()
+    for reason in Reason:
+        assert reason.meaning and reason.value == reason.value.lower()
+        assert f"Reason.{reason.name}" in source, reason
--- a/scripts/gen_ref.py
+++ b/scripts/gen_ref.py
@@ -1,13 +1,19 @@
 """Write the reference pages that follow from the code; ``--check`` only compares."""
 
 import sys
+from inspect import getdoc
 from pathlib import Path
 
+from msgspec import NODEFAULT
+from msgspec.structs import fields
 from pydantic import BaseModel
 from pydantic_core import PydanticUndefined
 
 from damasktally.conf import Settings
+from damasktally.entry.metrics import EntryMetrics
+from damasktally.entry.settings import EntrySettings
 from damasktally.events import CATALOGUE
+from damasktally.events.reasons import Reason
 from damasktally.forwarding.refusals import REASONS
 from damasktally.metrics import HostMetrics
 from damasktally.resources.kinds import KINDS, SYSTEM_KINDS
@@ -63,6 +69,40 @@
     return "\n".join(parts)
 
 
+def entry_settings_page() -> str:
+    """Return the page of an entry host's settings on the users' platform."""
+    parts = ["# Settings of an entry host\n", NOTE]
+    parts.append("`deploy/host.ini.template` renders them at every start.\n")
+    for section in fields(EntrySettings):
+        rows = [
+            [
+                f"`{item.name}`",
+                "required" if item.default is NODEFAULT else f"`{item.default!r}`",
+            ]
+            for item in fields(section.type)
+        ]
+        parts.append(f"## [{section.name}]\n\n{getdoc(section.type)}\n")
+        parts.append(table(["option", "default"], rows))
+    return "\n".join(parts)
+
+
+def reasons_page() -> str:
+    """Return the page of all reasons for which a request ends."""
+    rows = [[reason.value, reason.meaning] for reason in Reason]
+    titles = ["reason", "meaning"]
+    return "\n".join(["# Reasons in an entry host's log\n", NOTE, table(titles, rows)])
+
+
+def entry_metrics_page() -> str:
+    """Return the page of an entry host's metrics."""
+    rows = [
+        [f"`{metric.name}`", metric.type, metric.documentation]
+        for metric in EntryMetrics().registry.collect()
+    ]
+    titles = ["name", "type", "meaning"]
+    return "\n".join(["# Metrics of an entry host\n", NOTE, table(titles, rows)])
+
+
 def kinds_page() -> str:
     """Return the page of all kinds."""
     parts = ["# Kinds\n", NOTE]
@@ -110,6 +150,9 @@
     "events.md": events_page,
     "refusals.md": refusals_page,
     "metrics.md": metrics_page,
+    "entry-settings.md": entry_settings_page,
+    "entry-metrics.md": entry_metrics_page,
+    "reasons.md": reasons_page,
 }
 
 
