Held requests' objects to their servers, and let one call bring many changes.

Change: a host waits 0.3 s after a change before it watches again; another server must save more of a queue before it goes first. Bodies are held up to 96 MB a host, and refused as not run beyond it; cold servers that are gone are forgotten. Longer queues (1.25) and shorter ones (0.5) for the usual priority were ruled out.

--- a/damasktally/decisions/choice.py
+++ b/damasktally/decisions/choice.py
@@ -16,7 +16,7 @@
 LEAST_QUEUE_PART = 0.25
 SPILL_DEPTH = 3
 """How many servers of an object's order are tried."""
-PREFER_FIRST = 1.0
+PREFER_FIRST = 4.0
 """How many requests fewer another server must hold to go before the first."""
 
 
--- a/damasktally/decisions/cold.py
+++ b/damasktally/decisions/cold.py
@@ -46,3 +46,8 @@
     def record(self, server: str, now: float) -> None:
         """Count a request that is sent now."""
         self._sent.setdefault(server, deque()).append(now)
+
+    def keep_only(self, servers: set[str]) -> None:
+        """Forget servers that are gone."""
+        for server in [name for name in self._sent if name not in servers]:
+            del self._sent[server]
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -99,3 +99,9 @@
         self.loads.begin(server)
         if self._view.servers.is_cold(server, now):
             self.cold_sends.record(server, now)
+
+    def keep_only(self, servers: set[str]) -> None:
+        """Forget servers that are gone."""
+        self.loads.keep_only(servers)
+        self.suspicions.keep_only(servers)
+        self.cold_sends.keep_only(servers)
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -257,8 +257,7 @@
             port.sweep(now)
         known = self._view.servers.ids()
         self._pool.keep_only(known)
-        self._candidates.loads.keep_only(known)
-        self._candidates.suspicions.keep_only(known)
+        self._candidates.keep_only(known)
         self._publish(now)
 
     def _divide(self, now: float) -> None:
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -29,7 +29,7 @@
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 RELAY_TIMEOUT_S = 1.5
-RELAY_DELAY_S = 0.3
+RELAY_DELAY_S = 0.6
 """How long the store may take to deliver what a peer has already."""
 
 RELAY_ERRORS = (
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -22,6 +22,8 @@
     Topic.SERVERS: SERVERS_KIND,
 }
 WATCH_WAIT_S = 20.0
+COLLECT_S = 0.3
+"""Changes come in bursts; waiting after one lets a single call bring the others."""
 FIRST_PAUSE_S = 0.15
 LONGEST_PAUSE_S = 1.0
 
@@ -100,6 +102,8 @@
         page = await self._store.watch(KIND_OF[topic], revision, WATCH_WAIT_S)
         changes = [(change.name, change.spec) for change in page.changes]
         self._view.apply(topic, page.revision, changes, "store", self._loop.time())
+        if changes:
+            await sleep(COLLECT_S)
 
     def _note_lost(self, topic: Topic, exc: StoreUnavailable) -> None:
         if topic not in self._lost:
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -14,6 +14,9 @@
 """How long bytes of a refused request are read, so that its answer arrives."""
 SWEEP_INTERVAL_S = 0.25
 QUEUED_REQUESTS = 2
+MAX_HELD_BYTES = 96 * 1024 * 1024
+"""Bodies that all connections of a port may hold; beyond it, bodies are refused."""
+RETRY_AFTER_FULL = (b"retry-after", b"0.5")
 
 Handle = Callable[[Request], Awaitable[Response]]
 
@@ -25,11 +28,13 @@
     :param handle: answers a request.
     :param limits: returns the bounds that are in force.
     :param draining: every answer asks its caller to connect elsewhere.
+    :param held_bytes: bytes of bodies that are held now.
     """
 
     handle: Handle
     limits: Callable[[], CallerLimits]
     draining: bool = False
+    held_bytes: int = 0
     connections: set["CallerConnection"] = field(default_factory=set)
 
     def connection(self) -> "CallerConnection":
@@ -71,6 +76,7 @@
         self._active: Request | None = None
         self._refused = False
         self._linger: TimerHandle | None = None
+        self._held_bytes = 0
         self._last_byte = self._loop.time()
         self._reset_message()
 
@@ -96,6 +102,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the request under way that its caller is gone."""
         self._port.connections.discard(self)
+        self._hold(-self._held_bytes)
         if self._linger is not None:
             self._linger.cancel()
         self._leave()
@@ -166,9 +173,16 @@
             return
         self._body.append(data)
         self._body_bytes += len(data)
-        if self._body_bytes > self._port.limits().body_bytes:
+        self._hold(len(data))
+        if self._port.held_bytes > MAX_HELD_BYTES:
+            self._refuse(503, [RETRY_AFTER_FULL])
+        elif self._body_bytes > self._port.limits().body_bytes:
             self._refuse(413)
 
+    def _hold(self, count: int) -> None:
+        self._held_bytes += count
+        self._port.held_bytes += count
+
     def on_message_complete(self) -> None:
         """Hand the request over when its turn comes."""
         if self._refused:
@@ -196,6 +210,7 @@
                 self._active = req
                 response = await self._port.handle(req)
                 self._active = None
+                self._hold(-len(req.body))
                 if req.gone:
                     return
                 if not self._write(req, response):
@@ -220,11 +235,12 @@
             self._finish()
         return not close
 
-    def _refuse(self, status: int) -> None:
+    def _refuse(self, status: int, headers: Headers | None = None) -> None:
         if self._refused:
             return
         self._refused = True
-        self._transport.write(encode_response(Response(status, [], b""), True, False))
+        response = Response(status, headers or [], b"")
+        self._transport.write(encode_response(response, True, False))
         self._finish()
 
     def _finish(self) -> None:
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -187,6 +187,17 @@
       | bytes that are no head  | 400    |
       | half a head and waits   | 408    |
 
+  Scenario: Bodies beyond what the host may hold are refused, and room comes back
+    Given the host may hold 1500 bytes of bodies
+    When 3 callers begin bodies of 1000 bytes and finish them later
+    Then at least one of them gets 503 with a time to come back
+    And the host holds no bytes afterwards
+
+  Scenario: A burst of changes costs few calls and is in force soon
+    When the operator writes 20 versions in 0.2 s
+    Then the last of them is in force within 1 s
+    And the host made at most 3 watch calls for them
+
   Scenario: Two requests in one packet are answered one after the other
     When a caller sends two requests in one packet
     Then it gets both answers in order
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -10,6 +10,7 @@
 from damasktally.decisions.affinity import order_for
 from damasktally.entry.host import EntryHost
 from damasktally.entry.settings import EntrySettings
+from damasktally.http1 import inbound
 from features.steps.entry_world import (
     BOUNDS,
     CLOSE,
@@ -679,3 +680,79 @@
     refused = [got for got in context.answers if got.status == 429]
     assert len(refused) >= count, len(refused)
     assert all(float(got.headers["retry-after"]) > 0 for got in refused)
+
+
+@given("the host may hold {count:d} bytes of bodies")
+def given_room(context, count):
+    """Lower the host's room for bodies."""
+    old = inbound.MAX_HELD_BYTES
+    inbound.MAX_HELD_BYTES = count
+    context.add_cleanup(setattr, inbound, "MAX_HELD_BYTES", old)
+
+
+@when("3 callers begin bodies of 1000 bytes and finish them later")
+def when_bodies(context):
+    """Hold several bodies open at once."""
+
+    async def send(number):
+        reader, writer = await open_connection("127.0.0.1", context.port)
+        head = (
+            f"POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: b-{number}\r\n"
+            "Affinity-Key: 7\r\nKey: k-1\r\nContent-Length: 1000\r\n\r\n"
+        )
+        writer.write(head.encode() + b"x" * 900)
+        await sleep(0.3)
+        writer.write(b"x" * 100)
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    async def send_all():
+        return await gather(*(send(number) for number in range(3)))
+
+    context.answers = context.world.run(send_all())
+
+
+@then("at least one of them gets 503 with a time to come back")
+def then_full(context):
+    """Check that bodies were refused, not held."""
+    refused = [got for got in context.answers if got.status == 503]
+    assert refused, context.answers
+    assert all(float(got.headers["retry-after"]) > 0 for got in refused)
+
+
+@then("the host holds no bytes afterwards")
+def then_released(context):
+    """Check that refused and answered bodies are released."""
+    context.world.run(until(lambda: context.host._callers.held_bytes == 0))
+
+
+@when("the operator writes {count:d} versions in {seconds:g} s")
+def when_storm(context, count, seconds):
+    """Write versions in quick succession."""
+
+    async def write():
+        context.store.calls.clear()
+        for version in range(2, 2 + count):
+            cfg = configuration(version, DEFAULT_ROUTES)
+            await context.store.write("config", "main", cfg)
+            await sleep(seconds / count)
+
+    context.last = 1 + count
+    context.world.run(write())
+
+
+@then("the last of them is in force within {seconds:g} s")
+def then_in_force(context, seconds):
+    """Check that the last version counts."""
+    view = context.host._view
+    check = lambda: view.configuration.version == context.last
+    context.world.run(until(check, seconds))
+
+
+@then("the host made at most {count:d} watch calls for them")
+def then_few_calls(context, count):
+    """Count the calls of the configuration's watch."""
+    watches = [call for call in context.store.calls if "/config?Watch" in call]
+    assert len(watches) <= count, watches
