--- a/damasktally/decisions/choice.py
+++ b/damasktally/decisions/choice.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from math import inf
 
 from damasktally.fleet.model import Server
 
@@ -16,19 +16,8 @@
 LEAST_QUEUE_PART = 0.25
 SPILL_DEPTH = 3
 """How many servers of an object's order are tried."""
-PREFER_FIRST = 4.0
-"""How many requests fewer another server must hold to go before the first."""
-
-
-@dataclass(frozen=True, slots=True)
-class ServerRoom:
-    """Describe a server that a request may go to.
-
-    :param held: requests that it holds, as far as is known.
-    """
-
-    server: Server
-    held: float
+PLACE_COST = 1.0
+"""Queue, in parts of a server's slots, that the next server in the order must save."""
 
 
 def queue_limit(slots: int, priority: int) -> float:
@@ -47,14 +36,14 @@
     :param held: returns how many requests a server holds.
     :param priority: 0 is the most urgent.
     """
-    best: ServerRoom | None = None
-    best_cost = 0.0
+    best: Server | None = None
+    best_cost = inf
     for place, server in enumerate(ranked[:SPILL_DEPTH]):
         load = held(server)
         if load + 1 > queue_limit(server.slots, priority):
             continue
         waits = max(0.0, load + 1 - server.slots)
-        cost = waits / server.slots + PREFER_FIRST * place * 0.25
-        if best is None or cost < best_cost:
-            best, best_cost = ServerRoom(server, load), cost
-    return best.server if best else None
+        cost = waits / server.slots + PLACE_COST * place
+        if cost < best_cost:
+            best, best_cost = server, cost
+    return best
--- /dev/null
+++ b/damasktally/fleet/changes.py
@@ -0,0 +1,43 @@
+"""Say in a few words what a new configuration changes, for the log."""
+
+from collections.abc import Iterable
+
+from damasktally.fleet.model import Configuration, Customer
+
+
+def describe_change(old: Configuration | None, new: Configuration) -> str:
+    """Return what differs between two versions; keys are counted, never shown."""
+    if old is None:
+        return f"version {new.version}: {len(new.routes)} routes, first one known"
+    old_routes = {route.name: route for route in old.routes}
+    new_routes = {route.name: route for route in new.routes}
+    old_customers = {item.name: item for item in old.customers}
+    new_customers = {item.name: item for item in new.customers}
+    old_keys = set(old.customer_by_key)
+    new_keys = set(new.customer_by_key)
+    changed = {
+        "routes added": new_routes.keys() - old_routes.keys(),
+        "routes removed": old_routes.keys() - new_routes.keys(),
+        "routes changed": _changed(old_routes, new_routes),
+        "customers with other limits": [
+            name
+            for name in old_customers.keys() & new_customers.keys()
+            if _limits(old_customers[name]) != _limits(new_customers[name])
+        ],
+    }
+    parts = [
+        f"{what} {', '.join(sorted(names))}" for what, names in changed.items() if names
+    ]
+    if old_keys - new_keys:
+        parts.append(f"{len(old_keys - new_keys)} keys withdrawn")
+    if new_keys - old_keys:
+        parts.append(f"{len(new_keys - old_keys)} keys added")
+    return f"version {new.version}: {'; '.join(parts) or 'nothing that matters here'}"
+
+
+def _changed(old: dict, new: dict) -> Iterable[str]:
+    return [name for name in old.keys() & new.keys() if old[name] != new[name]]
+
+
+def _limits(customer: Customer) -> tuple:
+    return customer.rate, customer.burst, customer.priority, customer.home_regions
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
 
@@ -148,7 +148,8 @@
     :param id: names this run.
     :param address: host and port.
     :param leaving: it asked for no more requests.
-    :param cold_s: how much longer it is slow, as of when it said so.
+    :param cold_s: how much longer it is slow, as of when it said so; it changes with
+        every report, and makes no other server of it.
     :param started_ms: Unix time of its start in milliseconds, or 0 when unknown.
     """
 
@@ -158,7 +159,7 @@
     data_centre: str
     slots: int
     leaving: bool
-    cold_s: float
+    cold_s: float = field(compare=False)
     started_ms: int
 
 
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from damasktally.errors import DamasktallyError
+from damasktally.fleet.changes import describe_change
 from damasktally.fleet.model import Configuration, Server
 from damasktally.fleet.servers import ServerTable
 
@@ -166,8 +167,9 @@
             return
         if self.configuration is not None and cfg.version <= self.configuration.version:
             return
+        detail = describe_change(self.configuration, cfg)
         self.configuration = cfg
-        self._tell(Topic.CONFIGURATION, source, f"version {cfg.version}")
+        self._tell(Topic.CONFIGURATION, source, detail)
 
     def _take_evacuations(self, source: str, now: float) -> None:
         evacuated = frozenset(self._raw[Topic.EVACUATIONS])
--- a/features/entry/boundary.feature
+++ b/features/entry/boundary.feature
@@ -58,3 +58,6 @@
 
   Scenario: Every reason that a request can end with has a meaning
     Then each reason has a word, a meaning and a place in the code
+
+  Scenario: The log says what a configuration changes, and shows no key
+    Then a version that withdraws 2 keys, drops a route and lowers a rate says so
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -14,6 +14,7 @@
 from damasktally.entry.settings import SettingsInvalid, load_entry_settings
 from damasktally.events.reasons import Reason
 from damasktally.events.story import tell
+from damasktally.fleet.changes import describe_change
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Member
 from damasktally.fleet.view import Decoders, FleetView, Topic
@@ -366,3 +367,17 @@
     for reason in Reason:
         assert reason.meaning and reason.value == reason.value.lower()
         assert f"Reason.{reason.name}" in source, reason
+
+
+@then("a version that withdraws 2 keys, drops a route and lowers a rate says so")
+def then_described(context):
+    """Compare two versions."""
+    old = decode_configuration(configuration(1, DEFAULT_ROUTES))
+    tenants = [{"Name": "acme", "ApiKeys": [], "RatePerS": 5, "Burst": 5}]
+    new = decode_configuration(configuration(2, DEFAULT_ROUTES[1:], Tenants=tenants))
+    assert describe_change(old, new) == (
+        "version 2: routes removed read; customers with other limits acme; "
+        "2 keys withdrawn"
+    )
+    assert "k-1" not in describe_change(None, old)
+    assert describe_change(old, old).endswith("nothing that matters here")
