--- a/features/entry/boundary.feature
+++ b/features/entry/boundary.feature
@@ -61,3 +61,8 @@
 
   Scenario: The log says what a configuration changes, and shows no key
     Then a version that withdraws 2 keys, drops a route and lowers a rate says so
+
+  Scenario: A host that starts while the store is away takes its view from a peer
+    Given two hosts of which one cannot reach the store
+    When a third host starts while no store answers
+    Then the third host knows the configuration within 2 s
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -165,6 +165,19 @@
     And a caller asks for /read/1
     Then the caller gets 503 with a time to come back
 
+  Scenario Outline: Home regions bind, the route's and the customer's: <case>
+    When route /read/ has homes "<route>" and customer acme has homes "<customer>"
+    And a caller asks for /read/1
+    Then the caller gets <status>
+
+    Examples:
+      | case              | route | customer | status |
+      | here              | north | north    | 200    |
+      | no homes          |       |          | 200    |
+      | the route's       | south |          | 503    |
+      | the customer's    |       | south    | 503    |
+      | none in common    | north | south    | 503    |
+
   Scenario: A planned stop ends requests under way and asks callers to leave
     Given every server takes 0.5 s
     When the host is stopped while a caller waits for /pay/1
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -381,3 +381,23 @@
     )
     assert "k-1" not in describe_change(None, old)
     assert describe_change(old, old).endswith("nothing that matters here")
+
+
+@when("a third host starts while no store answers")
+def when_third(context):
+    """Start a host whose only source is a peer."""
+
+    async def begin():
+        near = context.hosts[0]._settings.listen.peers
+        context.store.refuse = 503
+        settings = settings_for(context.store.port, "third", seeds=near)
+        context.third = await start_host(context, settings)
+
+    context.world.run(begin())
+
+
+@then("the third host knows the configuration within {seconds:g} s")
+def then_third(context, seconds):
+    """Check that the view came from a peer."""
+    known = lambda: context.third._view.configuration is not None
+    context.world.run(until(known, seconds))
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -756,3 +756,20 @@
     """Count the calls of the configuration's watch."""
     watches = [call for call in context.store.calls if "/config?Watch" in call]
     assert len(watches) <= count, watches
+
+
+@when('route /read/ has homes "{route_homes}" and customer acme has homes "{homes}"')
+@when('route /read/ has homes "" and customer acme has homes "{homes}"')
+@when('route /read/ has homes "{route_homes}" and customer acme has homes ""')
+@when('route /read/ has homes "" and customer acme has homes ""')
+def when_homes(context, route_homes="", homes=""):
+    """Give a route and a customer home regions."""
+    tenants = [{"Name": "acme", "ApiKeys": ["k-1"], "HomeRegions": homes.split()}]
+    routes = [route("read", "/read/", HomeRegions=route_homes.split())]
+    cfg = configuration(2, routes, Tenants=tenants)
+
+    async def write():
+        await context.store.write("config", "main", cfg)
+        await until(lambda: context.host._view.configuration.version == 2)
+
+    context.world.run(write())
