Noticed watches that a silent store has forgotten.

Change: a stale read a second, a tenth of a call each, tells that the store was away or is ahead of the watches; they are then renewed on new connections, from the revisions that are known.

--- /dev/null
+++ b/damasktally/decisions/mute_watches.py
@@ -0,0 +1,44 @@
+"""Notice watches that wait on connections which the store has forgotten.
+
+A store that was silent for a while, or something between it and a host, may leave a
+connection open that never carries an answer again. A watch on it looks like one with
+nothing to tell. Probes on other connections show the difference.
+"""
+
+PATIENCE = 2
+"""Probes in a row that must be ahead of the watches, which may be on their way."""
+
+
+class MuteWatches:
+    """Compare what probes show with what the watches brought."""
+
+    def __init__(self) -> None:
+        self._away = False
+        self._ahead = 0
+        self._handled = 0
+
+    def failed(self) -> None:
+        """Note that the store did not answer a probe."""
+        self._away = True
+
+    def answered(self, reached: int, known: int) -> str:
+        """Note a probe's answer.
+
+        :param reached: the store's revision, over all of its objects.
+        :param known: the newest revision that a watch or a peer brought.
+        :returns: why the watches are to be renewed, or nothing.
+        """
+        if self._away:
+            self._away = False
+            self._handled = max(self._handled, reached)
+            return "the store was away"
+        if reached <= max(known, self._handled):
+            self._ahead = 0
+            return ""
+        self._ahead += 1
+        if self._ahead < PATIENCE:
+            return ""
+        self._ahead = 0
+        # Changes of objects that are not watched are ahead too: renew once for each.
+        self._handled = reached
+        return "the store is ahead of the watches"
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -1,11 +1,16 @@
 """Follow the store: list each topic once, then watch it."""
 
-from asyncio import create_task, gather, get_running_loop, sleep
+from asyncio import Task, create_task, gather, get_running_loop, sleep
 from collections.abc import Callable
 from random import Random
 
+from damasktally.decisions.mute_watches import MuteWatches
 from damasktally.events import emit
-from damasktally.events.catalogue import STORE_LOST, STORE_REGAINED
+from damasktally.events.catalogue import (
+    STORE_LOST,
+    STORE_REGAINED,
+    WATCHES_RENEWED,
+)
 from damasktally.fleet.view import FleetView, Topic
 from damasktally.platform.store import (
     CONFIGURATION_KIND,
@@ -24,6 +29,7 @@
 WATCH_WAIT_S = 20.0
 COLLECT_S = 0.3
 """Changes come in bursts; waiting after one lets a single call bring the others."""
+PROBE_INTERVAL_S = 1.0
 FIRST_PAUSE_S = 0.15
 LONGEST_PAUSE_S = 1.0
 
@@ -50,28 +56,47 @@
         self._rng = rng
         self._loop = get_running_loop()
         self._lost: dict[Topic, float] = {}
-        self._tasks = []
+        self._mute = MuteWatches()
+        self._tasks: list[Task] = []
+        self._prober: Task | None = None
 
     def start(self) -> None:
         """Follow every topic."""
         self._tasks = [create_task(self._follow(topic)) for topic in Topic]
+        self._prober = create_task(self._probe())
 
     async def stop(self) -> None:
         """Stop following."""
-        for task in self._tasks:
+        tasks = [task for task in (*self._tasks, self._prober) if task is not None]
+        for task in tasks:
             task.cancel()
-        await gather(*self._tasks, return_exceptions=True)
+        await gather(*tasks, return_exceptions=True)
 
     def restart(self) -> None:
-        """Read everything anew, as after a suspension of the host."""
+        """Watch on new connections, from the revisions that are known."""
         for task in self._tasks:
             task.cancel()
         self._store.drop_connections()
-        self.start()
+        self._tasks = [create_task(self._follow(topic)) for topic in Topic]
+
+    async def _probe(self) -> None:
+        """Notice watches that the store forgot; they would wait for nothing."""
+        while True:
+            await sleep(PROBE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            try:
+                reached = await self._store.probe()
+            except StoreUnavailable:
+                self._mute.failed()
+                continue
+            known = max(self._view.revisions.values())
+            why = self._mute.answered(reached, known)
+            if why:
+                emit(WATCHES_RENEWED, reason=why, reached=reached, known=known)
+                self.restart()
 
     async def _follow(self, topic: Topic) -> None:
         pause_s = FIRST_PAUSE_S
-        listed = False
+        listed = self._view.revisions[topic] > 0
         while True:
             try:
                 if listed:
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -86,6 +86,12 @@
 STORE_REGAINED = Event(
     302, "store-regained", "The store answers again for a topic.", "None."
 )
+WATCHES_RENEWED = Event(
+    303,
+    "watches-renewed",
+    "Watches were renewed, since the store may have forgotten them.",
+    "None, unless it is often: then check what lies between host and store.",
+)
 PEER_LOST = Event(
     410,
     "peer-lost",
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -29,6 +29,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 1.0
 WATCH_MARGIN_S = 1.0
 
 
@@ -128,6 +129,17 @@
             last = quote(page.items[-1].Metadata.Name, safe="")
             path = f"/objects/{kind}?after={last}"
 
+    async def probe(self) -> int:
+        """Return a revision that the store has reached, perhaps seconds ago.
+
+        It may be answered from a copy, which costs a tenth of an exact call.
+
+        :raises StoreUnavailable: when the store does not answer.
+        """
+        path = f"/objects/{EVACUATIONS_KIND}?AllowStale=1"
+        response = await self._call("GET", path, None, "probe", PROBE_TIMEOUT_S)
+        return _decode(response, WireListing).StoreRevision
+
     async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes of a kind after a revision.
 
--- a/features/entry/decisions.feature
+++ b/features/entry/decisions.feature
@@ -71,3 +71,7 @@
     Then a caller of north gets the hosts of north
     And a caller of a region without hosts gets the hosts of the home regions
     And a caller of a region without hosts gets all hosts when there is no home
+
+  Scenario: Watches are renewed after an outage, and once when the store is ahead
+    Then a probe that answers after one that failed renews the watches
+    And a store that stays ahead renews the watches once, at the second probe
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -156,6 +156,16 @@
       | answers 429           |
       | forgets its history   |
 
+  Scenario: A watch that the store forgot while it was silent is noticed
+    When the stand-in store is silent for 2.5 s and leaves old connections mute
+    And the operator writes version 2 without key k-1 and with route /new/
+    Then a caller with key k-1 gets 401 within 3 s
+
+  Scenario: A watch that is mute while the store answers others is noticed
+    When the stand-in store leaves old connections mute
+    And the operator writes version 2 without key k-1 and with route /new/
+    Then a caller with key k-1 gets 401 within 4 s
+
   Scenario: Registrations that lapse together are used until they may be back
     Given 4 more servers
     When all entries of servers are removed at once
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -11,6 +11,7 @@
 from damasktally.decisions.cold import ColdSends, tokens_of
 from damasktally.decisions.directory import Candidate, addresses_for
 from damasktally.decisions.load import ServerLoads
+from damasktally.decisions.mute_watches import MuteWatches
 from damasktally.decisions.quota import (
     CustomerQuotas,
     QuotaReport,
@@ -330,3 +331,27 @@
 def then_any(context):
     """Check the last resort."""
     assert len(addresses_for(HOSTS, "west", frozenset(), Random(1))) == len(HOSTS)
+
+
+@then("a probe that answers after one that failed renews the watches")
+def then_renewed(context):
+    """Check an outage."""
+    mute = MuteWatches()
+    assert mute.answered(5, 5) == ""
+    mute.failed()
+    mute.failed()
+    assert mute.answered(5, 5)
+    assert mute.answered(5, 5) == ""
+
+
+@then("a store that stays ahead renews the watches once, at the second probe")
+def then_ahead(context):
+    """Check watches that bring nothing."""
+    mute = MuteWatches()
+    assert mute.answered(9, 5) == ""
+    assert mute.answered(9, 5)
+    assert [mute.answered(9, 5) for _ in range(5)] == [""] * 5
+    assert mute.answered(10, 5) == ""
+    assert mute.answered(10, 10) == ""
+    assert mute.answered(11, 10) == ""
+    assert mute.answered(12, 10)
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -402,6 +402,25 @@
     context.world.run(write())
 
 
+@when("the stand-in store is silent for {seconds:g} s and leaves old connections mute")
+def when_silent(context, seconds):
+    """Let the store swallow all calls for a while, and old connections for good."""
+
+    async def silence():
+        context.store.go_silent()
+        await sleep(seconds)
+        context.store.silent = False
+
+    context.world.run(silence())
+
+
+@when("the stand-in store leaves old connections mute")
+def when_mute(context):
+    """Let open connections be forgotten while new ones work."""
+    context.store.go_silent()
+    context.store.silent = False
+
+
 @when("the stand-in store {fault}")
 def when_store(context, fault):
     """Let the store misbehave, or work again."""
--- a/features/steps/entry_world.py
+++ b/features/steps/entry_world.py
@@ -133,6 +133,8 @@
         self.refuse = 0
         self.silent = False
         self.lose_answers = False
+        self._open: set[StreamWriter] = set()
+        self._deaf: set[StreamWriter] = set()
         self.calls: list[str] = []
         self._changed = Event()
         self._server = None
@@ -157,6 +159,11 @@
         self._changed.set()
         self._changed = Event()
 
+    def go_silent(self) -> None:
+        """Answer nothing from now on; connections that are open stay mute for good."""
+        self.silent = True
+        self._deaf |= self._open
+
     async def compact(self) -> None:
         """Forget the history and cut the watches that wait."""
         self.oldest = self.revision
@@ -164,14 +171,16 @@
         self._changed = Event()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._open.add(writer)
         while (head := await read_head(reader)) is not None:
             line, headers = head
             body = await read_body(reader, headers)
             method, target, _ = line.split(" ")
             self.calls.append(f"{method} {target}")
-            if self.silent:
-                await sleep(CALL_LIMIT_S)
             status, answer = await self._answer(method, target, body)
+            if self.silent or writer in self._deaf:
+                self._deaf.add(writer)
+                continue
             if self.lose_answers and method != "GET":
                 writer.transport.abort()
                 return
@@ -181,6 +190,7 @@
                 + data
             )
             await writer.drain()
+        self._open.discard(writer)
         writer.close()
 
     async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, Any]:
