Compared sets of servers by the objects themselves, and dropped names that nobody used.

Cause, found by reading: the ranking remembered the id() of the list that it had ranked. When that list is gone, another one may get the same id, and a request then met an order with servers that are no longer there. The ranking now keeps the list, so that no other can take its place. A scenario that replaces sets of servers failed first.

--- a/damasktally/decisions/affinity.py
+++ b/damasktally/decisions/affinity.py
@@ -88,7 +88,7 @@
         self._home = home
         self._region_of = region_of
         self._region_count = len(set(region_of.values()))
-        self._groups: dict[str, tuple[int, dict[str, list[Server]]]] = {}
+        self._groups: dict[str, tuple[Sequence[Server], dict[str, list[Server]]]] = {}
         self._orders: OrderedDict[tuple[str, bytes], tuple[str, ...]] = OrderedDict()
 
     def rank(
@@ -100,8 +100,8 @@
         :param servers: the set; the same list object as long as it is unchanged.
         """
         held = self._groups.get(group)
-        if held is None or held[0] != id(servers):
-            held = (id(servers), self._by_region(servers))
+        if held is None or held[0] is not servers:
+            held = (servers, self._by_region(servers))
             self._groups[group] = held
             self._forget(group)
         order = self._orders.get((group, key))
--- a/damasktally/decisions/load.py
+++ b/damasktally/decisions/load.py
@@ -42,11 +42,6 @@
         load.others = max(0.0, running + waiting - (load.own - 1))
         load.reported = now
 
-    def own(self, server: str) -> int:
-        """Return how many requests of this host a server holds."""
-        load = self._loads.get(server)
-        return load.own if load else 0
-
     def estimate(self, server: str, now: float) -> float:
         """Return how many requests a server holds, as far as is known."""
         load = self._loads.get(server)
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -65,8 +65,6 @@
         self._in_body = False
         self._unexpected = False
         self._clean_end = False
-        self.bytes_received = 0
-        self.requests = 0
         self.idle_since = self._loop.time()
         self.idle_limit_s: float | None = None
         self.reusable = True
@@ -96,7 +94,6 @@
         self._waiting = self._loop.create_future()
         self._accepts = accepts
         self._head_only = head_only
-        self.requests += 1
         self._transport.write(data)
         return self._waiting
 
@@ -108,7 +105,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what the server sent."""
-        self.bytes_received += len(data)
         if self._waiting is None:
             self.close()
             return
--- a/damasktally/platform/headers.py
+++ b/damasktally/platform/headers.py
@@ -11,13 +11,9 @@
 API_KEY = b"key"
 CUSTOMER = b"tenant"
 EXPECTED_SERVER = b"expect-instance"
-SERVER_ID = b"instance-id"
-SERVER_STAMP = b"server-stamp"
-"""A server's signature on its own answer."""
 SERVER_LOAD = b"server-load"
 NOT_RUN = b"not-run"
 """Present when a server did not run the request."""
-COLD_MS = b"cold-ms"
 RETRY_AFTER = b"retry-after"
 
 
--- a/features/entry/decisions.feature
+++ b/features/entry/decisions.feature
@@ -75,3 +75,6 @@
   Scenario: Watches are renewed after an outage, and once when the store is ahead
     Then a probe that answers after one that failed renews the watches
     And a store that stays ahead renews the watches once, at the second probe
+
+  Scenario: The ranking never mistakes another set of servers for the one before
+    Then a set of servers that replaces a set that is gone is ranked anew
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import given as for_all
 from hypothesis import settings, strategies
 
-from damasktally.decisions.affinity import order_for
+from damasktally.decisions.affinity import AffinityRanking, order_for
 from damasktally.decisions.choice import SPILL_DEPTH, choose
 from damasktally.decisions.cold import ColdSends, tokens_of
 from damasktally.decisions.directory import Candidate, addresses_for
@@ -355,3 +355,13 @@
     assert mute.answered(10, 10) == ""
     assert mute.answered(11, 10) == ""
     assert mute.answered(12, 10)
+
+
+@then("a set of servers that replaces a set that is gone is ranked anew")
+def then_anew(context):
+    """Check sets that take the place of others in memory."""
+    ranking = AffinityRanking("a", {"dc-a": "a"})
+    for number in range(200):
+        servers = [server(f"i-{number}", "a")]
+        assert ranking.rank("svc", servers, b"1") == (f"i-{number}",)
+        del servers
