--- /dev/null
+++ b/damasktally/decisions/own_counts.py
@@ -0,0 +1,55 @@
+"""Remember what this host told of its own counts, to take it off sums of all hosts."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+KEPT = 64
+"""Heartbeats that are remembered; a sum includes one of the last few."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    sequence: int
+    demand: Mapping[str, float]
+    admitted: Mapping[str, int]
+
+
+class OwnCounts:
+    """Keep the counts that went out with each heartbeat."""
+
+    def __init__(self) -> None:
+        self._told: deque[_Told] = deque(maxlen=KEPT)
+
+    def record(
+        self, sequence: int, demand: Mapping[str, float], admitted: Mapping[str, int]
+    ) -> None:
+        """Note what a heartbeat says."""
+        self._told.append(_Told(sequence, demand, admitted))
+
+    def others(
+        self,
+        sequence: int | None,
+        demand: Mapping[str, float],
+        admitted: Mapping[str, int],
+    ) -> tuple[Mapping[str, float], Mapping[str, int]] | None:
+        """Return what sums of all hosts hold besides this host's part.
+
+        :param sequence: number of the heartbeat that they include, or nothing when
+            they include none.
+        :returns: demand and admitted requests by customer, or nothing when the
+            heartbeat is not remembered.
+        """
+        if sequence is None:
+            return demand, admitted
+        told = next((item for item in self._told if item.sequence == sequence), None)
+        if told is None:
+            return None
+        rest = {
+            name: max(0.0, value - told.demand.get(name, 0.0))
+            for name, value in demand.items()
+        }
+        counts = {
+            name: value - told.admitted.get(name, 0) for name, value in admitted.items()
+        }
+        return rest, counts
--- a/damasktally/decisions/quota.py
+++ b/damasktally/decisions/quota.py
@@ -7,11 +7,16 @@
 
 Counts of other hosts are late. A host therefore looks at its own count as late as at
 theirs, and takes all that it admitted since then off its own part.
+
+A part of a bucket may be less than one request where hosts are many. While the bucket
+holds what a surge can bring until counts arrive, if every host admits one, or a few,
+this host may do so too.
 """
 
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from math import exp
 
 from damasktally.fleet.model import Customer
 
@@ -22,20 +27,31 @@
 OVERAGE_PART = 0.5
 REPORT_LAG_S = 0.35
 """Age that counts of other hosts may have: a heartbeat and its way."""
+RELAYED_LAG_S = 0.65
+"""The same where relays pass counts on: three messages and their ways."""
+SURGE_KNOWN_S = 0.35
+"""Until hosts learn that a customer admits far more than usual: such counts are passed
+on at once."""
+SURGE = 5.0
+"""A customer that grows suddenly may ask for this many times its rate."""
 
 
 @dataclass(frozen=True, slots=True)
 class QuotaReport:
-    """Hold what another host said last.
+    """Hold what another host said last, or a relay for several hosts.
 
     :param run: tells runs of the host apart; counts start anew with each.
     :param admitted: requests admitted since its start, by customer.
     :param demand: requests a second that customers send it.
+    :param hosts: how many hosts it speaks for.
+    :param counted: another report tells the same unless this is set.
     """
 
     run: tuple[str, int]
     admitted: Mapping[str, int]
     demand: Mapping[str, float]
+    hosts: int = 1
+    counted: bool = True
 
 
 @dataclass(slots=True)
@@ -45,6 +61,9 @@
     left: float = 0.0
     share: float = 0.0
     overdraft: float = 0.0
+    hosts: int = 1
+    spare: float = 0.0
+    lag_s: float = REPORT_LAG_S
     filled: float = 0.0
     asked: int = 0
     demand: float = 0.0
@@ -54,17 +73,20 @@
     seen: dict[tuple[str, int], int] = field(default_factory=dict)
 
 
-def share_of(own: float, others: Iterable[float], unheard: int) -> float:
+def share_of(
+    own: float, others: Iterable[float], unheard: int, heard_hosts: int | None = None
+) -> float:
     """Return the part of a limit that this host may spend.
 
     :param own: requests a second that the customer sends this host.
     :param others: the same for each host that is heard.
     :param unheard: how many hosts are known and not heard; an equal part each is
         left to them, and this host takes no more when it hears nobody.
+    :param heard_hosts: how many hosts are heard, if some figures are sums of several.
     """
     heard = list(others)
-    hosts = 1 + len(heard) + unheard
-    present = 1 + len(heard)
+    present = 1 + (len(heard) if heard_hosts is None else heard_hosts)
+    hosts = present + unheard
     free = 1.0 - unheard / hosts
     total = own + sum(heard)
     if total <= 0:
@@ -72,6 +94,25 @@
     return free * ((1 - EQUAL_PART) * own / total + EQUAL_PART / present)
 
 
+def unseen_requests(rate: float, hosts: int, each: int) -> float:
+    """Return how many requests a surge may bring before hosts learn of each other's.
+
+    It is spread over the hosts at random, and each host admits only a few.
+
+    :param rate: requests a second of the customer's limit.
+    :param each: how many requests a host admits until then.
+    """
+    mean = SURGE * rate * SURGE_KNOWN_S / hosts
+    exactly = exp(-mean)
+    more = 1.0
+    admitted = 0.0
+    for count in range(each):
+        more -= exactly
+        admitted += max(0.0, more)
+        exactly *= mean / (count + 1)
+    return hosts * admitted
+
+
 def overdraft_for(
     customer: Customer, slack: float, overage: float, window_s: float
 ) -> float:
@@ -122,7 +163,10 @@
         if account is None or account.rate <= 0 or account.share <= 0:
             return 1.0
         missing = 1.0 - self._allowance(account, now)
-        return max(0.0, missing) / (account.rate * account.share)
+        own_part_s = max(0.0, missing) / (account.rate * account.share)
+        left = account.left + (now - account.filled) * account.rate
+        plenty_s = max(account.lag_s, (_plenty(account, 1) - left) / account.rate)
+        return min(own_part_s, plenty_s)
 
     def state(self, customer: Customer, now: float) -> dict[str, float]:
         """Return what a decision about a customer rests on, for the log.
@@ -139,6 +183,10 @@
             "counts_age_s": round(now - account.filled, 3),
         }
 
+    def rates(self) -> dict[str, float]:
+        """Return the limit of each customer that has one, in requests a second."""
+        return {name: account.rate for name, account in self._accounts.items()}
+
     def demand(self) -> dict[str, float]:
         """Return the requests a second that each customer sends this host."""
         return {
@@ -157,30 +205,38 @@
         reports: Iterable[QuotaReport],
         unheard: int,
         now: float,
+        lag_s: float = REPORT_LAG_S,
     ) -> None:
         """Take the other hosts' counts and set every part anew.
 
         :param reports: what each host that is heard said last.
         :param unheard: how many hosts are known and not heard.
+        :param lag_s: age that the counts may have.
         """
         elapsed = max(1e-3, now - self._measured)
         self._measured = now
         heard = list(reports)
-        hosts = 1 + len(heard) + unheard
+        counted = [report for report in heard if report.counted]
+        heard_hosts = sum(report.hosts for report in counted)
+        hosts = 1 + heard_hosts + unheard
         for customer in customers:
             if customer.rate <= 0:
                 continue
             account = self._account(customer.name, now)
             _measure(account, elapsed)
-            others = [report.demand.get(customer.name, 0.0) for report in heard]
+            others = [report.demand.get(customer.name, 0.0) for report in counted]
             free = 1.0 - unheard / hosts
-            account.share = share_of(account.demand, others, unheard) / free
+            share = share_of(account.demand, others, unheard, heard_hosts)
+            account.share = share / free
             account.rate = customer.rate * free
             account.depth = customer.burst * free
             overdraft = self._overdraft(customer)
             account.overdraft = overdraft / hosts
-            self._settle(account, customer.name, heard, now)
+            self._settle(account, customer.name, heard, now, lag_s)
             account.left = max(-overdraft, account.left)
+            account.lag_s = lag_s
+            account.hosts = hosts
+            account.spare = account.rate * SURGE_KNOWN_S + overdraft * free
 
     def _account(self, name: str, now: float) -> _Account:
         account = self._accounts.get(name)
@@ -193,35 +249,53 @@
         left = account.left + (now - account.filled) * account.rate
         recent = account.admitted - account.lagged
         part = account.share * min(account.depth, left)
-        return part + account.overdraft - recent
+        allowance = part + account.overdraft - recent
+        if allowance < 1.0 and left >= _plenty(account, recent + 1):
+            return 1.0
+        return allowance
 
     def _settle(
-        self, account: _Account, name: str, reports: list[QuotaReport], now: float
+        self,
+        account: _Account,
+        name: str,
+        reports: list[QuotaReport],
+        now: float,
+        lag_s: float,
     ) -> None:
         """Move the fleet's bucket on: fill it, and take off what was admitted."""
-        used = self._move_own(account, now)
+        used = self._move_own(account, now, lag_s)
         seen: dict[tuple[str, int], int] = {}
         for report in reports:
-            count = report.admitted.get(name, 0)
-            # A host that was just heard for the first time used its part long ago.
-            used += count - account.seen.get(report.run, count)
+            before = account.seen.get(report.run)
+            count = report.admitted.get(name, before)
+            if count is None:
+                continue
             seen[report.run] = count
+            # A host that was just heard for the first time used its part long ago.
+            if report.counted and before is not None:
+                used += count - before
         account.seen = seen
         left = account.left + (now - account.filled) * account.rate - used
         account.left = min(account.depth, left)
         account.filled = now
 
-    def _move_own(self, account: _Account, now: float) -> int:
+    def _move_own(self, account: _Account, now: float, lag_s: float) -> int:
         """Return what this host admitted between the last two lagged moments."""
         account.history.append((now, account.admitted))
         lagged = account.lagged
-        while account.history and account.history[0][0] <= now - REPORT_LAG_S:
+        while account.history and account.history[0][0] <= now - lag_s:
             lagged = account.history.popleft()[1]
         used = lagged - account.lagged
         account.lagged = lagged
         return used
 
 
+def _plenty(account: _Account, each: int) -> float:
+    """Return what the bucket must hold to let each host admit some requests."""
+    unseen = unseen_requests(account.rate, account.hosts, each)
+    return unseen - account.spare
+
+
 def _measure(account: _Account, elapsed: float) -> None:
     keep = 0.5 ** (elapsed / DEMAND_HALF_LIFE_S)
     seen = account.asked / elapsed
--- /dev/null
+++ b/damasktally/decisions/surges.py
@@ -0,0 +1,37 @@
+"""Notice growth of counts that other hosts must not learn of late."""
+
+from collections.abc import Iterable, Mapping
+
+LEAST_GROWTH = 4
+"""Requests of one customer that make a message urgent at least."""
+RATE_PART_S = 0.12
+"""For large customers: what the limit admits in this long."""
+
+
+class UnsentGrowth:
+    """Compare totals with what was last told of them."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, int] = {}
+
+    def sent(self, totals: Mapping[str, int]) -> None:
+        """Note that totals were told."""
+        self._told.update(totals)
+
+    def urgent(
+        self,
+        names: Iterable[str],
+        totals: Mapping[str, int],
+        rates: Mapping[str, float],
+    ) -> bool:
+        """Tell whether some customer's growth is worth a message at once.
+
+        :param names: customers whose totals may have grown.
+        :param rates: requests a second of each customer's limit.
+        """
+        for name in names:
+            total = totals.get(name, 0)
+            grown = total - self._told.get(name, total)
+            if grown >= max(LEAST_GROWTH, RATE_PART_S * rates.get(name, 0.0)):
+                return True
+        return False
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -6,8 +6,8 @@
 from damasktally.decisions.cold import ColdSends, tokens_of
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.suspicion import Suspicions
-from damasktally.fleet.members import MemberTable
-from damasktally.fleet.model import Server
+from damasktally.entry.shape import FleetShape
+from damasktally.fleet.model import Member, Server
 from damasktally.fleet.view import FleetView
 
 
@@ -15,17 +15,23 @@
     """Hold what this host knows of servers beside their registration.
 
     :param view: registrations and evacuations.
-    :param members: the hosts among which a cold server's requests are divided.
+    :param own: this host.
+    :param shape: the hosts among which a cold server's requests are divided.
     :param region_of: the region of each data centre.
     """
 
     def __init__(
-        self, view: FleetView, members: MemberTable, region_of: Mapping[str, str]
+        self,
+        view: FleetView,
+        own: Member,
+        shape: FleetShape,
+        region_of: Mapping[str, str],
     ) -> None:
         self._view = view
-        self._members = members
+        self._own = own
+        self._shape = shape
         self._region_of = region_of
-        self._ranking = AffinityRanking(members.own.region, region_of)
+        self._ranking = AffinityRanking(own.region, region_of)
         self._groups: dict[tuple[str, frozenset[str]], tuple[int, list[Server]]] = {}
         self.loads = ServerLoads()
         self.suspicions = Suspicions()
@@ -84,15 +90,17 @@
             return False
         if not self._view.servers.is_cold(server.id, now):
             return True
-        return self.cold_sends.allowed(server.id, self._cold_tokens(server), now)
+        return self.cold_sends.allowed(server.id, self._cold_tokens(server, now), now)
 
-    def _cold_tokens(self, server: Server) -> int:
+    def _cold_tokens(self, server: Server, now: float) -> int:
         cfg = self._view.configuration
         service = cfg.services.get(server.service) if cfg else None
         if service is None or service.cold_rate <= 0:
             return 1
-        names = self._members.names()
-        return tokens_of(self._members.own.host, names, server.id, service.cold_rate)
+        names = self._shape.cold_sharers(server.data_centre, now)
+        if self._own.host not in names:
+            return 0
+        return tokens_of(self._own.host, names, server.id, service.cold_rate)
 
     def sent(self, server: str, now: float) -> None:
         """Note that a request goes to a server."""
--- /dev/null
+++ b/damasktally/entry/exchange.py
@@ -0,0 +1,279 @@
+"""Put together what this host tells the others."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from damasktally.decisions.own_counts import OwnCounts
+from damasktally.decisions.quota import CustomerQuotas
+from damasktally.decisions.surges import UnsentGrowth
+from damasktally.decisions.tally import Tally
+from damasktally.entry.changed import ChangedEntries
+from damasktally.entry.shape import FleetShape
+from damasktally.fleet.cells import (
+    WHOLE_FLEET,
+    CellNote,
+    HostNote,
+    PartTable,
+    Summary,
+)
+from damasktally.fleet.members import SILENT_S, Heartbeat, MemberRecord
+from damasktally.fleet.model import Member
+from damasktally.fleet.view import FleetView
+
+NEAR_HOSTS = 64
+"""Hosts of each data centre of the same region that a host is told of."""
+FAR_HOSTS = 8
+"""Hosts of each data centre of another region that a host is told of."""
+MESSAGES_A_LISTING = 6
+"""Every so many summaries name the hosts, although they are as before."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnState:
+    """Hold what a heartbeat says of its sender.
+
+    :param store_age_s: seconds since it reached the store.
+    """
+
+    ready: bool
+    stopped: bool
+    store_age_s: float
+
+
+@dataclass(slots=True)
+class _Outbox:
+    """Hold what was last told to the receivers of one kind of message."""
+
+    demand: ChangedEntries
+    admitted: ChangedEntries
+    sequence: int = 0
+    listed: list[CellNote] | None = None
+
+    @classmethod
+    def empty(cls) -> "_Outbox":
+        return cls(ChangedEntries(), ChangedEntries())
+
+
+class FleetExchange:
+    """Fill heartbeats and summaries.
+
+    :param own: this host.
+    :param shape: tells which hosts are relays.
+    :param parts: what relays of other data centres told.
+    :param counts: remembers what heartbeats said.
+    :param describe: returns the state of this host.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        shape: FleetShape,
+        parts: PartTable,
+        view: FleetView,
+        quotas: CustomerQuotas,
+        counts: OwnCounts,
+        describe: Callable[[], OwnState],
+    ) -> None:
+        self._own = own
+        self._shape = shape
+        self._parts = parts
+        self._view = view
+        self._quotas = quotas
+        self._describe = describe
+        self._counts = counts
+        self._cell = Tally()
+        self._fleet = Tally()
+        self._cell_growth = UnsentGrowth()
+        self._fleet_growth = UnsentGrowth()
+        self._beats = _Outbox.empty()
+        self._cells_out = _Outbox.empty()
+        self._fleet_out = _Outbox.empty()
+
+    def count(self, now: float) -> None:
+        """Add up what was admitted since the last call, to pass it on."""
+        admitted = [((self._own.host, self._own.started_ms), self._quotas.admitted())]
+        admitted += [(item.run, item.admitted) for item in self._shape.near()]
+        runs = set()
+        for run, counts in admitted:
+            self._cell.add(run, counts)
+            self._fleet.add(run, counts)
+            runs.add(run)
+        self._cell.keep_only(runs)
+        for part in self._other_cells():
+            counted = self._parts.current(part, now)
+            self._fleet.add(counted.run, counted.admitted)
+            runs.add(counted.run)
+            for other in self._parts.others(part):
+                self._fleet.align(other.run, other.admitted)
+                runs.add(other.run)
+        self._fleet.keep_only(runs)
+
+    def count_host(self, host: str, admitted: Mapping[str, int]) -> bool:
+        """Add up what a host near by just told.
+
+        :returns: whether the other data centres should learn of it at once.
+        """
+        record = self._shape.record(host)
+        if record is None:
+            return False
+        self._cell.add(record.run, admitted)
+        self._fleet.add(record.run, admitted)
+        rates = self._quotas.rates()
+        return self._cell_growth.urgent(admitted, self._cell.totals, rates)
+
+    def count_part(self, part: str, admitted: Mapping[str, int], now: float) -> bool:
+        """Add up what a relay of another data centre just told.
+
+        :returns: whether the hosts near by should learn of it at once.
+        """
+        counted = self._parts.current(part, now)
+        self._fleet.add(counted.run, counted.admitted)
+        rates = self._quotas.rates()
+        return self._fleet_growth.urgent(admitted, self._fleet.totals, rates)
+
+    def _other_cells(self) -> list[str]:
+        own = self._own.data_centre
+        return [part for part in self._parts.parts() if part != own]
+
+    def heartbeat(self, now: float, whole: bool = False) -> Heartbeat:
+        """Return what this host says of itself.
+
+        :param whole: name every customer, for hosts that heard nothing yet.
+        """
+        own, state, out = self._own, self._describe(), self._beats
+        out.sequence += 1
+        held_demand, held_admitted = self._quotas.demand(), self._quotas.admitted()
+        self._counts.record(out.sequence, held_demand, held_admitted)
+        demand, all_demand = out.demand.select(held_demand, whole)
+        admitted, all_admitted = out.admitted.select(held_admitted, whole)
+        return Heartbeat(
+            host=own.host,
+            started_ms=own.started_ms,
+            region=own.region,
+            data_centre=own.data_centre,
+            caller_address=own.caller_address,
+            peer_host=own.peer_address[0],
+            peer_port=own.peer_address[1],
+            sequence=out.sequence,
+            ready=state.ready,
+            stopped=state.stopped,
+            revisions=self._revisions(),
+            demand=demand,
+            admitted=admitted,
+            whole=all_demand and all_admitted,
+            capacity=own.capacity,
+            store_age_s=round(state.store_age_s, 2),
+            fleet_size=self._shape.evidence(now),
+        )
+
+    def cell_summary(self, now: float) -> Summary:
+        """Return what this host tells other data centres of its own."""
+        self._cell_growth.sent(self._cell.totals)
+        near = self._shape.near()
+        heard = self._heard(now)
+        demand = _sum([self._quotas.demand(), *(record.demand for record in heard)])
+        return self._summary(
+            self._cells_out,
+            self._own.data_centre,
+            [self._own_cell(now)],
+            (1 + len(heard), len(near) - len(heard)),
+            (demand, self._cell.totals),
+        )
+
+    def fleet_summary(self, now: float) -> Summary:
+        """Return what this host tells the hosts of its data centre of the fleet."""
+        self._fleet_growth.sent(self._fleet.totals)
+        near = self._shape.near()
+        heard = self._heard(now)
+        cells = [self._own_cell(now)]
+        demands = [self._quotas.demand(), *(record.demand for record in heard)]
+        hosts, unheard = 1 + len(heard), len(near) - len(heard)
+        for name in self._other_cells():
+            part = self._parts.current(name, now)
+            if now - part.heard > SILENT_S:
+                unheard += part.summary.host_count + part.summary.unheard
+                continue
+            hosts += part.summary.host_count
+            unheard += part.summary.unheard
+            demands.append(part.demand)
+            cells += [self._shortened(cell) for cell in part.cells]
+        return self._summary(
+            self._fleet_out,
+            WHOLE_FLEET,
+            cells,
+            (hosts, unheard),
+            (_sum(demands), self._fleet.totals),
+            {record.member.host: record.sequence for record in heard},
+        )
+
+    def _heard(self, now: float) -> list[MemberRecord]:
+        near = self._shape.near()
+        return [item for item in near if item.spoke and now - item.heard <= SILENT_S]
+
+    def _own_cell(self, now: float) -> CellNote:
+        own = self._own
+        notes = [_note(own, self._describe().ready)]
+        notes += [_note(record.member, record.ready) for record in self._heard(now)]
+        notes.sort(key=lambda note: (-note.capacity, note.host))
+        return CellNote(own.region, own.data_centre, notes[:NEAR_HOSTS])
+
+    def _shortened(self, cell: CellNote) -> CellNote:
+        limit = NEAR_HOSTS if cell.region == self._own.region else FAR_HOSTS
+        return CellNote(cell.region, cell.data_centre, cell.hosts[:limit])
+
+    def _summary(
+        self,
+        out: _Outbox,
+        part: str,
+        cells: list[CellNote],
+        hosts: tuple[int, int],
+        counts: tuple[Mapping[str, float], Mapping[str, int]],
+        counted: Mapping[str, int] = MappingProxyType({}),
+    ) -> Summary:
+        out.sequence += 1
+        listing = out.sequence % MESSAGES_A_LISTING == 0 or cells != out.listed
+        out.listed = cells
+        demand, all_demand = out.demand.select(counts[0], False)
+        admitted, all_admitted = out.admitted.select(counts[1], False)
+        own = self._own
+        return Summary(
+            relay=own.host,
+            started_ms=own.started_ms,
+            sequence=out.sequence,
+            peer_host=own.peer_address[0],
+            peer_port=own.peer_address[1],
+            part=part,
+            cells=cells if listing else None,
+            host_count=hosts[0],
+            unheard=hosts[1],
+            revisions=self._revisions(),
+            demand=demand,
+            admitted=admitted,
+            whole=all_demand and all_admitted,
+            store_age_s=round(self._describe().store_age_s, 2),
+            counted=dict(counted),
+        )
+
+    def _revisions(self) -> dict[str, int]:
+        found = self._view.revisions.items()
+        return {topic.value: revision for topic, revision in found}
+
+
+def _note(member: Member, ready: bool) -> HostNote:
+    return HostNote(
+        member.host,
+        member.started_ms,
+        member.caller_address,
+        *member.peer_address,
+        ready,
+        member.capacity,
+    )
+
+
+def _sum(parts: list[Mapping[str, float]]) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for part in parts:
+        for name, value in part.items():
+            found[name] = found.get(name, 0.0) + value
+    return {name: round(value, 2) for name, value in found.items()}
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -12,8 +12,11 @@
 from random import Random
 from time import CLOCK_BOOTTIME, clock_gettime, monotonic, time
 
-from damasktally.decisions.quota import CustomerQuotas, QuotaReport, overdraft_for
+from damasktally.decisions.own_counts import OwnCounts
+from damasktally.decisions.quota import CustomerQuotas, overdraft_for
+from damasktally.decisions.relays import capacity_of
 from damasktally.entry.candidates import Candidates
+from damasktally.entry.exchange import FleetExchange, OwnState
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.output import LogOutput
@@ -22,7 +25,8 @@
 from damasktally.entry.requests import RequestHandler
 from damasktally.entry.server_pool import ServerPool
 from damasktally.entry.settings import EntrySettings, split_address
-from damasktally.entry.store_sync import StoreSync
+from damasktally.entry.shape import FleetShape
+from damasktally.entry.store_sync import StoreSync, SyncRole
 from damasktally.errors import DamasktallyError
 from damasktally.events import emit
 from damasktally.events.catalogue import (
@@ -34,7 +38,8 @@
     SETTINGS_RELOADED,
     VIEW_CHANGED,
 )
-from damasktally.fleet.members import Heartbeat, MemberTable
+from damasktally.fleet.cells import PartTable
+from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import CallerLimits, Customer, Member
 from damasktally.fleet.view import Decoders, FleetView, Topic, ViewChange
 from damasktally.http1.inbound import CallerPort
@@ -53,9 +58,12 @@
 )
 
 TICK_S = 0.25
-TICKS_A_SWEEP = 4
-LOOKUP_TTL_S = 2.0
+RELAYED_TICK_S = 0.2
+"""Counts that pass over relays are sent more often, as each relay adds to their age."""
+SWEEP_S = 1.0
 REGISTER_PAUSE_S = 1.0
+FIRST_START_S = 0.5
+"""When the whole fleet starts, hosts give each other this long to register."""
 SUSPENDED_S = 0.5
 """Clocks that differ by this much more than before show a suspension."""
 LISTEN_ON_S = 2.5
@@ -90,17 +98,47 @@
             split_address(settings.store.address),
             lambda purpose: self._metrics.store_calls.labels(purpose).inc(),
         )
-        self._sync = StoreSync(self._store, self._view, self._confirm, self._rng)
+        self._parts = PartTable()
+        counts = OwnCounts()
+        self._shape = FleetShape(self._members, self._parts, counts)
+        self._quotas = CustomerQuotas(self._overdraft)
+        self._sync = StoreSync(
+            self._store,
+            self._view,
+            self._confirm,
+            SyncRole(
+                lambda: self._registered,
+                lambda: self._shape.leads(self._loop.time()),
+                lambda: self._shape.relies_on_relays(self._loop.time()),
+            ),
+            self._rng,
+        )
         self._peers = PeerNetwork(
-            self._members, self._view, self._heartbeat, self._confirm
+            self._members,
+            self._parts,
+            self._shape,
+            self._view,
+            FleetExchange(
+                self._own,
+                self._shape,
+                self._parts,
+                self._view,
+                self._quotas,
+                counts,
+                self._own_state,
+            ),
+            self._confirm,
+            lambda: self._divide(self._loop.time()),
+            self._rng,
         )
-        self._quotas = CustomerQuotas(self._overdraft)
         self._pool = ServerPool()
-        self._candidates = Candidates(self._view, self._members, settings.region_of)
+        self._candidates = Candidates(
+            self._view, self._own, self._shape, settings.region_of
+        )
         forwarder = Forwarder(self._view, self._candidates, self._pool)
         self._requests = RequestHandler(
             self._view,
-            self._members,
+            self._shape,
             self._candidates,
             forwarder,
             self._quotas,
@@ -111,7 +149,8 @@
         self._callers = CallerPort(self._requests.handle, self._limits)
         calls = PublicCalls(
             self._view,
-            self._members,
+            self._own,
+            self._shape,
             lambda: self.ready,
             self._metrics,
             self._bounds.lookup_ttl_s,
@@ -123,9 +162,9 @@
         ]
         self._servers: list[Server] = []
         self._tasks: list[Task] = []
+        self._registered = False
         self._leaving = False
         self._stopped = False
-        self._sequence = 0
         self._boot_offset = _boot_offset()
 
     @classmethod
@@ -176,7 +215,7 @@
         self._leaving = True
         self._callers.draining = True
         emit(HOST_LEAVING, under_way=self._callers.under_way)
-        self._peers.send_heartbeats([])
+        self._peers.send_all([])
         await sleep(min(LISTEN_ON_S, self._bounds.stop_s / 2))
         self._servers[0].close()
         ends = began + self._bounds.stop_s - STOP_MARGIN_S
@@ -185,7 +224,7 @@
             await sleep(STOP_POLL_S)
             self._callers.close_idle()
         self._stopped = True
-        self._peers.send_heartbeats([])
+        self._peers.send_all([])
         cut = self._callers.under_way
         emit(HOST_STOPPED, cut=cut)
         await self.close()
@@ -216,13 +255,17 @@
                 held = await self._store.create(MEMBERS_KIND, self._own.host, spec)
                 if not _same_place(held, spec):
                     await self._store.replace(MEMBERS_KIND, self._own.host, spec)
+                if self._settings.fleet.first_start:
+                    await sleep(FIRST_START_S)
                 listing = await self._store.list_objects(MEMBERS_KIND)
             except StoreUnavailable:
                 await sleep(REGISTER_PAUSE_S * self._rng.uniform(0.5, 1.5))
                 continue
             for item in listing.specs.values():
                 self._learn(item)
-            self._peers.send_heartbeats([])
+            self._shape.refresh()
+            self._registered = True
+            self._peers.send_all([])
             return
 
     def _learn(self, spec: object) -> None:
@@ -232,19 +275,20 @@
             emit(VIEW_CHANGED, topic="hosts", detail=str(exc))
 
     async def _tick(self) -> None:
-        ticks = 0
+        swept = self._loop.time()
         while True:
-            await sleep(TICK_S)
-            ticks += 1
+            direct = self._shape.direct(self._loop.time())
+            await sleep(TICK_S if direct else RELAYED_TICK_S)
             now = self._loop.time()
             self._tick_once(now)
-            if ticks % TICKS_A_SWEEP == 0:
+            if now - swept >= SWEEP_S:
+                swept = now
                 self._sweep(now)
 
     def _tick_once(self, now: float) -> None:
         """Do what decisions depend on."""
         self._notice_suspension()
-        self._peers.send_heartbeats(self._settings.seeds)
+        self._peers.send_all(self._settings.seeds)
         self._peers.note_changes(now)
         self._peers.catch_up(now)
         self._view.expire(now)
@@ -253,6 +297,7 @@
     def _sweep(self, now: float) -> None:
         """Do what may wait for a second."""
         self._members.forget_silent(now)
+        self._parts.forget_silent(now)
         for port in (self._callers, *self._inner):
             port.sweep(now)
         known = self._view.servers.ids()
@@ -264,17 +309,8 @@
         cfg = self._view.configuration
         if cfg is None:
             return
-        heard = self._members.heard(now)
-        unheard = len(self._members.records()) - len(heard)
-        reports = [
-            QuotaReport(
-                (record.member.host, record.member.started_ms),
-                record.admitted,
-                record.demand,
-            )
-            for record in heard
-        ]
-        self._quotas.divide(cfg.customers, reports, unheard, now)
+        reports, unheard, lag_s = self._shape.reports(now)
+        self._quotas.divide(cfg.customers, reports, unheard, now, lag_s)
 
     def _overdraft(self, customer: Customer) -> float:
         bounds = self._bounds
@@ -304,27 +340,8 @@
             self._sync.restart()
         self._boot_offset = offset
 
-    def _heartbeat(self) -> Heartbeat:
-        self._sequence += 1
-        own = self._own
-        return Heartbeat(
-            host=own.host,
-            started_ms=own.started_ms,
-            region=own.region,
-            data_centre=own.data_centre,
-            caller_address=own.caller_address,
-            peer_host=own.peer_address[0],
-            peer_port=own.peer_address[1],
-            sequence=self._sequence,
-            ready=self.ready,
-            stopped=self._stopped,
-            revisions={
-                topic.value: revision
-                for topic, revision in self._view.revisions.items()
-            },
-            demand=self._quotas.demand(),
-            admitted=self._quotas.admitted(),
-        )
+    def _own_state(self) -> OwnState:
+        return OwnState(self.ready, self._stopped, self._sync.age_s)
 
     @property
     def ready(self) -> bool:
@@ -341,6 +358,7 @@
         self._view.confirmed_at = self._loop.time()
 
     def _log_change(self, change: ViewChange) -> None:
+        self._peers.tell_news()
         emit(
             VIEW_CHANGED,
             topic=change.topic.value,
@@ -358,6 +376,10 @@
         data_centre=settings.host.data_centre,
         caller_address=settings.listen.callers,
         peer_address=split_address(settings.listen.peers),
+        capacity=capacity_of(
+            settings.limits.cores * settings.limits.core_share,
+            settings.limits.link_mbps,
+        ),
     )
 
 
--- a/damasktally/entry/public_calls.py
+++ b/damasktally/entry/public_calls.py
@@ -9,7 +9,8 @@
 from damasktally.decisions.directory import Candidate, addresses_for
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.refusals import final
-from damasktally.fleet.members import MemberTable
+from damasktally.entry.shape import FleetShape
+from damasktally.fleet.model import Member
 from damasktally.fleet.view import FleetView
 from damasktally.http1.messages import Request, Response
 from damasktally.platform.calls import asks_readiness, lookup_answer, parse_lookup
@@ -20,6 +21,8 @@
 class PublicCalls:
     """Answer what is not forwarded.
 
+    :param own: this host.
+    :param shape: tells which other hosts callers may use.
     :param ready: tells whether callers may be sent here.
     :param longest_ttl_s: the longest time that callers may keep a look-up.
     """
@@ -27,14 +30,16 @@
     def __init__(
         self,
         view: FleetView,
-        members: MemberTable,
+        own: Member,
+        shape: FleetShape,
         ready: Callable[[], bool],
         metrics: EntryMetrics,
         longest_ttl_s: float,
         rng: Random,
     ) -> None:
         self._view = view
-        self._members = members
+        self._own = own
+        self._shape = shape
         self._ready = ready
         self._metrics = metrics
         self._ttl_s = min(LOOKUP_TTL_S, longest_ttl_s)
@@ -68,13 +73,9 @@
         return Response(200, headers, generate_latest(self._metrics.registry))
 
     def _named_hosts(self) -> list[Candidate]:
-        members = [
-            record.member
-            for record in self._members.heard(get_running_loop().time())
-            if record.ready
-        ]
+        members = self._shape.ready_hosts(get_running_loop().time())
         if self._ready():
-            members.append(self._members.own)
+            members.append(self._own)
         return [
             Candidate(item.caller_address, item.region, item.data_centre)
             for item in members
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -12,10 +12,10 @@
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.outcome import Attempt, Ending, Trace
 from damasktally.entry.refusals import final, not_run
+from damasktally.entry.shape import FleetShape
 from damasktally.events import emit
 from damasktally.events.catalogue import REQUEST_ENDED
 from damasktally.events.reasons import Reason
-from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import (
     Bounds,
     Configuration,
@@ -48,13 +48,13 @@
     """Answer requests.
 
     :param view: configuration, evacuations and servers.
-    :param members: the hosts among which budgets are divided.
+    :param shape: the hosts among which budgets are divided.
     """
 
     def __init__(
         self,
         view: FleetView,
-        members: MemberTable,
+        shape: FleetShape,
         candidates: Candidates,
         forwarder: Forwarder,
         quotas: CustomerQuotas,
@@ -63,7 +63,7 @@
         rng: Random,
     ) -> None:
         self._view = view
-        self._members = members
+        self._shape = shape
         self._candidates = candidates
         self._forwarder = forwarder
         self._quotas = quotas
@@ -178,7 +178,7 @@
         if sends >= trace.route.max_attempts:
             trace.reason = Reason.ATTEMPTS_USED
             return False
-        hosts = len(self._members.names())
+        hosts = self._shape.size(now)
         extra = self._bounds.retry_slack / hosts
         if not self._budget(trace.service).take(now, extra):
             trace.reason = Reason.RETRY_BUDGET_USED
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -40,15 +40,30 @@
     metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 9464
 
 
+class LimitsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Say what this host can bear.
+
+    :param cores: processor cores.
+    :param core_share: the part of them that this host may use.
+    :param link_mbps: bandwidth of its link, in Mbit/s.
+    """
+
+    cores: Annotated[float, Meta(gt=0)] = 1.0
+    core_share: Annotated[float, Meta(gt=0)] = 1.0
+    link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
+
+
 class FleetSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Describe the fleet.
 
     :param data_centres: JSON object: the region of each data centre.
     :param seeds: other hosts' peer addresses, separated by commas.
+    :param first_start: whether the whole fleet starts for the first time.
     """
 
     data_centres: str
     seeds: str = ""
+    first_start: bool = False
 
 
 class StoreSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -71,6 +86,7 @@
     fleet: FleetSection
     store: StoreSection
     bounds: BoundsSection
+    limits: LimitsSection = LimitsSection()
 
     @property
     def region_of(self) -> dict[str, str]:
--- /dev/null
+++ b/damasktally/entry/shape.py
@@ -0,0 +1,258 @@
+"""Work out the fleet's shape: how many hosts, which are relays, who is ready."""
+
+from dataclasses import dataclass
+
+from damasktally.decisions.own_counts import OwnCounts
+from damasktally.decisions.quota import RELAYED_LAG_S, REPORT_LAG_S, QuotaReport
+from damasktally.decisions.relays import (
+    RelayCandidate,
+    RelayState,
+    is_direct,
+    relays_of,
+    relies_on,
+)
+from damasktally.fleet.cells import (
+    WHOLE_FLEET,
+    PartRecord,
+    PartTable,
+    hosts_of,
+    members_in,
+)
+from damasktally.fleet.members import SILENT_S, MemberRecord, MemberTable
+from damasktally.fleet.model import Member
+
+LISTED_FOR_S = 1.0
+"""A host from the store's list counts as alive for so long without a heartbeat."""
+KEPT_FOR_S = 0.2
+"""The shape is worked out anew after this long."""
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class _Shape:
+    at: float
+    size: int
+    evidence: int
+    relays: tuple[Member, ...]
+
+
+class FleetShape:
+    """Combine the hosts that are heard with what relays tell of the others.
+
+    :param members: hosts that send heartbeats to this one, or that the store lists.
+    :param parts: what relays told.
+    :param counts: what this host told of itself.
+    """
+
+    def __init__(
+        self, members: MemberTable, parts: PartTable, counts: OwnCounts
+    ) -> None:
+        self._members = members
+        self._parts = parts
+        self._counts = counts
+        self._own = members.own
+        self._held: _Shape | None = None
+
+    def _shape(self, now: float) -> _Shape:
+        held = self._held
+        if held is None or not 0 <= now - held.at < KEPT_FOR_S:
+            held = self._held = self._work_out(now)
+        return held
+
+    def _work_out(self, now: float) -> _Shape:
+        cell = self._cell(now)
+        found = [RelayCandidate(m.host, m.capacity) for m in cell.values()]
+        relays = tuple(cell[host] for host in relays_of(self._own.data_centre, found))
+        records = self._members.records()
+        parts = self._parts_for(relays, now)
+        told = sum(part.summary.host_count + part.summary.unheard for part in parts)
+        if self._own in relays:
+            told += 1 + len(self.near())
+        size = evidence = max(told, 1 + len(records))
+        if not parts:
+            # No relay told of the other data centres yet: take the word of peers.
+            size = max([evidence, *(record.fleet_size for record in records)])
+        return _Shape(now, size, evidence, relays)
+
+    def _cell(self, now: float) -> dict[str, Member]:
+        """Return the hosts of this data centre that are believed alive.
+
+        Hosts that a relay named count until they are asked and stay silent.
+        """
+        records = {record.member.host: record for record in self.near()}
+        alive = {
+            host: record.member
+            for host, record in records.items()
+            if _alive(record, now)
+        }
+        told = self._parts.fleet(now)
+        named = hosts_of(told, self._own.data_centre) if told is not None else []
+        for member in named:
+            record = records.get(member.host)
+            if record is None or not record.unresponsive(now):
+                alive.setdefault(member.host, member)
+        return {**alive, self._own.host: self._own}
+
+    def refresh(self) -> None:
+        """Work the shape out anew at the next question."""
+        self._held = None
+
+    def size(self, now: float) -> int:
+        """Return how many hosts there are, silent ones too."""
+        return self._shape(now).size
+
+    def evidence(self, now: float) -> int:
+        """Return how many hosts this one knows of, whatever its peers say."""
+        return self._shape(now).evidence
+
+    def direct(self, now: float) -> bool:
+        """Tell whether every host hears every other."""
+        return is_direct(self.size(now))
+
+    def near(self) -> list[MemberRecord]:
+        """Return the other hosts of this data centre that are heard or listed."""
+        own = self._own.data_centre
+        records = self._members.records()
+        return [record for record in records if record.member.data_centre == own]
+
+    def record(self, host: str) -> MemberRecord | None:
+        """Return what is known of another host of this data centre."""
+        return next((r for r in self.near() if r.member.host == host), None)
+
+    def relays(self, now: float) -> tuple[Member, ...]:
+        """Return the hosts that speak for this data centre, the first one first."""
+        return self._shape(now).relays
+
+    def is_relay(self, now: float) -> bool:
+        """Tell whether this host speaks for its data centre."""
+        return self._own in self.relays(now)
+
+    def leads(self, now: float) -> bool:
+        """Tell whether this host is to follow the store itself."""
+        return self.direct(now) or self.is_relay(now)
+
+    def relies_on_relays(self, now: float) -> bool:
+        """Tell whether some relay of this data centre follows the store."""
+        relays = {member.host for member in self.relays(now)}
+        return relies_on(
+            RelayState(now - record.heard, record.store_age_s)
+            for record in self.near()
+            if record.spoke and record.member.host in relays
+        )
+
+    def ready_hosts(self, now: float) -> list[Member]:
+        """Return the other hosts that callers may use."""
+        heard = [item for item in self._members.heard(now) if item.ready]
+        if self.direct(now):
+            return [record.member for record in heard]
+        found = []
+        if self.is_relay(now):
+            own = self._own.data_centre
+            found = [item.member for item in heard if item.member.data_centre == own]
+        for part in self._parts_for(self.relays(now), now):
+            if now - part.heard <= SILENT_S:
+                found += members_in(part.cells)
+        return [member for member in found if member.host != self._own.host]
+
+    def reports(self, now: float) -> tuple[list[QuotaReport], int, float]:
+        """Return what others admitted.
+
+        :returns: the reports, how many hosts are not heard, and the counts' age in
+            seconds.
+        """
+        if self.direct(now):
+            heard = self._members.heard(now)
+            unheard = len(self._members.records()) - len(heard)
+            return [_direct_report(record) for record in heard], unheard, REPORT_LAG_S
+        reports = self._relay_reports(now) if self.is_relay(now) else []
+        for part in self._parts_for(self.relays(now), now):
+            if now - part.heard <= SILENT_S:
+                reports += self._relayed_reports(part)
+        heard_hosts = 1 + sum(report.hosts for report in reports if report.counted)
+        return reports, max(0, self.size(now) - heard_hosts), RELAYED_LAG_S
+
+    def _relay_reports(self, now: float) -> list[QuotaReport]:
+        heard = [r for r in self.near() if r.spoke and now - r.heard <= SILENT_S]
+        return [_direct_report(record) for record in heard]
+
+    def _relayed_reports(self, part: PartRecord) -> list[QuotaReport]:
+        """Return a part's counts, and those of its other relay to switch to."""
+        standby = self._parts.others(part.summary.part)
+        found = [self._relayed_report(part, True)]
+        found += [self._relayed_report(other, False) for other in standby]
+        return [report for report in found if report is not None]
+
+    def _relayed_report(self, part: PartRecord, counted: bool) -> QuotaReport | None:
+        summary = part.summary
+        if summary.part != WHOLE_FLEET:
+            run = (f"{summary.part}|{summary.relay}", summary.started_ms)
+            return QuotaReport(
+                run, part.admitted, part.demand, summary.host_count, counted
+            )
+        included = summary.counted.get(self._own.host)
+        others = self._counts.others(included, part.demand, part.admitted)
+        if others is None:
+            return None
+        # Sums with and without this host's part are no continuation of each other.
+        run = (f"{summary.relay}|{included is not None}", summary.started_ms)
+        demand, admitted = others
+        hosts = max(0, summary.host_count - 1)
+        return QuotaReport(run, admitted, demand, hosts, counted)
+
+    def cold_sharers(self, data_centre: str, now: float) -> list[str]:
+        """Return the hosts among which a cold server's requests are divided.
+
+        All of them must agree on it, so that in a large fleet only the hosts of the
+        server's own data centre take part, who know each other.
+        """
+        if self.direct(now):
+            return self._members.names()
+        if data_centre != self._own.data_centre:
+            return []
+        return sorted(self._cell(now))
+
+    def far_relays(self, now: float) -> list[tuple[Address, ...]]:
+        """Return where the relays of each other data centre listen."""
+        cells: dict[str, dict[str, Member]] = {}
+        for record in self._members.records():
+            if now - record.heard <= LISTED_FOR_S:
+                found = cells.setdefault(record.member.data_centre, {})
+                found[record.member.host] = record.member
+        for record in self._parts.heard(now):
+            for member in members_in(record.cells, ready_only=False):
+                cells.setdefault(member.data_centre, {})[member.host] = member
+        cells.pop(self._own.data_centre, None)
+        return [
+            tuple(
+                members[host].peer_address
+                for host in relays_of(
+                    data_centre,
+                    [RelayCandidate(m.host, m.capacity) for m in members.values()],
+                )
+            )
+            for data_centre, members in cells.items()
+        ]
+
+    def _parts_for(self, relays: tuple[Member, ...], now: float) -> list[PartRecord]:
+        """Return what tells of the hosts that this one does not hear itself.
+
+        A relay hears of each other data centre; other hosts hear from their relay.
+        """
+        if self._own not in relays:
+            told = self._parts.fleet(now)
+            return [told] if told is not None else []
+        own = self._own.data_centre
+        parts = [part for part in self._parts.parts() if part != own]
+        return [self._parts.current(part, now) for part in parts]
+
+
+def _alive(record: MemberRecord, now: float) -> bool:
+    if record.unresponsive(now):
+        return False
+    limit = SILENT_S if record.spoke else LISTED_FOR_S
+    return now - record.heard <= limit
+
+
+def _direct_report(record: MemberRecord) -> QuotaReport:
+    return QuotaReport(record.run, record.admitted, record.demand)
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -86,6 +86,18 @@
 STORE_REGAINED = Event(
     302, "store-regained", "The store answers again for a topic.", "None."
 )
+FOLLOWING_STARTED = Event(
+    304,
+    "following-started",
+    "This host follows the store, as a relay or because it hears none that does.",
+    "None, unless many hosts that are no relays say so: then look at the relays.",
+)
+FOLLOWING_ENDED = Event(
+    305,
+    "following-ended",
+    "This host leaves the store to the relays of its data centre.",
+    "None.",
+)
 WATCHES_RENEWED = Event(
     303,
     "watches-renewed",
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -1,7 +1,8 @@
 """Keep the table of entry hosts: who is known, who is heard, who leaves."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from math import inf
 
 import msgspec
 
@@ -9,10 +10,12 @@
 
 SILENT_S = 2.0
 """Without a heartbeat for this long, callers are not sent to a host."""
+UNRESPONSIVE_S = 1.8
+"""A relay that says nothing for this long is replaced by another host."""
 FORGOTTEN_S = 30.0
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
+class Heartbeat(msgspec.Struct, frozen=True, tag="host"):
     """Tell the other hosts about this one.
 
     :param ready: callers may be sent here.
@@ -20,6 +23,11 @@
     :param revisions: revision of each topic of the view, by the topic's name.
     :param demand: requests a second of each customer at this host.
     :param admitted: requests of each customer admitted since the process started.
+    :param whole: both name every customer; otherwise only those that changed.
+    :param capacity: what the host can bear, in cores.
+    :param store_age_s: seconds since the host itself reached the store; a host that
+        does not follow it says a large number.
+    :param fleet_size: how many hosts it knows, itself included.
     """
 
     host: str
@@ -35,6 +43,10 @@
     revisions: dict[str, int]
     demand: dict[str, float]
     admitted: dict[str, int]
+    whole: bool = True
+    capacity: float = 1.0
+    store_age_s: float = 0.0
+    fleet_size: int = 1
 
 
 @dataclass(slots=True)
@@ -43,16 +55,31 @@
 
     :param heard: when its last heartbeat came, or when it was first known.
     :param spoke: whether any heartbeat of it came yet.
+    :param asked: since when messages go to it that it has to answer, or nothing.
     """
 
     member: Member
     heard: float
     spoke: bool = False
+    asked: float | None = None
     ready: bool = False
     sequence: int = 0
     revisions: Mapping[str, int] = field(default_factory=dict)
     demand: Mapping[str, float] = field(default_factory=dict)
     admitted: Mapping[str, int] = field(default_factory=dict)
+    store_age_s: float = inf
+    fleet_size: int = 1
+
+    def unresponsive(self, now: float) -> bool:
+        """Tell whether it was asked for long and did not answer."""
+        if self.asked is None:
+            return False
+        return now - max(self.asked, self.heard) > UNRESPONSIVE_S
+
+    @property
+    def run(self) -> tuple[str, int]:
+        """Name this run of the host."""
+        return self.member.host, self.member.started_ms
 
 
 class MemberTable:
@@ -86,18 +113,53 @@
             self._records.pop(beat.host, None)
             return False
         is_new = record is None or newer_run
+        demand, admitted = beat.demand, beat.admitted
+        if not beat.whole and record is not None and not newer_run:
+            demand = {**record.demand, **demand}
+            admitted = {**record.admitted, **admitted}
         self._records[beat.host] = MemberRecord(
             member=member_of(beat),
             heard=now,
             spoke=True,
+            asked=record.asked if record is not None and not newer_run else None,
             ready=beat.ready,
             sequence=beat.sequence,
             revisions=beat.revisions,
-            demand=beat.demand,
-            admitted=beat.admitted,
+            demand=demand,
+            admitted=admitted,
+            store_age_s=beat.store_age_s,
+            fleet_size=beat.fleet_size,
         )
         return is_new
 
+    def ask(self, hosts: Iterable[Member], now: float) -> None:
+        """Note to which hosts messages go that they have to answer."""
+        asked = {member.host: member for member in hosts}
+        for member in asked.values():
+            self.learn(member, now)
+        for name, record in self._records.items():
+            if name not in asked:
+                record.asked = None
+            elif record.asked is None:
+                record.asked = now
+
+    def hear_relay(
+        self,
+        member: Member,
+        revisions: Mapping[str, int],
+        store_age_s: float,
+        now: float,
+    ) -> None:
+        """Take a relay's summary as a sign of life."""
+        record = self._records.get(member.host)
+        if record is None or record.member.started_ms < member.started_ms:
+            record = self._records[member.host] = MemberRecord(member, now)
+        if record.member.started_ms == member.started_ms:
+            record.heard = now
+            record.spoke = True
+            record.revisions = revisions
+            record.store_age_s = store_age_s
+
     def forget_silent(self, now: float) -> list[str]:
         """Forget hosts that were silent for long; return their names."""
         silent = [
@@ -135,4 +197,5 @@
         data_centre=beat.data_centre,
         caller_address=beat.caller_address,
         peer_address=(beat.peer_host, beat.peer_port),
+        capacity=beat.capacity,
     )
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -171,6 +171,7 @@
         of the same host apart.
     :param caller_address: where callers connect, as ``host:port``.
     :param peer_address: where other hosts send heartbeats.
+    :param capacity: what it can bear, in cores, its link counted too.
     """
 
     host: str
@@ -179,6 +180,7 @@
     data_centre: str
     caller_address: str
     peer_address: tuple[str, int]
+    capacity: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -1,6 +1,7 @@
 """Keep this host's view of desired state, which only moves forward."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -45,6 +46,19 @@
     detail: str
 
 
+Edit = tuple[str, Any]
+"""Name of an object, and what was written; nothing where it was removed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Hold what changed between two revisions of a topic."""
+
+    before: int
+    after: int
+    edits: tuple[Edit, ...]
+
+
 class FleetView:
     """Hold configuration, evacuations and servers, each with its revision.
 
@@ -60,6 +74,9 @@
         self._decoders = decoders
         self._changed = changed
         self._raw: dict[Topic, dict[str, Any]] = {topic: {} for topic in Topic}
+        self._steps: dict[Topic, deque[Step]] = {
+            topic: deque(maxlen=STEPS_KEPT) for topic in Topic
+        }
         self.revisions: dict[Topic, int] = dict.fromkeys(Topic, 0)
         self.configuration: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
@@ -71,6 +88,16 @@
         """Return a topic's revision and stored objects, to pass them on."""
         return self.revisions[topic], self._raw[topic]
 
+    def edits_since(self, topic: Topic, revision: int) -> list[Edit] | None:
+        """Return what changed after a revision, in order, to pass it on.
+
+        :returns: nothing when it is not known any more.
+        """
+        later = [step for step in self._steps[topic] if step.after > revision]
+        if not later or later[0].before > revision:
+            return None
+        return [edit for step in later for edit in step.edits]
+
     def replace(
         self,
         topic: Topic,
@@ -90,7 +117,8 @@
         removed = [name for name in raw if name not in specs]
         written = {name: spec for name, spec in specs.items() if raw.get(name) != spec}
         first = known == 0
-        self.revisions[topic] = revision
+        edits = [*((name, None) for name in removed), *written.items()]
+        self._move(topic, revision, edits)
         if first or removed or written:
             self._raw[topic] = dict(specs)
             self._take(topic, written, removed, source, now)
@@ -110,7 +138,8 @@
         """
         if revision <= self.revisions[topic]:
             return False
-        self.revisions[topic] = revision
+        changes = list(changes)
+        self._move(topic, revision, changes)
         raw = self._raw[topic]
         written: dict[str, Any] = {}
         removed: dict[str, None] = {}
@@ -127,6 +156,12 @@
             self._take(topic, written, list(removed), source, now)
         return True
 
+    def _move(self, topic: Topic, revision: int, edits: Sequence[Edit]) -> None:
+        before = self.revisions[topic]
+        self.revisions[topic] = revision
+        if before:
+            self._steps[topic].append(Step(before, revision, tuple(edits)))
+
     def expire(self, now: float) -> None:
         """Drop servers whose registration lapsed and did not come back."""
         gone = self.servers.expire(now)
@@ -211,3 +246,5 @@
 
 MAX_NOTES = 20
 """Servers that one line of the log names."""
+STEPS_KEPT = 64
+"""Changes of a topic that are kept to be passed on."""
--- a/damasktally/platform/codec.py
+++ b/damasktally/platform/codec.py
@@ -138,6 +138,7 @@
     caller_address: str
     peer_host: str
     peer_port: int
+    capacity: float = 1.0
 
 
 def parse_duration(text: str | None) -> float:
@@ -227,6 +228,7 @@
         data_centre=wire.data_centre,
         caller_address=wire.caller_address,
         peer_address=(wire.peer_host, wire.peer_port),
+        capacity=wire.capacity,
     )
 
 
@@ -241,6 +243,7 @@
         caller_address=member.caller_address,
         peer_host=host,
         peer_port=port,
+        capacity=member.capacity,
     )
     return msgspec.to_builtins(wire)
 
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -153,8 +153,10 @@
         "Control": "127.0.0.1:4",
     },
     "Zones": {"dc-1": "north"},
+    "Bootstrap": True,
     "Seeds": ["127.0.0.1:5", "127.0.0.1:6"],
     "Provider": {"Addr": "127.0.0.1:7"},
+    "Limits": {"Cores": 3, "CpuShare": 0.5, "LinkMbps": 200.0},
     "Bounds": BOUNDS,
 }
 
@@ -388,7 +390,10 @@
     """Start a host whose only source is a peer."""
 
     async def begin():
-        near = context.hosts[0]._settings.listen.peers
+        first = context.hosts[0]
+        near = first._settings.listen.peers
+        # The first host registers before it lists, and has to know what to pass on.
+        await until(lambda: first._view.configuration is not None)
         context.store.refuse = 503
         settings = settings_for(context.store.port, "third", seeds=near)
         context.third = await start_host(context, settings)
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,476 @@
+"""Steps for relays: who they are, what they pass on, and how fleets follow them."""
+
+from asyncio import gather
+from json import dumps
+from math import inf
+from random import Random
+
+from behave import given, then, when
+from boundary_steps import beat, table
+from decision_steps import overdraft
+from entry_steps import settings_for, start_host
+from entry_world import (
+    DEFAULT_ROUTES,
+    LoopThread,
+    StandInServer,
+    StandInStore,
+    configuration,
+    until,
+)
+from msgspec.structs import replace
+
+from damasktally.decisions.own_counts import KEPT, OwnCounts
+from damasktally.decisions.quota import (
+    RELAYED_LAG_S,
+    SURGE_KNOWN_S,
+    CustomerQuotas,
+    QuotaReport,
+)
+from damasktally.decisions.relays import (
+    RelayCandidate,
+    RelayState,
+    relays_of,
+    relies_on,
+)
+from damasktally.decisions.tally import Tally
+from damasktally.entry.changed import REPEATS, ChangedEntries
+from damasktally.entry.exchange import FAR_HOSTS
+from damasktally.entry.settings import HostSection, LimitsSection
+from damasktally.fleet.model import Customer
+from damasktally.fleet.view import STEPS_KEPT, Decoders, FleetView, Topic
+from damasktally.platform.codec import decode_configuration, decode_server
+
+STEP_S = 0.01
+RELAY_TICK_S = 0.2
+CALM_S = 20.0
+SURGE_S = 12.0
+
+
+@then(
+    "the {count:d} most capable of {hosts:d} hosts are relays "
+    "whatever the order they are known in"
+)
+def then_capable(context, count, hosts):
+    """Choose relays of shuffled hosts."""
+    known = [RelayCandidate(f"h-{n}", 2.0 if n < count else 0.4) for n in range(hosts)]
+    rng = Random(3)
+    found = set()
+    for _ in range(20):
+        rng.shuffle(known)
+        found.add(tuple(relays_of("dc-1", known)))
+    assert len(found) == 1, found
+    assert set(found.pop()) == {f"h-{n}" for n in range(count)}
+    context.candidates = known
+
+
+@then("a dead relay is replaced by the next host")
+def then_replaced(context):
+    """Leave out the first relay."""
+    first, second = relays_of("dc-1", context.candidates)
+    alive = [item for item in context.candidates if item.host != first]
+    after = relays_of("dc-1", alive)
+    assert after[0] == second and first not in after, after
+
+
+@then("a host relies on relays by these cases")
+def then_relies(context):
+    """Check each case."""
+    for row in context.table:
+        state = RelayState(float(row["silent"]), float(row["store age"]))
+        assert relies_on([state]) == (row["relies"] == "yes"), row
+    assert not relies_on([])
+
+
+@then("a tally keeps its totals when a counter restarts")
+def then_tally(context):
+    """Let a counter grow, restart and end."""
+    tally = Tally()
+    tally.add(("h", 1), {"c": 100})
+    tally.add(("h", 1), {"c": 104})
+    tally.add(("h", 2), {"c": 0})
+    tally.add(("h", 2), {"c": 3})
+    tally.keep_only(set())
+    assert tally.totals == {"c": 7}, tally.totals
+    tally.add(("h", 2), {"c": 9})
+    assert tally.totals == {"c": 7}, tally.totals
+
+
+@then("a tally takes a second relay's place without counting twice")
+def then_align(context):
+    """Follow two relays that tell of the same growth."""
+    tally = Tally()
+    for count in (10, 12, 15):
+        tally.add(("first", 1), {"c": count})
+        tally.align(("second", 1), {"c": 500 + count})
+    tally.add(("second", 1), {"c": 518})
+    assert tally.totals == {"c": 8}, tally.totals
+
+
+@then("sums less the own part are the others' part, whichever heartbeat they include")
+def then_others(context):
+    """Take several heartbeats off sums."""
+    counts = OwnCounts()
+    for sequence in range(1, 6):
+        counts.record(sequence, {"c": 1.0}, {"c": 10 * sequence})
+    for sequence in range(1, 6):
+        demand, admitted = counts.others(
+            sequence, {"c": 4.0}, {"c": 77 + 10 * sequence}
+        )
+        assert (demand["c"], admitted["c"]) == (3.0, 77), (sequence, admitted)
+    assert counts.others(None, {"c": 4.0}, {"c": 5}) == ({"c": 4.0}, {"c": 5})
+
+
+@then("sums with a heartbeat that is forgotten tell nothing")
+def then_forgotten(context):
+    """Ask for a heartbeat of long ago."""
+    counts = OwnCounts()
+    for sequence in range(1, KEPT + 2):
+        counts.record(sequence, {}, {})
+    assert counts.others(1, {}, {"c": 5}) is None
+
+
+@then("an entry is sent 3 times after it changed, and as zero when it is gone")
+def then_changed(context):
+    """Read a few messages."""
+    out = ChangedEntries()
+    assert out.select({"a": 1, "b": 1}, False) == ({"a": 1, "b": 1}, True)
+    sent = [out.select({"a": 2, "b": 1}, False)[0].get("a") for _ in range(6)]
+    assert sent.count(2) == REPEATS, sent
+    assert out.select({"a": 2}, False)[0]["b"] == 0
+
+
+@then("a message for one host alone takes nothing from the others")
+def then_alone(context):
+    """Send to one host between two messages for all."""
+    out = ChangedEntries()
+    out.select({"a": 1}, False)
+    for _ in range(10):
+        assert out.select({"a": 2}, True) == ({"a": 2}, True)
+    assert out.select({"a": 2}, False)[0] == {"a": 2}
+
+
+@given("a large fleet of {hosts:d} hosts and a customer with a rate of {rate:g}")
+def given_large(context, hosts, rate):
+    """Describe the customer; its burst is its rate."""
+    context.hosts_count = hosts
+    context.customer = Customer("c", frozenset(), rate, rate, None, frozenset())
+
+
+@when("it asks for {asked:g} of its rate, {surge:g} times that from the middle on")
+def when_surge(context, asked, surge):
+    """Send Poisson arrivals to hosts whose counts pass over two relays."""
+    rng = Random(11)
+    customer, hosts = context.customer, context.hosts_count
+    quotas = [CustomerQuotas(overdraft) for _ in range(hosts)]
+    due = [rng.random() * RELAY_TICK_S for _ in range(hosts)]
+    history = []
+    context.admitted, context.asked_calm, context.refused_calm = [], 0, 0
+    step, ends, sent = 0, CALM_S + SURGE_S, 0
+    while (now := step * STEP_S) < ends:
+        step += 1
+        if step % round(RELAY_TICK_S / STEP_S) == 0:
+            told = [(quota.admitted(), quota.demand()) for quota in quotas]
+            total = sum(item[0].get("c", 0) for item in told)
+            usual = asked * customer.rate * RELAY_TICK_S
+            urgent = total - sent > 4 * max(1.0, usual)
+            age = SURGE_KNOWN_S if urgent else RELAYED_LAG_S
+            sent = total
+            history.append((now + age - RELAY_TICK_S, told))
+        for index, quota in enumerate(quotas):
+            if now >= due[index]:
+                due[index] += RELAY_TICK_S
+                report = sum_of(history, index, now)
+                quota.divide([customer], report, 0, now, RELAYED_LAG_S)
+        calm = now < CALM_S
+        rate = asked * customer.rate * (1.0 if calm else surge)
+        for _ in range(poisson(rng, rate * STEP_S)):
+            taken = quotas[rng.randrange(hosts)].take(customer, now)
+            if taken:
+                context.admitted.append(now)
+            if calm and now > 2.0:
+                context.asked_calm += 1
+                context.refused_calm += not taken
+
+
+def poisson(rng, mean):
+    """Return how many arrivals fall into a step."""
+    count, left = 0, rng.expovariate(1.0)
+    while left < mean:
+        count += 1
+        left += rng.expovariate(1.0)
+    return count
+
+
+def sum_of(history, index, now):
+    """Return the newest report of all other hosts that is known by now."""
+    for known, told in reversed(history):
+        if known <= now:
+            others = [item for place, item in enumerate(told) if place != index]
+            admitted = sum(item[0].get("c", 0) for item in others)
+            demand = sum(item[1].get("c", 0.0) for item in others)
+            hosts = len(others)
+            return [QuotaReport(("r", 1), {"c": admitted}, {"c": demand}, hosts)]
+    return []
+
+
+@then("at most {percent:g} percent of what was asked before the surge is refused")
+def then_calm(context, percent):
+    """Check refusals inside the rate."""
+    allowed = percent / 100 * context.asked_calm
+    assert context.refused_calm <= allowed, (context.refused_calm, context.asked_calm)
+
+
+def cell_settings(context, number):
+    """Return the settings of one host of a large fleet; the first two are strong."""
+    cell = number % 2
+    zones = {"dc-0": "north", "dc-1": "south"}
+    settings = settings_for(context.store.port, data_centres=dumps(zones))
+    return placed(settings, f"h-{number:02d}", cell, 3.0 if number < 4 else 0.5)
+
+
+def placed(settings, name, cell, cores):
+    """Return settings with another place and size of the host."""
+    region = ("north", "south")[cell]
+    return replace(
+        settings,
+        host=HostSection(name, region, f"dc-{cell}"),
+        limits=LimitsSection(cores=cores),
+    )
+
+
+@given("{count:d} hosts in 2 data centres")
+def given_fleet(context, count):
+    """Start the fleet."""
+    context.world = LoopThread()
+    context.add_cleanup(context.world.close)
+    context.hosts = []
+    context.version = 1
+
+    async def begin():
+        context.store = StandInStore()
+        await context.store.start()
+        cfg = configuration(1, DEFAULT_ROUTES)
+        await context.store.write("config", "main", cfg)
+        server = StandInServer("s-1", zone="dc-0")
+        await server.start()
+        await context.store.write("servers", "s-1", server.entry())
+        settings = [cell_settings(context, number) for number in range(count)]
+        await gather(*(start_host(context, item) for item in settings))
+
+    context.world.run(begin())
+    context.add_cleanup(
+        lambda: context.world.run(gather_all([h.close() for h in context.hosts]))
+    )
+
+
+async def gather_all(calls):
+    """Wait for several calls."""
+    await gather(*calls)
+
+
+def followers(context):
+    """Return the names of hosts that follow the store."""
+    return {host._own.host for host in context.hosts if host._sync._tasks}
+
+
+def named(host):
+    """Return the names of the other hosts that a host sends callers to."""
+    return {member.host for member in host._shape.ready_hosts(host._loop.time())}
+
+
+@then(
+    "within {seconds:g} s only the relays follow the store, "
+    "and every host knows its region"
+)
+def then_relays_follow(context, seconds):
+    """Wait until roles have settled."""
+    regions = {}
+    for host in context.hosts:
+        regions.setdefault(host._own.region, set()).add(host._own.host)
+
+    def knows(host):
+        known = named(host)
+        near = regions[host._own.region]
+        return near - known == {host._own.host} and len(known - near) >= FAR_HOSTS
+
+    def settled():
+        relays = {"h-00", "h-01", "h-02", "h-03"}
+        return followers(context) == relays and all(map(knows, context.hosts))
+
+    context.world.run(until(settled, seconds))
+
+
+@then("every host counts the fleet the same")
+def then_same(context):
+    """Compare the sizes that hosts believe."""
+    sizes = {host._shape.size(host._loop.time()) for host in context.hosts}
+    assert sizes == {len(context.hosts)}, sizes
+
+
+@when("the operator writes a new configuration")
+def when_new(context):
+    """Write the next version."""
+    context.version += 1
+    cfg = configuration(context.version, DEFAULT_ROUTES)
+    context.reading = followers(context)
+    context.world.run(context.store.write("config", "main", cfg))
+
+
+@then("within {seconds:g} s all hosts have it, most of them from a relay")
+def then_all_have(context, seconds):
+    """Wait for the version everywhere."""
+    have = lambda host: host._view.configuration.version == context.version
+    context.world.run(until(lambda: all(map(have, context.hosts)), seconds))
+    assert len(followers(context)) < len(context.hosts) / 2, followers(context)
+
+
+@when("both relays of a data centre are killed")
+def when_killed(context):
+    """End the two strong hosts of the first data centre without a word."""
+    dead = [host for host in context.hosts if host._own.host in ("h-00", "h-02")]
+    context.hosts = [host for host in context.hosts if host not in dead]
+    context.dead = {host._own.host for host in dead}
+
+    async def kill():
+        for host in dead:
+            host._peers._transport.abort()
+            await host.close()
+
+    context.world.run(kill())
+
+
+@then("within {seconds:g} s other hosts of it follow the store in their place")
+def then_taken_over(context, seconds):
+    """Wait for the next relays."""
+
+    def taken_over():
+        near = [h for h in context.hosts if h._own.data_centre == "dc-0"]
+        return sum(bool(host._sync._tasks) for host in near) >= 2
+
+    context.world.run(until(taken_over, seconds))
+
+
+@then("look-ups name none of the killed hosts within {seconds:g} s")
+def then_not_named(context, seconds):
+    """Wait until every host left them out."""
+    gone = lambda: not any(named(host) & context.dead for host in context.hosts)
+    context.world.run(until(gone, seconds))
+
+
+@then("within {seconds:g} s {count:d} hosts of each data centre follow the store")
+def then_few_follow(context, seconds, count):
+    """Wait until the hosts that stood in have stopped."""
+
+    def settled():
+        found = [host._own.data_centre for host in context.hosts if host._sync._tasks]
+        return [found.count(name) for name in ("dc-0", "dc-1")] == [count, count]
+
+    context.world.run(until(settled, seconds))
+
+
+@when("both relays of a data centre cannot reach the store any more")
+def when_cut(context):
+    """Let every call of two hosts fail from now on, the waiting ones too."""
+
+    async def cut():
+        for host in context.hosts:
+            if host._own.host in ("h-00", "h-02"):
+                host._store._address = ("127.0.0.1", 9)
+                host._sync.restart()
+
+    context.world.run(cut())
+
+
+@when("a host starts that reaches no store and knows one seed")
+def when_lonely(context):
+    """Start a host that depends on its peers alone."""
+    seed = context.hosts[5]._settings.listen.peers
+
+    async def begin():
+        settings = settings_for(9, seeds=seed)
+        context.late = await start_host(context, placed(settings, "late", 0, 0.5))
+
+    context.world.run(begin())
+
+
+@then(
+    "within {seconds:g} s it knows the configuration "
+    "and counts at least {count:d} hosts"
+)
+def then_counts(context, seconds, count):
+    """Check what it learnt from its seed."""
+    late = context.late
+
+    def knows():
+        size = late._shape.size(late._loop.time())
+        return late._view.configuration is not None and size >= count
+
+    context.world.run(until(knows, seconds))
+
+
+def fleet_view():
+    """Return an empty view."""
+    decoders = Decoders(decode_configuration, decode_server, "main")
+    return FleetView(decoders, lambda change: None)
+
+
+@then("edits since a revision lead to the same view as the whole topic")
+def then_edits(context):
+    """Bring views that stopped at every revision up to date by edits."""
+    rng = Random(5)
+    source = fleet_view()
+    copies = {}
+    source.replace(Topic.EVACUATIONS, 1, {"z-0": {}}, "store", 0.0)
+    for revision in range(2, 40):
+        copy = fleet_view()
+        copy.replace(Topic.EVACUATIONS, *source.snapshot(Topic.EVACUATIONS), "p", 0.0)
+        copies[source.revisions[Topic.EVACUATIONS]] = copy
+        name = f"z-{rng.randrange(5)}"
+        edit = (name, {} if rng.random() < 0.6 else None)
+        if rng.random() < 0.3:
+            specs = {f"z-{n}": {"at": revision} for n in range(rng.randrange(4))}
+            source.replace(Topic.EVACUATIONS, revision, specs, "store", 0.0)
+        else:
+            source.apply(Topic.EVACUATIONS, revision, [edit], "store", 0.0)
+    newest, specs = source.snapshot(Topic.EVACUATIONS)
+    for known, copy in copies.items():
+        edits = source.edits_since(Topic.EVACUATIONS, known)
+        copy.apply(Topic.EVACUATIONS, newest, edits, "p", 0.0)
+        assert copy.snapshot(Topic.EVACUATIONS) == (newest, specs), known
+        assert copy.evacuated == source.evacuated
+
+
+@then("edits from before the first kept step are not offered")
+def then_no_edits(context):
+    """Let more changes come than are kept."""
+    view = fleet_view()
+    view.replace(Topic.EVACUATIONS, 1, {"z": {}}, "store", 0.0)
+    for revision in range(2, STEPS_KEPT + 4):
+        view.apply(Topic.EVACUATIONS, revision, [("z", {"n": revision})], "s", 0.0)
+    assert view.edits_since(Topic.EVACUATIONS, 2) is None
+    assert view.edits_since(Topic.EVACUATIONS, 3) is not None
+
+
+@then("a heartbeat that names only changes keeps what earlier ones named")
+def then_partial(context):
+    """Merge a partial heartbeat."""
+    hosts = table()
+    hosts.hear(beat(admitted={"a": 1, "b": 2}), 0.0)
+    hosts.hear(beat(sequence=2, admitted={"b": 3}, whole=False), 0.2)
+    assert hosts.records()[0].admitted == {"a": 1, "b": 3}
+    hosts.hear(beat(started=6, sequence=1, admitted={"b": 0}, whole=False), 0.4)
+    assert hosts.records()[0].admitted == {"b": 0}
+
+
+@then("a host that was asked and stays silent is no relay any more")
+def then_unresponsive(context):
+    """Ask a host and wait."""
+    hosts = table()
+    hosts.hear(beat(), 0.0)
+    record = hosts.records()[0]
+    assert not record.unresponsive(inf)
+    hosts.ask([record.member], 10.0)
+    assert not record.unresponsive(11.7)
+    assert record.unresponsive(11.9)
+    hosts.ask([], 12.0)
+    assert not record.unresponsive(12.0)
