Soaked real processes under faults from outside, and mended the two faults that it found.

Cause: no proof ran the real programs as processes under signals and broken connections. SIGHUP ended a process that was still importing its modules.

Change: SIGHUP is ignored before anything that takes time is imported; a port that is closed ends connections unread that the kernel had accepted.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 soak: $(STAMP)
 	$(BIN)/python features/run_all.py --soak
+	PYTHONPATH=.:features:features/steps $(BIN)/python -m fault_soak --seeds 10
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,6 +1,6 @@
 """Run every measurement: ``python -m benchmarks``."""
 
-from benchmarks import control, decisions, loans, requests
+from benchmarks import control, decisions, loans, relays, requests
 
 
 def main() -> None:
@@ -9,6 +9,8 @@
     decisions.main()
     print("# loans, simulated clock")
     loans.main()
+    print("# relays, no network")
+    relays.main()
     print("# requests, one host")
     requests.measure()
     print("# control, no callers")
--- a/damasktally/entry/__main__.py
+++ b/damasktally/entry/__main__.py
@@ -1,50 +1,20 @@
-"""Run an entry host: ``python -m damasktally.entry [SETTINGS]``."""
+"""Run an entry host: ``python -m damasktally.entry [SETTINGS]``.
 
-import sys
-from asyncio import Event, get_running_loop, run
-from gc import freeze
-from os import environ
-from pathlib import Path
-from signal import SIGHUP, SIGINT, SIGTERM
-
-from damasktally.entry.host import EntryHost
-from damasktally.entry.output import LogOutput
-from damasktally.entry.settings import SettingsInvalid, load_entry_settings
-from damasktally.platform.bounds import SETTINGS_VARIABLE
-from damasktally.platform.codec import MalformedObject
-
-EXIT_INVALID = 2
-EXIT_CUT = 1
+Settings may change at any moment, and the signal that says so would end a process that
+has not set its handler yet. It is ignored before anything that takes time is imported.
+"""
 
+import sys
+from signal import SIG_IGN, SIGHUP, signal
 
-async def _serve(path: Path) -> int:
-    """Serve until SIGTERM; return how many requests were cut."""
-    settings = load_entry_settings(path)
-    loop = get_running_loop()
-    output = LogOutput(sys.stdout.fileno(), loop)
-    host = EntryHost.from_config(settings, output)
-    asked_to_stop = Event()
-    for number in (SIGTERM, SIGINT):
-        loop.add_signal_handler(number, asked_to_stop.set)
-    loop.add_signal_handler(SIGHUP, host.reload)
-    await host.start()
-    await asked_to_stop.wait()
-    cut = await host.stop()
-    output.flush()
-    return cut
 
+def run() -> int:
+    """Run the program; return the exit code."""
+    signal(SIGHUP, SIG_IGN)
+    from damasktally.entry.program import main
 
-def main() -> int:
-    """Run a host; return the exit code."""
-    path = sys.argv[1] if len(sys.argv) > 1 else environ.get(SETTINGS_VARIABLE, "")
-    freeze()
-    try:
-        cut = run(_serve(Path(path)))
-    except (SettingsInvalid, MalformedObject) as exc:
-        print(exc, file=sys.stderr)
-        return EXIT_INVALID
-    return EXIT_CUT if cut else 0
+    return main()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run())
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -220,6 +220,7 @@
         self._peers.send_all([])
         await sleep(min(LISTEN_ON_S, self._bounds.stop_s / 2))
         self._servers[0].close()
+        self._callers.closed = True
         ends = began + self._bounds.stop_s - STOP_MARGIN_S
         self._callers.close_idle()
         while self._callers.under_way and self._loop.time() < ends:
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -28,12 +28,14 @@
     :param handle: answers a request.
     :param limits: returns the bounds that are in force.
     :param draining: every answer asks its caller to connect elsewhere.
+    :param closed: connections that are still accepted are ended unread.
     :param held_bytes: bytes of bodies that are held now.
     """
 
     handle: Handle
     limits: Callable[[], CallerLimits]
     draining: bool = False
+    closed: bool = False
     held_bytes: int = 0
     connections: set["CallerConnection"] = field(default_factory=set)
 
@@ -97,6 +99,10 @@
     def connection_made(self, transport: Transport) -> None:
         """Take the transport."""
         self._transport = transport
+        if self._port.closed:
+            # Nobody would wait for its request: the process is about to end.
+            transport.abort()
+            return
         self._port.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- /dev/null
+++ b/features/fault_soak/__main__.py
@@ -0,0 +1,42 @@
+"""Run seeds: ``python -m fault_soak --seeds 50`` with ``features`` and its steps on
+the path, or ``make soak``."""
+
+import argparse
+import sys
+import tempfile
+from asyncio import run
+from pathlib import Path
+from random import SystemRandom
+
+from fault_soak.run import run_seed
+
+
+def main() -> int:
+    """Run the seeds that are named, or fresh ones; return the exit code."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=5, help="how many fresh seeds")
+    parser.add_argument("--seed", type=int, action="append", default=[])
+    parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--keep", type=Path, help="keep logs in this folder")
+    options = parser.parse_args()
+    fresh = [SystemRandom().randrange(10**9) for _ in range(options.seeds)]
+    failed = 0
+    for seed in options.seed or fresh:
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = Path(scratch)
+            if options.keep:
+                folder = options.keep / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+            result = run(
+                run_seed(seed, folder, options.hosts, options.seconds, options.callers)
+            )
+        print(result, flush=True)
+        failed += bool(result.problems)
+    print(f"{len(options.seed or fresh)} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/run_all.py
+++ b/features/run_all.py
@@ -39,7 +39,8 @@
         command = [sys.executable, "-m", "behave", "--format", "json"]
         command += ["--outfile", str(report), "--format", "progress3"]
         command += ["--tags", "soak" if soak else "not soak", "--no-capture", *args]
-        environment = dict(os.environ, PYTHONPATH=str(ROOT))
+        paths = os.pathsep.join([str(ROOT), str(ROOT / "features")])
+        environment = dict(os.environ, PYTHONPATH=paths)
         subprocess.run(command, cwd=ROOT, env=environment, check=False)
         features = json.loads(report.read_text(encoding="utf-8"))
     return [
--- /dev/null
+++ b/features/steps/fault_soak_steps.py
@@ -0,0 +1,151 @@
+"""Run seeds of the fault soak."""
+
+import tempfile
+from asyncio import gather, run, sleep
+from pathlib import Path
+from signal import SIGHUP
+from socket import socketpair
+
+from behave import given, then, when
+from entry_world import call, until
+from fault_soak.checks import settle
+from fault_soak.fleet import SoakFleet
+from fault_soak.run import run_seed
+
+CALLERS = 8
+LATE_CALLERS = 40
+LATE_STEP_S = 0.0002
+STARTS_S = 10.0
+"""Until the interpreter itself has started; no program can answer before."""
+
+
+@then(
+    "{hosts:d} processes keep every promise "
+    "through {seconds:g} s of the faults of seed {seed:d}"
+)
+def then_held(context, hosts, seconds, seed):
+    """Run one seed."""
+    with tempfile.TemporaryDirectory() as folder:
+        result = run(run_seed(seed, Path(folder), hosts, seconds, CALLERS))
+    assert not result.problems, str(result)
+    assert result.served > 0, str(result)
+
+
+@given("the host keeps a connection to every server")
+def given_kept(context):
+    """Send requests until each server has had one."""
+
+    async def ask():
+        for number in range(60):
+            await gather(
+                *(
+                    call(context.port, "/read/1", request_id=f"warm-{number}-{caller}")
+                    for caller in range(4)
+                )
+            )
+            if all(server.arrivals for server in context.servers):
+                return
+        raise AssertionError("some server got no request")
+
+    context.world.run(ask())
+
+
+@when("callers connect in the very moment in which the host closes its port")
+def when_late(context):
+    """Accept connections as the kernel may have queued them, and stop meanwhile."""
+    near, far = zip(*(socketpair() for _ in range(LATE_CALLERS)), strict=True)
+    context.late_ids = [f"late-{number}" for number in range(LATE_CALLERS)]
+
+    async def accept(number):
+        host = context.host
+        await sleep(number * LATE_STEP_S)
+        near[number].setblocking(False)
+        await host._loop.connect_accepted_socket(host._callers.connection, near[number])
+
+    async def stop():
+        host = context.host
+        port = host._servers[0]
+        close = port.close
+
+        def close_and_accept():
+            close()
+            if context.tasks:
+                return
+            for number, sock in enumerate(far):
+                sock.sendall(request_bytes(context.late_ids[number]))
+                context.tasks.append(host._loop.create_task(accept(number)))
+
+        context.tasks = []
+        port.close = close_and_accept
+        await host.stop()
+        await gather(*context.tasks, return_exceptions=True)
+
+    context.world.run(stop())
+    context.late_answers = [read_all(sock) for sock in far]
+
+
+def request_bytes(request_id):
+    """Return a request with a key."""
+    return (
+        "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n"
+        f"Request-Id: {request_id}\r\nDeadline-Ms: 2000\r\nKey: k-1\r\n\r\n"
+    ).encode()
+
+
+def read_all(sock):
+    """Return what arrived on a socket until its end."""
+    sock.settimeout(1.0)
+    data = b""
+    try:
+        while part := sock.recv(65_536):
+            data += part
+    except OSError:
+        return data
+    return data
+
+
+@then("each of them that a server ran was answered")
+def then_each_answered(context):
+    """Compare runs with answers."""
+    ran = {
+        arrival.headers["request-id"]
+        for server in context.servers
+        for arrival in server.arrivals
+    }
+    answered = {
+        request_id
+        for request_id, data in zip(context.late_ids, context.late_answers, strict=True)
+        if data.startswith(b"HTTP/1.1 ")
+    }
+    assert ran & set(context.late_ids) <= answered, (ran, answered)
+
+
+def ignores(pid, number):
+    """Tell whether a process ignores a signal, as the kernel shows it."""
+    lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
+    mask = next(line.split()[1] for line in lines if line.startswith("SigIgn:"))
+    return bool(int(mask, 16) >> (number - 1) & 1)
+
+
+@then("a host that gets SIGHUP {count:d} times while it starts comes up all the same")
+def then_survives(context, count):
+    """Signal a process that imports its modules."""
+
+    async def play(folder):
+        fleet = SoakFleet(Path(folder), hosts=1, servers=1)
+        try:
+            await fleet.start()
+            host = fleet.hosts[0]
+            await until(lambda: ignores(host.process.pid, SIGHUP), STARTS_S)
+            log = (fleet.folder / f"{host.name}.log").read_text()
+            assert "host-started" not in log, "the signal was ignored too late"
+            for _ in range(count):
+                host.signal(SIGHUP)
+                await sleep(1.0 / count)
+            return await settle(fleet), host.running
+        finally:
+            await fleet.close()
+
+    with tempfile.TemporaryDirectory() as folder:
+        problems, running = run(play(folder))
+    assert running and not problems, problems
