Asked in one place which hosts near by are heard.

Cause: the last reading of the change found the same filter over the hosts of a data centre in exchange.py and in shape.py. Ruled out: merging Member, HostNote and the store's object, which have the same fields on purpose: each is the form of another border. Change: FleetShape.heard_near serves both; behaviour is the same.

--- a/damasktally/entry/exchange.py
+++ b/damasktally/entry/exchange.py
@@ -17,7 +17,7 @@
     PartTable,
     Summary,
 )
-from damasktally.fleet.members import SILENT_S, Heartbeat, MemberRecord
+from damasktally.fleet.members import SILENT_S, Heartbeat
 from damasktally.fleet.model import Member
 from damasktally.fleet.view import FleetView
 
@@ -171,7 +171,7 @@
         """Return what this host tells other data centres of its own."""
         self._cell_growth.sent(self._cell.totals)
         near = self._shape.near()
-        heard = self._heard(now)
+        heard = self._shape.heard_near(now)
         demand = _sum([self._quotas.demand(), *(record.demand for record in heard)])
         return self._summary(
             self._cells_out,
@@ -185,7 +185,7 @@
         """Return what this host tells the hosts of its data centre of the fleet."""
         self._fleet_growth.sent(self._fleet.totals)
         near = self._shape.near()
-        heard = self._heard(now)
+        heard = self._shape.heard_near(now)
         cells = [self._own_cell(now)]
         demands = [self._quotas.demand(), *(record.demand for record in heard)]
         hosts, unheard = 1 + len(heard), len(near) - len(heard)
@@ -207,14 +207,12 @@
             {record.member.host: record.sequence for record in heard},
         )
 
-    def _heard(self, now: float) -> list[MemberRecord]:
-        near = self._shape.near()
-        return [item for item in near if item.spoke and now - item.heard <= SILENT_S]
-
     def _own_cell(self, now: float) -> CellNote:
         own = self._own
         notes = [_note(own, self._describe().ready)]
-        notes += [_note(record.member, record.ready) for record in self._heard(now)]
+        notes += [
+            _note(record.member, record.ready) for record in self._shape.heard_near(now)
+        ]
         notes.sort(key=lambda note: (-note.capacity, note.host))
         return CellNote(own.region, own.data_centre, notes[:NEAR_HOSTS])
 
--- a/damasktally/entry/shape.py
+++ b/damasktally/entry/shape.py
@@ -116,6 +116,11 @@
         records = self._members.records()
         return [record for record in records if record.member.data_centre == own]
 
+    def heard_near(self, now: float) -> list[MemberRecord]:
+        """Return the other hosts of this data centre that are heard."""
+        near = self.near()
+        return [item for item in near if item.spoke and now - item.heard <= SILENT_S]
+
     def record(self, host: str) -> MemberRecord | None:
         """Return what is known of another host of this data centre."""
         return next((r for r in self.near() if r.member.host == host), None)
@@ -169,17 +174,14 @@
             heard = self._members.heard(now)
             unheard = len(self._members.records()) - len(heard)
             return [_direct_report(record) for record in heard], unheard, REPORT_LAG_S
-        reports = self._relay_reports(now) if self.is_relay(now) else []
+        heard = self.heard_near(now) if self.is_relay(now) else []
+        reports = [_direct_report(record) for record in heard]
         for part in self._parts_for(self.relays(now), now):
             if now - part.heard <= SILENT_S:
                 reports += self._relayed_reports(part)
         heard_hosts = 1 + sum(report.hosts for report in reports if report.counted)
         return reports, max(0, self.size(now) - heard_hosts), RELAYED_LAG_S
 
-    def _relay_reports(self, now: float) -> list[QuotaReport]:
-        heard = [r for r in self.near() if r.spoke and now - r.heard <= SILENT_S]
-        return [_direct_report(record) for record in heard]
-
     def _relayed_reports(self, part: PartRecord) -> list[QuotaReport]:
         """Return a part's counts, and those of its other relay to switch to."""
         standby = self._parts.others(part.summary.part)
