Kept callers waiting while a loan that was asked for is under way.

A host subtracts what it asks a peer for from what it believes that peer has, and took a question as under way for 0.1 s only. When the answer took longer (a busy machine), callers were told that nobody had a token while the answer was still coming.

Change: a question is under way from its start until its answer, or the end of its time limit, was handled (UrgentAsks.sent, ended).

Test: "Callers wait for a loan that is under way, however long it takes", on a simulated clock; it failed with the earlier decision.

--- a/benchmarks/loans.py
+++ b/benchmarks/loans.py
@@ -29,6 +29,7 @@
 from damasktally.resources.view import View
 from damasktally.steering.lookup import EntryHost, rank_hosts
 
+CALL_TIMEOUT_S = 1.0
 HEARTBEAT_S = 1.0
 TICK_S = 0.25
 ASK_GAP_S = 0.1
@@ -203,7 +204,7 @@
             if peer is not node:
                 self._send(node, peer, asks.get(peer.name, []))
 
-    def _send(self, node: _Node, peer: _Node, asks: list) -> None:
+    def _send(self, node: _Node, peer: _Node, asks: list) -> int:
         node.sequence += 1
         sequence, sent_at = node.sequence, self.now
         delay = self._delay(node, peer)
@@ -220,8 +221,14 @@
             if node.alive:
                 apply_grants(node.ledger, peer.name, sequence, grants, sent_at)
                 node.hints.record(peer.name, hints, self.now)
+                node.urgent.ended(sequence)
+
+        def give_up() -> None:
+            node.urgent.ended(sequence)
 
         self._after(delay, arrive)
+        self._after(CALL_TIMEOUT_S, give_up)
+        return sequence
 
     def _delay(self, node: _Node, peer: _Node) -> float:
         return 0.001 if node.region == peer.region else self.case.one_way_s
@@ -282,8 +289,8 @@
         if node.urgent.start(limit):
             plan = plan_asks(node.ledger, node.hints, {limit: 1.0})
             by_name = {peer.name: peer for peer in self._nodes}
-            for name in plan:
-                self._send(node, by_name[name], plan[name])
+            sequences = [self._send(node, by_name[n], plan[n]) for n in plan]
+            node.urgent.sent(limit, sequences)
         return True
 
     def _note(self, customer: str, inside: bool, served: bool, began: float) -> None:
--- a/damasktally/escrow/lending.py
+++ b/damasktally/escrow/lending.py
@@ -29,8 +29,8 @@
 URGENT_LENDERS = 4
 URGENT_GAP_S = 0.02
 """Seconds between two urgent questions about the same limit."""
-UNDER_WAY_S = 0.1
-"""Seconds for which the answer to a question may be under way."""
+PLANNED = 0
+"""Stands for a question that is not sent yet; messages are numbered from 1."""
 BLIND_GAP_S = 0.25
 """Seconds after which peers are asked although they are not known to have tokens."""
 MIN_RATE = 1e-3
@@ -112,17 +112,22 @@
     ledger: Ledger
     hints: HintTable
     asked_at: dict[str, float] = field(default_factory=dict)
+    _under_way: dict[str, set[int]] = field(default_factory=dict)
 
     def worth_it(self, limit: str) -> bool:
-        """Tell whether peers have tokens, or may have some that are not known of."""
+        """Tell whether peers have tokens, or may have some that are not known of.
+
+        While an answer is awaited they may: what was asked for is subtracted from
+        what they are believed to have, but it did not arrive yet.
+        """
         entry = self.ledger.entries.get(limit)
         if entry is None:
             return False
         with self.ledger.changed:
+            if self._under_way.get(limit):
+                return True
             now = self.ledger.clock()
             since = now - self.asked_at.get(limit, float("-inf"))
-            if since < UNDER_WAY_S:
-                return True
             if since < BLIND_GAP_S:
                 planner = _Planner(self.ledger, self.hints, limit, entry, now)
                 believed = sum(stand.tokens for stand in planner.stands)
@@ -136,8 +141,27 @@
             if now - self.asked_at.get(limit, float("-inf")) < URGENT_GAP_S:
                 return False
             self.asked_at[limit] = now
+            self._under_way.setdefault(limit, set()).add(PLANNED)
             return True
 
+    def sent(self, limit: str, sequences: Iterable[int]) -> None:
+        """Note which messages carry the question that was started about a limit.
+
+        :param sequences: their numbers; none when no peer can be asked.
+        """
+        with self.ledger.changed:
+            self._under_way[limit].update(sequences)
+        self.ended(PLANNED)
+
+    def ended(self, sequence: int) -> None:
+        """Note that a question was answered, or will not be."""
+        with self.ledger.changed:
+            for limit in list(self._under_way):
+                self._under_way[limit].discard(sequence)
+                if not self._under_way[limit]:
+                    del self._under_way[limit]
+            self.ledger.changed.notify_all()
+
 
 def answer_asks(
     ledger: Ledger,
--- a/damasktally/host/member.py
+++ b/damasktally/host/member.py
@@ -221,9 +221,13 @@
         plan = plan_asks(self._p.ledger, hints, {wanted.limit: wanted.amount})
         with self._p.fleet.lock:
             addresses = {m.identity: m.peer for m in self._p.fleet.roster.members}
+        sequences = []
         for peer in plan:
             if peer in addresses:
-                self._send(addresses[peer], peer, self._heartbeat(plan[peer]))
+                heartbeat = self._heartbeat(plan[peer])
+                self._send(addresses[peer], peer, heartbeat)
+                sequences.append(heartbeat.sequence)
+        self._p.urgent.sent(wanted.limit, sequences)
 
     def _ask_for_slots(self) -> None:
         for pool, wanted in self._p.dispatcher.shortages().items():
@@ -295,6 +299,12 @@
         fut.add_done_callback(hand_over)
 
     def _answered(self, message: Answered) -> None:
+        try:
+            self._use_answer(message)
+        finally:
+            self._p.urgent.ended(message.sequence)
+
+    def _use_answer(self, message: Answered) -> None:
         answer = message.answer
         if answer is None:
             with self._p.ledger.changed:
--- a/features/escrow/escrow.feature
+++ b/features/escrow/escrow.feature
@@ -61,3 +61,10 @@
     Given a host that borrowed 2 slots for 30 s
     Then it can fill 2 slots for 30 s of work
     And it can fill 0 slots for 31 s of work
+
+  Scenario: Callers wait for a loan that is under way, however long it takes
+    Given a host without tokens that asked its only peer for a loan
+    When the answer has been awaited for 0.15 s
+    Then one more caller is told to wait
+    When the answer brings nothing
+    Then one more caller is told that nobody has any
--- /dev/null
+++ b/features/steps/urgent_loan_steps.py
@@ -0,0 +1,66 @@
+"""Steps about questions for loans that callers wait for, on a simulated clock."""
+
+from behave import given, then, when
+
+from damasktally.escrow.generations import GenerationWindow
+from damasktally.escrow.hints import HintTable, SpareHint
+from damasktally.escrow.ledger import Ledger, customer_limit
+from damasktally.escrow.lending import UrgentAsks, plan_asks
+from damasktally.escrow.shares import RosterHost, RosterView
+from damasktally.objects import ChangeEvent, StoredObject
+from damasktally.resources.view import View
+
+OWN = "a/1"
+PEER = "b/1"
+SEQUENCE = 7
+LIMIT = customer_limit("acme")
+
+
+def two_hosts():
+    """Return a window in which two hosts share every limit."""
+    members = (RosterHost("a", "1", "r", "d"), RosterHost("b", "1", "r", "d"))
+    window = GenerationWindow(OWN, 5.0)
+    window.learn(RosterView(1, members), [], [], 0.0)
+    return window
+
+
+def view_of_one_customer():
+    """Return a view with one customer whose burst is one request a host."""
+    spec = {"rate": 0.01, "burst": 2.0}
+    customer = StoredObject(kind="Customer", name="acme", revision=1, spec=spec)
+    return View().apply([ChangeEvent(object=customer)])
+
+
+@given("a host without tokens that asked its only peer for a loan")
+def ask_for_a_loan(context):
+    context.now = 10.0
+    ledger = Ledger(OWN, two_hosts(), lambda: context.now)
+    ledger.refresh(view_of_one_customer())
+    context.hints = HintTable()
+    context.hints.record(PEER, [SpareHint(LIMIT, 0.0, 1.0)], context.now)
+    context.urgent = UrgentAsks(ledger, context.hints)
+    assert context.urgent.worth_it(LIMIT)
+    assert context.urgent.start(LIMIT)
+    assert list(plan_asks(ledger, context.hints, {LIMIT: 1.0})) == [PEER]
+    context.urgent.sent(LIMIT, [SEQUENCE])
+
+
+@when("the answer has been awaited for {seconds:g} s")
+def wait_for_the_answer(context, seconds):
+    context.now += seconds
+
+
+@when("the answer brings nothing")
+def bring_nothing(context):
+    context.hints.record(PEER, [SpareHint(LIMIT, 0.0, 0.0)], context.now)
+    context.urgent.ended(SEQUENCE)
+
+
+@then("one more caller is told to wait")
+def check_waits(context):
+    assert context.urgent.worth_it(LIMIT)
+
+
+@then("one more caller is told that nobody has any")
+def check_refused(context):
+    assert not context.urgent.worth_it(LIMIT)
