Warmed fewer copies under load, shortened messages, and introduced new hosts from afar.

Change: spill to two servers; Retry-After is the mean time that the service's answers took lately; messages by position instead of by name (a heartbeat with 8 customers 587 -> 388 bytes), fields are only appended from now on; a host of a large fleet answers heartbeats from another data centre with a summary that names its hosts, and hosts that know nobody near go on asking their seeds; event 512 service-capacity.

Tests that failed first: "A host that knows only a far seed is told the hosts near it". New: retry times, message size and both directions of versions, capacity line. The check of bounded spill names two servers instead of three, and that the next one is not taken.

--- a/damasktally/decisions/choice.py
+++ b/damasktally/decisions/choice.py
@@ -14,8 +14,8 @@
 QUEUE_PART = {0: 1.0, 1: 0.75}
 """Waiting requests allowed for each slot, by priority; 0 is the most urgent."""
 LEAST_QUEUE_PART = 0.25
-SPILL_DEPTH = 3
-"""How many servers of an object's order are tried."""
+SPILL_DEPTH = 2
+"""How many servers of an object's order are tried; each has to warm up for it."""
 PLACE_COST = 1.0
 """Queue, in parts of a server's slots, that the next server in the order must save."""
 
--- /dev/null
+++ b/damasktally/entry/capacity_log.py
@@ -0,0 +1,86 @@
+"""Log how much of each service can be used, when that changes much."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from damasktally.events import emit
+from damasktally.events.catalogue import SERVICE_CAPACITY
+from damasktally.fleet.view import FleetView
+
+TOLD_PART = 0.1
+"""A service's capacity is told anew when it differs by this part."""
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Hold how many servers of a service there are.
+
+    :param usable: servers that may get requests, cold ones included.
+    :param cold: usable servers that bear few requests.
+    :param evacuated: servers whose data centre is being emptied.
+    :param slots: requests that the usable servers that are not cold work on at once.
+    """
+
+    usable: int = 0
+    cold: int = 0
+    evacuated: int = 0
+    slots: int = 0
+
+
+class CapacityLog:
+    """Remember what was told of each service.
+
+    :param view: servers and evacuations.
+    :param tell: takes a service, what was told of it before, and its capacity now.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        tell: Callable[[str, Capacity | None, Capacity], None] | None = None,
+    ) -> None:
+        self._view = view
+        self._tell = tell or _log
+        self._told: dict[str, Capacity] = {}
+
+    def note(self, now: float) -> None:
+        """Tell what changed much since the last call."""
+        current = capacities(self._view, now)
+        for service in sorted(current.keys() | self._told.keys()):
+            capacity = current.get(service, Capacity())
+            told = self._told.get(service)
+            if told is None or _differs(told, capacity):
+                self._told[service] = capacity
+                self._tell(service, told, capacity)
+
+
+def capacities(view: FleetView, now: float) -> dict[str, Capacity]:
+    """Return the capacity of each service that has servers."""
+    counts: dict[str, list[int]] = {}
+    for server in view.servers.usable():
+        count = counts.setdefault(server.service, [0, 0, 0, 0])
+        if server.data_centre in view.evacuated:
+            count[2] += 1
+            continue
+        count[0] += 1
+        if view.servers.is_cold(server.id, now):
+            count[1] += 1
+        else:
+            count[3] += server.slots
+    return {service: Capacity(*count) for service, count in counts.items()}
+
+
+def _differs(told: Capacity, capacity: Capacity) -> bool:
+    return abs(capacity.slots - told.slots) > TOLD_PART * max(told.slots, 1)
+
+
+def _log(service: str, told: Capacity | None, capacity: Capacity) -> None:
+    emit(
+        SERVICE_CAPACITY,
+        service=service,
+        slots=capacity.slots,
+        slots_before=told.slots if told is not None else None,
+        usable=capacity.usable,
+        cold=capacity.cold,
+        evacuated=capacity.evacuated,
+    )
--- a/damasktally/entry/exchange.py
+++ b/damasktally/entry/exchange.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
+import msgspec
+
 from damasktally.decisions.own_counts import OwnCounts
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.surges import UnsentGrowth
@@ -19,6 +21,7 @@
 )
 from damasktally.fleet.members import SILENT_S, Heartbeat
 from damasktally.fleet.model import Member
+from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
 
 NEAR_HOSTS = 64
@@ -184,6 +187,29 @@
     def fleet_summary(self, now: float) -> Summary:
         """Return what this host tells the hosts of its data centre of the fleet."""
         self._fleet_growth.sent(self._fleet.totals)
+        return self._describe_fleet(self._fleet_out, now)
+
+    def introduction(self, now: float) -> Summary | None:
+        """Return what lets a new host of another data centre find its neighbours.
+
+        :returns: a summary of the whole fleet, or nothing when none is known.
+        """
+        if self._shape.is_relay(now):
+            out = _Outbox.empty()
+            out.sequence = self._fleet_out.sequence
+            return self._describe_fleet(out, now)
+        told = self._parts.fleet(now)
+        if told is None:
+            return None
+        return msgspec.structs.replace(
+            told.summary,
+            cells=told.cells,
+            demand=dict(told.demand),
+            admitted=dict(told.admitted),
+            whole=True,
+        )
+
+    def _describe_fleet(self, out: _Outbox, now: float) -> Summary:
         near = self._shape.near()
         heard = self._shape.heard_near(now)
         cells = [self._own_cell(now)]
@@ -199,7 +225,7 @@
             demands.append(part.demand)
             cells += [self._shortened(cell) for cell in part.cells]
         return self._summary(
-            self._fleet_out,
+            out,
             WHOLE_FLEET,
             cells,
             (hosts, unheard),
@@ -253,9 +279,8 @@
             counted=dict(counted),
         )
 
-    def _revisions(self) -> dict[str, int]:
-        found = self._view.revisions.items()
-        return {topic.value: revision for topic, revision in found}
+    def _revisions(self) -> tuple[int, ...]:
+        return tuple(self._view.revisions[topic] for topic in Topic)
 
 
 def _note(member: Member, ready: bool) -> HostNote:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -16,6 +16,7 @@
 from damasktally.decisions.quota import CustomerQuotas, overdraft_for
 from damasktally.decisions.relays import capacity_of
 from damasktally.entry.candidates import Candidates
+from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.exchange import FleetExchange, OwnState
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.metrics import EntryMetrics
@@ -42,7 +43,8 @@
 from damasktally.fleet.cells import PartTable
 from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import CallerLimits, Customer, Member
-from damasktally.fleet.view import Decoders, FleetView, Topic, ViewChange
+from damasktally.fleet.topics import Topic
+from damasktally.fleet.view import Decoders, FleetView, ViewChange
 from damasktally.http1.inbound import CallerPort
 from damasktally.platform.bounds import decode_bounds
 from damasktally.platform.codec import (
@@ -132,6 +134,7 @@
             self._transfer,
             lambda: self._divide(self._loop.time()),
         )
+        self._capacity_log = CapacityLog(self._view)
         self._pool = ServerPool()
         self._candidates = Candidates(
             self._view, self._own, self._shape, settings.region_of
@@ -286,6 +289,7 @@
         known = self._view.servers.ids()
         self._pool.keep_only(known)
         self._candidates.keep_only(known)
+        self._capacity_log.note(now)
         self._publish(now)
 
     def _divide(self, now: float) -> None:
@@ -347,7 +351,7 @@
         """Note that relays which reached the store know nothing newer."""
         for record in self._shape.near_relays(now):
             for topic, revision in self._view.revisions.items():
-                if record.revisions.get(topic.value) == revision > 0:
+                if record.revisions.get(topic) == revision > 0:
                     self._confirm_at(topic, record.heard - record.store_age_s)
 
     def _log_change(self, change: ViewChange) -> None:
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -21,6 +21,7 @@
 from damasktally.events.catalogue import PEER_LOST, PEER_REGAINED, RELAY_FAILED
 from damasktally.fleet.cells import WHOLE_FLEET, PartTable, Summary, hosts_of
 from damasktally.fleet.members import Heartbeat, MemberTable
+from damasktally.fleet.topics import by_topic
 
 NEWS_DELAY_S = 0.02
 """Changes that come within this long are told together."""
@@ -94,18 +95,34 @@
             self._hear_summary(message, now)
         else:
             self._hear_host(message, now)
-        self._transfer.note_news(message.revisions)
+        self._transfer.note_news(by_topic(message.revisions))
 
     def _hear_host(self, beat: Heartbeat, now: float) -> None:
         if self._members.hear(beat, now):
             self._shape.refresh()
             address = (beat.peer_host, beat.peer_port)
             self._send_to(address, self._encode(now, whole=True))
+        if not beat.stopped and self._comes_from_afar(beat, now):
+            self._introduce((beat.peer_host, beat.peer_port), now)
         if not self._passes_on(now):
             return
         if self._exchange.count_host(beat.host, beat.admitted):
             self._send_urgent(now)
 
+    def _comes_from_afar(self, beat: Heartbeat, now: float) -> bool:
+        """Tell whether a host does not know whom to address.
+
+        Heartbeats go to relays of the sender's own data centre, or to seeds.
+        """
+        other = beat.data_centre != self._members.own.data_centre
+        return other and not self._shape.direct(now)
+
+    def _introduce(self, address: Address, now: float) -> None:
+        """Tell a host of another data centre which hosts are near it."""
+        summary = self._exchange.introduction(now)
+        if summary is not None:
+            self._send_to(address, msgspec.msgpack.encode(summary))
+
     def _passes_on(self, now: float) -> bool:
         return not self._shape.direct(now) and self._shape.is_relay(now)
 
@@ -116,7 +133,8 @@
             self._send_summaries(now)
 
     def _hear_summary(self, summary: Summary, now: float) -> None:
-        self._parts.hear(summary, now)
+        if self._parts.hear(summary, now):
+            self._shape.refresh()
         if summary.part != WHOLE_FLEET:
             if summary.part != self._members.own.data_centre and self._passes_on(now):
                 if self._exchange.count_part(summary.part, summary.admitted, now):
@@ -126,7 +144,7 @@
         for member in hosts_of(told, self._members.own.data_centre):
             if member.host == summary.relay:
                 self._members.hear_relay(
-                    member, summary.revisions, summary.store_age_s, now
+                    member, by_topic(summary.revisions), summary.store_age_s, now
                 )
         if not self._shape.leads(now):
             self._counts_came()
@@ -164,7 +182,8 @@
                 continue
             if place == 0 or self._is_standby_turn():
                 self._send_to(member.peer_address, data)
-        if len(relays) == 1 and not self._members.records():
+        if len(relays) == 1 and not self._parts.heard(now):
+            # Nobody near is known yet, and seeds know who is.
             for address in seeds:
                 self._send_to(address, data)
 
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -3,6 +3,7 @@
 from asyncio import get_running_loop
 from random import Random
 
+from damasktally.decisions.answer_times import AnswerTimes
 from damasktally.decisions.choice import SPILL_DEPTH, choose
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.retry_budget import RetryBudget
@@ -24,7 +25,8 @@
     Route,
     Server,
 )
-from damasktally.fleet.view import FleetView, Topic
+from damasktally.fleet.topics import Topic
+from damasktally.fleet.view import FleetView
 from damasktally.http1.messages import Request, Response, end_to_end
 from damasktally.platform.headers import (
     API_KEY,
@@ -38,7 +40,6 @@
 LEAST_TIME_S = 0.02
 """A request with less time left than this is not sent any more."""
 WAIT_FOR_VIEW_S = 0.5
-WAIT_FOR_ROOM_S = 0.25
 WAIT_FOR_SERVERS_S = 0.5
 NO_HEADERS: frozenset[bytes] = frozenset()
 CONTENT_ENCODING = b"content-encoding"
@@ -71,6 +72,7 @@
         self._bounds = bounds
         self._rng = rng
         self._deal = WeightedDeal()
+        self._answer_times = AnswerTimes()
         self._budgets: dict[str, RetryBudget] = {}
         self._loop = get_running_loop()
 
@@ -145,6 +147,8 @@
                 req, server, trace.customer, ends, once
             )
             trace.attempts.append(attempt)
+            if attempt.ending in (Ending.ANSWERED, Ending.TIMED_OUT):
+                self._answer_times.note(trace.service, attempt.seconds)
             tried.append(server.id)
             sends += attempt.ending not in (Ending.NOT_SENT, Ending.ABANDONED)
             if _is_final(attempt, once):
@@ -195,9 +199,9 @@
             return final(502, trace.reason.value)
         if answered:
             return self._pass_on(answered[-1], trace)
-        wait_s = (
-            WAIT_FOR_SERVERS_S if trace.reason is Reason.NO_SERVER else WAIT_FOR_ROOM_S
-        )
+        wait_s = WAIT_FOR_SERVERS_S
+        if trace.reason is not Reason.NO_SERVER:
+            wait_s = self._answer_times.until_room_s(trace.service)
         return not_run(503, trace.reason.value, self._jitter(wait_s))
 
     def _pass_on(self, attempt: Attempt, trace: Trace) -> Response:
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -26,7 +26,8 @@
 from damasktally.events.catalogue import RELAY_FAILED
 from damasktally.fleet.cells import PartTable
 from damasktally.fleet.members import MemberTable
-from damasktally.fleet.view import FleetView, Topic
+from damasktally.fleet.topics import Topic, by_topic
+from damasktally.fleet.view import FleetView
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -69,7 +70,7 @@
 
     host: str
     address: tuple[str, int]
-    revisions: Mapping[str, int]
+    revisions: Mapping[Topic, int]
 
 
 class StateTransfer:
@@ -114,11 +115,11 @@
         for task in self._tasks:
             task.cancel()
 
-    def note_news(self, revisions: Mapping[str, int]) -> None:
+    def note_news(self, revisions: Mapping[Topic, int]) -> None:
         """Ask at once if a peer is ahead and this host relies on its peers."""
         known = self._view.revisions
         now = self._loop.time()
-        ahead = any(revisions.get(topic.value, 0) > known[topic] for topic in Topic)
+        ahead = any(revisions.get(topic, 0) > known[topic] for topic in Topic)
         if ahead and not self._shape.leads(now):
             self.catch_up(now)
 
@@ -127,13 +128,13 @@
         sources = self._sources(now)
         delay_s = STORE_FIRST_S if self._shape.leads(now) else 0.0
         for topic in Topic:
-            newest = max((s.revisions.get(topic.value, 0) for s in sources), default=0)
+            newest = max((s.revisions.get(topic, 0) for s in sources), default=0)
             if newest <= self._view.revisions[topic]:
                 self._behind.pop(topic, None)
                 continue
             since = self._behind.setdefault(topic, now)
             if now - since >= delay_s and topic not in self._asking:
-                found = [s for s in sources if s.revisions.get(topic.value) == newest]
+                found = [s for s in sources if s.revisions.get(topic) == newest]
                 self._ask_later(topic, self._rng.choice(found))
 
     def _sources(self, now: float) -> list[_Source]:
@@ -145,7 +146,7 @@
         if self._shape.direct(now):
             return found
         relays = [
-            _Source(item.summary.relay, item.address, item.summary.revisions)
+            _Source(item.summary.relay, item.address, by_topic(item.summary.revisions))
             for item in self._parts.heard(now)
         ]
         return found + relays
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -19,7 +19,8 @@
     STORE_REGAINED,
     WATCHES_RENEWED,
 )
-from damasktally.fleet.view import FleetView, Topic
+from damasktally.fleet.topics import Topic
+from damasktally.fleet.view import FleetView
 from damasktally.platform.store import (
     CONFIGURATION_KIND,
     EVACUATIONS_KIND,
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -123,6 +123,13 @@
     "A request got its final answer; the fields tell what decided it.",
     "See docs/OPERATIONS.md.",
 )
+SERVICE_CAPACITY = Event(
+    512,
+    "service-capacity",
+    "The requests that a service's servers work on at once changed by a tenth or more; "
+    "the fields count its usable, cold and evacuated servers.",
+    "If it fell and requests are refused no-room, see which servers left or are cold.",
+)
 SERVER_PAUSED = Event(
     511,
     "server-paused",
--- a/damasktally/fleet/cells.py
+++ b/damasktally/fleet/cells.py
@@ -21,7 +21,7 @@
     capacity: float
 
 
-class CellNote(msgspec.Struct, frozen=True):
+class CellNote(msgspec.Struct, frozen=True, array_like=True):
     """Name hosts of one data centre that are alive, the most capable first."""
 
     region: str
@@ -29,14 +29,17 @@
     hosts: list[HostNote]
 
 
-class Summary(msgspec.Struct, frozen=True, tag="summary"):
+class Summary(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """Tell what a relay knows of a part of the fleet.
 
+    Fields are told apart by their place; new ones are added at the end, with a default.
+
     :param part: the data centre that it describes, or :data:`WHOLE_FLEET`.
     :param cells: hosts that are alive; nothing if they are as before.
     :param host_count: hosts that are alive; it may be more than are named.
     :param unheard: hosts that are known and silent.
-    :param revisions: revision of each topic at the relay.
+    :param revisions: revision of each topic at the relay, in the order of
+        :class:`~damasktally.fleet.topics.Topic`.
     :param admitted: requests of each customer admitted by these hosts, as a total
         that the relay has added up since its start.
     :param demand: requests a second of each customer.
@@ -55,7 +58,7 @@
     cells: list[CellNote] | None
     host_count: int
     unheard: int
-    revisions: dict[str, int]
+    revisions: tuple[int, ...]
     demand: dict[str, float]
     admitted: dict[str, int]
     whole: bool
@@ -102,13 +105,16 @@
         self._records: dict[str, dict[str, PartRecord]] = {}
         self._chosen: dict[str, str] = {}
 
-    def hear(self, summary: Summary, now: float) -> None:
-        """Take a summary, unless a newer one of the same relay came before."""
+    def hear(self, summary: Summary, now: float) -> bool:
+        """Take a summary, unless a newer one of the same relay came before.
+
+        :returns: whether it is the first one of its relay.
+        """
         relays = self._records.setdefault(summary.part, {})
         held = relays.get(summary.relay)
         same_run = held is not None and summary.started_ms == held.run[1]
         if held is not None and not _is_newer(summary, held.summary):
-            return
+            return False
         cells, demand, admitted = summary.cells, summary.demand, summary.admitted
         if same_run:
             cells = held.cells if cells is None else cells
@@ -116,6 +122,7 @@
                 demand = {**held.demand, **demand}
                 admitted = {**held.admitted, **admitted}
         relays[summary.relay] = PartRecord(summary, cells or [], demand, admitted, now)
+        return held is None
 
     def current(self, part: str, now: float) -> PartRecord | None:
         """Return the record of a part that counts, which may be silent by now."""
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from damasktally.fleet.model import Member
+from damasktally.fleet.topics import Topic, by_topic
 
 SILENT_S = 2.0
 """Without a heartbeat for this long, callers are not sent to a host."""
@@ -15,12 +16,15 @@
 FORGOTTEN_S = 30.0
 
 
-class Heartbeat(msgspec.Struct, frozen=True, tag="host"):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """Tell the other hosts about this one.
 
+    Fields are told apart by their place; new ones are added at the end, with a default.
+
     :param ready: callers may be sent here.
     :param stopped: the process ends now.
-    :param revisions: revision of each topic of the view, by the topic's name.
+    :param revisions: revision of each topic of the view, in the order of
+        :class:`~damasktally.fleet.topics.Topic`.
     :param demand: requests a second of each customer at this host.
     :param admitted: requests of each customer admitted since the process started.
     :param whole: both name every customer; otherwise only those that changed.
@@ -40,7 +44,7 @@
     sequence: int
     ready: bool
     stopped: bool
-    revisions: dict[str, int]
+    revisions: tuple[int, ...]
     demand: dict[str, float]
     admitted: dict[str, int]
     whole: bool = True
@@ -64,7 +68,7 @@
     asked: float | None = None
     ready: bool = False
     sequence: int = 0
-    revisions: Mapping[str, int] = field(default_factory=dict)
+    revisions: Mapping[Topic, int] = field(default_factory=dict)
     demand: Mapping[str, float] = field(default_factory=dict)
     admitted: Mapping[str, int] = field(default_factory=dict)
     store_age_s: float = inf
@@ -124,7 +128,7 @@
             asked=record.asked if record is not None and not newer_run else None,
             ready=beat.ready,
             sequence=beat.sequence,
-            revisions=beat.revisions,
+            revisions=by_topic(beat.revisions),
             demand=demand,
             admitted=admitted,
             store_age_s=beat.store_age_s,
@@ -146,7 +150,7 @@
     def hear_relay(
         self,
         member: Member,
-        revisions: Mapping[str, int],
+        revisions: Mapping[Topic, int],
         store_age_s: float,
         now: float,
     ) -> None:
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -3,21 +3,13 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from enum import Enum
 from typing import Any
 
 from damasktally.errors import DamasktallyError
 from damasktally.fleet.changes import describe_change
 from damasktally.fleet.model import Configuration, Server
 from damasktally.fleet.servers import ServerTable
-
-
-class Topic(Enum):
-    """Name the parts of the view that are read and passed on separately."""
-
-    CONFIGURATION = "configuration"
-    EVACUATIONS = "evacuations"
-    SERVERS = "servers"
+from damasktally.fleet.topics import Topic
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/entry/boundary.feature
+++ b/features/entry/boundary.feature
@@ -38,6 +38,22 @@
     Then 5000 lines in one moment to a reader that does not read return at once
     And the lines left out are counted
 
+  Scenario: Messages between hosts are small, and versions understand each other
+    Then a heartbeat that names no customer takes at most 120 bytes
+    And fields that a newer host adds at the end are passed over
+    And fields with a default that an older host leaves out are filled in
+
+  Scenario: The log tells when much of a service can no longer be used
+    Given a service of 20 servers with 4 slots in two data centres
+    When one server leaves
+    Then nothing is told of its capacity
+    When a data centre with 10 servers is evacuated
+    Then 36 slots are told, with 0 cold and 10 evacuated servers
+    When 5 servers are added that are cold for 3 s
+    Then nothing is told of its capacity
+    When 4 s have passed for the view
+    Then 56 slots are told, with 0 cold and 10 evacuated servers
+
   Scenario: Heartbeats of an older run, or out of order, change nothing
     Then the table of hosts ignores older runs and older heartbeats
     And a host that stops is forgotten at once and a silent one is not named
--- a/features/entry/decisions.feature
+++ b/features/entry/decisions.feature
@@ -55,10 +55,20 @@
 
   Scenario: A full fleet refuses instead of spreading work over cold servers
     Given 34 servers in three regions of unequal size
-    Then an object's request goes to one of its first 3 servers or to none
+    Then an object's request goes to one of its first 2 servers or to none
     And a request goes to the first server while that one has room
     And a more urgent request finds room where a less urgent one does not
 
+  Scenario: A refusal for want of room tells when what servers hold will be done
+    Given a service that has answered nothing yet
+    Then callers are told to come back after 0.5 s
+    When 100 answers took 0.2 s each
+    Then callers are told to come back after 0.2 s
+    When 100 answers took 1.5 s each
+    Then callers are told to come back after 1.5 s
+    When 100 answers took 60 s each
+    Then callers are told to come back after 3 s
+
   Scenario: A server that fails gets no requests for a while, and longer each time
     Then one refused connection pauses a server for 0.5 s and the next for 1 s
     And one failed answer does not pause a server and two in a row do
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -73,6 +73,17 @@
     When a host starts that reaches no store and knows one seed
     Then within 3 s it knows the configuration and counts at least 30 hosts
 
+  Scenario Outline: A host that knows only a far seed is told the hosts near it
+    Given a host that relays told of 30 hosts in 2 data centres
+    When a new host of the other data centre sends it <count> heartbeats
+    Then the last one is answered with the hosts of its data centre
+    And the new host addresses the relays of its own data centre
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
   Scenario: Changes are passed on without the whole topic
     Then edits since a revision lead to the same view as the whole topic
     And edits from before the first kept step are not offered
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -8,16 +8,19 @@
 from pathlib import Path
 from time import monotonic
 
+import msgspec
 from behave import given, then, when
 
 from damasktally.entry.output import LogOutput
 from damasktally.entry.settings import SettingsInvalid, load_entry_settings
 from damasktally.events.reasons import Reason
 from damasktally.events.story import tell
+from damasktally.fleet.cells import Summary
 from damasktally.fleet.changes import describe_change
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Member
-from damasktally.fleet.view import Decoders, FleetView, Topic
+from damasktally.fleet.topics import Topic, by_topic
+from damasktally.fleet.view import Decoders, FleetView
 from damasktally.platform.bounds import decode_bounds
 from damasktally.platform.codec import (
     MalformedObject,
@@ -192,13 +195,15 @@
     reader, writer = os.pipe()
     loop = new_event_loop()
     output = LogOutput(writer, loop)
+    # Eliot hands what it held back to the first output that is added.
+    before = output.left_out
     began = monotonic()
     for number in range(5000):
         output.accept({"number": number, "text": "x" * 400})
         if number % 100 == 0:
             output.flush()
     context.seconds = monotonic() - began
-    context.left_out = output.left_out
+    context.left_out = output.left_out - before
     loop.close()
     os.close(reader)
     os.close(writer)
@@ -216,7 +221,7 @@
     known = {
         "ready": True,
         "stopped": False,
-        "revisions": {},
+        "revisions": (),
         "demand": {},
         "admitted": {},
     }
@@ -233,6 +238,32 @@
     )
 
 
+@then("a heartbeat that names no customer takes at most {limit:d} bytes")
+def then_small(context, limit):
+    """Check how much of a message is not counts."""
+    held = beat(host="edge-north-1", started=1792386136272, revisions=(120, 100, 123))
+    size = len(msgspec.msgpack.encode(held))
+    assert size <= limit, size
+
+
+@then("fields that a newer host adds at the end are passed over")
+def then_newer(context):
+    """Read a message with one more field."""
+    held = beat(revisions=(1, 2, 3, 4))
+    values = msgspec.msgpack.decode(msgspec.msgpack.encode(held))
+    data = msgspec.msgpack.encode([*values, "newer"])
+    assert msgspec.msgpack.decode(data, type=Heartbeat | Summary) == held
+    assert set(by_topic(held.revisions)) == set(Topic)
+
+
+@then("fields with a default that an older host leaves out are filled in")
+def then_older_host(context):
+    """Read a message without its last field."""
+    values = msgspec.msgpack.decode(msgspec.msgpack.encode(beat(fleet_size=7)))
+    data = msgspec.msgpack.encode(values[:-1])
+    assert msgspec.msgpack.decode(data, type=Heartbeat | Summary) == beat()
+
+
 def table():
     """Return an empty table of hosts."""
     own = Member("h-1", 1, "north", "dc-1", "127.0.0.1:9", ("127.0.0.1", 9))
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -38,7 +38,8 @@
 from damasktally.entry.exchange import FAR_HOSTS
 from damasktally.entry.settings import HostSection, LimitsSection
 from damasktally.fleet.model import Customer
-from damasktally.fleet.view import STEPS_KEPT, Decoders, FleetView, Topic
+from damasktally.fleet.topics import Topic
+from damasktally.fleet.view import STEPS_KEPT, Decoders, FleetView
 from damasktally.platform.codec import decode_configuration, decode_server
 
 STEP_S = 0.01
