Compared policies on models, and checked entry settings before a host starts.

Ruled out: reading the template with the platform's own renderer (a program of the kit); importing the product's checks into the entry process (they load its settings library; CheckMessage moved to a module of its own instead).

Change: damasktally/lab (servers with slots, queue and known objects; callers; six loads; four policies over the real decisions) and the command lab; entry/checks.py with E201 to W205, run at start and by check; platform/template.py fills a template with sample values.

Tests: lab (seeds, two policies ranked under three loads, errors) and seven faults of entry settings.

--- a/damasktally/cli/app.py
+++ b/damasktally/cli/app.py
@@ -13,6 +13,7 @@
 from damasktally.cli.commands.explain import explain
 from damasktally.cli.commands.get import get
 from damasktally.cli.commands.key import issue, withdraw
+from damasktally.cli.commands.lab import lab
 from damasktally.cli.commands.lookup import lookup
 from damasktally.cli.commands.serve import serve
 from damasktally.cli.commands.status import status
@@ -39,6 +40,7 @@
         audit,
         explain,
         status,
+        lab,
     )
     for command in plain:
         app.command(command)
--- a/damasktally/cli/commands/check.py
+++ b/damasktally/cli/commands/check.py
@@ -1,24 +1,52 @@
 """Check a settings file."""
 
+import sys
 from pathlib import Path
 from typing import Annotated
 
 from cyclopts import Parameter
 
+from damasktally.check_message import CheckMessage
 from damasktally.checks import run_checks
 from damasktally.cli.common import leave, settings_or_exit
 from damasktally.cli.exit_codes import ExitCode
+from damasktally.entry.checks import run_entry_checks
+from damasktally.entry.settings import SettingsInvalid, parse_entry_settings
+from damasktally.platform.template import (
+    UnknownPlaceholder,
+    fill_sample,
+    is_template,
+)
+
+ENTRY_SECTION = "[listen]"
+"""Only settings of an entry host on the platform have this section."""
 
 
 def check(config: Annotated[Path, Parameter(name=["--config", "-c"])]) -> None:
     """Check settings and list every problem at once.
 
-    :param config: the host's INI file.
+    Settings of an entry host on the platform are told by their section [listen]; a
+    template of them is checked with sample values.
+
+    :param config: the host's INI file, or the template that it is made from.
     """
-    settings = settings_or_exit(config)
-    messages = run_checks(settings)
+    text = config.read_text(encoding="utf-8") if config.is_file() else ""
+    if ENTRY_SECTION in text:
+        messages = _check_entry(text, str(config))
+    else:
+        messages = run_checks(settings_or_exit(config))
     for message in messages:
         print(message)
     if any(message.is_error for message in messages):
         leave(ExitCode.INVALID)
     print(f"{config}: the settings are valid.")
+
+
+def _check_entry(text: str, name: str) -> list[CheckMessage]:
+    try:
+        if is_template(text):
+            text = fill_sample(text)
+        return run_entry_checks(parse_entry_settings(text, name))
+    except (SettingsInvalid, UnknownPlaceholder) as exc:
+        print(exc, file=sys.stderr)
+        leave(ExitCode.INVALID)
--- /dev/null
+++ b/damasktally/cli/commands/lab.py
@@ -0,0 +1,43 @@
+"""Compare ways of choosing a server on models of servers and callers."""
+
+import sys
+from typing import Annotated
+
+from cyclopts import Parameter
+
+from damasktally.cli.common import leave
+from damasktally.cli.exit_codes import ExitCode
+from damasktally.lab import LOADS, POLICIES, play, plot, table
+
+
+def lab(
+    load: Annotated[list[str] | None, Parameter(name="--load")] = None,
+    policy: Annotated[list[str] | None, Parameter(name="--policy")] = None,
+    seconds: float = 16.0,
+    seed: int = 1,
+) -> None:
+    """Play loads against policies; print a table and the worth over time.
+
+    :param load: a load to play, several times for several; all of them by default.
+    :param policy: a policy to compare, several times for several; all by default.
+    :param seconds: how long requests arrive.
+    :param seed: the same seed gives the same figures.
+    """
+    loads = _named(load, LOADS, "load")
+    policies = _named(policy, POLICIES, "policy")
+    results = [
+        play(LOADS[name], POLICIES[other], seconds, seed)
+        for name in loads
+        for other in policies
+    ]
+    for line in (*table(results), "", *plot(results)):
+        print(line)
+
+
+def _named(given: list[str] | None, known: dict[str, object], what: str) -> list[str]:
+    names = given or list(known)
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        print(f"No {what} {unknown[0]}; known: {', '.join(known)}.", file=sys.stderr)
+        leave(ExitCode.INVALID)
+    return names
--- a/damasktally/decisions/choice.py
+++ b/damasktally/decisions/choice.py
@@ -29,16 +29,18 @@
     ranked: Sequence[Server],
     held: Callable[[Server], float],
     priority: int,
+    depth: int = SPILL_DEPTH,
 ) -> Server | None:
     """Return the server for a request, or nothing when all are full.
 
     :param ranked: servers that may be used, the preferred first.
     :param held: returns how many requests a server holds.
     :param priority: 0 is the most urgent.
+    :param depth: how many servers of the order are tried.
     """
     best: Server | None = None
     best_cost = inf
-    for place, server in enumerate(ranked[:SPILL_DEPTH]):
+    for place, server in enumerate(ranked[:depth]):
         load = held(server)
         if load + 1 > queue_limit(server.slots, priority):
             continue
--- a/damasktally/entry/program.py
+++ b/damasktally/entry/program.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
 
+from damasktally.entry.checks import run_entry_checks
 from damasktally.entry.host import EntryHost
 from damasktally.entry.output import LogOutput
 from damasktally.entry.settings import SettingsInvalid, load_entry_settings
@@ -20,6 +21,14 @@
 async def _serve(path: Path) -> int:
     """Serve until SIGTERM; return how many requests were cut."""
     settings = load_entry_settings(path)
+    messages = run_entry_checks(settings)
+    for message in messages:
+        print(message, file=sys.stderr)
+    if any(message.is_error for message in messages):
+        raise SettingsInvalid(
+            f"{path} is refused by the checks above.",
+            "damasktally check -c lists them, too.",
+        )
     loop = get_running_loop()
     output = LogOutput(sys.stdout.fileno(), loop)
     host = EntryHost.from_config(settings, output)
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -111,15 +111,31 @@
 
     :raises SettingsInvalid: when it cannot be read or an option is wrong.
     """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise _unreadable(str(path), exc) from exc
+    return parse_entry_settings(text, str(path))
+
+
+def _unreadable(name: str, exc: Exception) -> SettingsInvalid:
+    return SettingsInvalid(
+        f"{name} cannot be read: {' '.join(str(exc).split())}.",
+        "Check the path and that it is an INI file.",
+    )
+
+
+def parse_entry_settings(text: str, name: str) -> EntrySettings:
+    """Read settings from the text of a file.
+
+    :param name: names the file in errors.
+    :raises SettingsInvalid: when an option is wrong.
+    """
     parser = ConfigParser(interpolation=None)
     try:
-        with path.open(encoding="utf-8") as file:
-            parser.read_file(file)
-    except (OSError, UnicodeDecodeError, IniError) as exc:
-        raise SettingsInvalid(
-            f"{path} cannot be read: {' '.join(str(exc).split())}.",
-            "Check the path and that it is an INI file.",
-        ) from exc
+        parser.read_string(text)
+    except IniError as exc:
+        raise _unreadable(name, exc) from exc
     raw: dict[str, Any] = {name: dict(parser.items(name)) for name in parser.sections()}
     try:
         settings = msgspec.convert(raw, EntrySettings, strict=False)
@@ -127,6 +143,6 @@
         _ = settings.seeds
     except (msgspec.MsgspecError, ValueError) as exc:
         raise SettingsInvalid(
-            f"{path}: {exc}.", "docs/ref/entry-settings.md lists every option."
+            f"{name}: {exc}.", "docs/ref/entry-settings.md lists every option."
         ) from exc
     return settings
--- /dev/null
+++ b/damasktally/lab/policies.py
@@ -0,0 +1,60 @@
+"""Name ways of choosing a server, the product's own among them."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from damasktally.decisions.choice import SPILL_DEPTH, choose, queue_limit
+from damasktally.fleet.model import Server
+
+Held = Callable[[Server], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Describe a way of choosing.
+
+    :param pick: takes all servers, those that the object prefers, what each holds and
+        the request's priority; returns a server, or nothing to refuse.
+    :param retry_after_s: what refused callers are told; nothing takes the mean time
+        of answers.
+    """
+
+    name: str
+    pick: Callable[[Sequence[Server], Sequence[Server], Held, int], Server | None]
+    retry_after_s: float | None = None
+
+
+def _least_loaded(
+    servers: Sequence[Server], ranked: Sequence[Server], held: Held, priority: int
+) -> Server | None:
+    server = min(servers, key=held)
+    room = queue_limit(server.slots, priority)
+    return server if held(server) + 1 <= room else None
+
+
+def _plain_hash(
+    servers: Sequence[Server], ranked: Sequence[Server], held: Held, priority: int
+) -> Server | None:
+    server = ranked[0]
+    room = queue_limit(server.slots, priority)
+    return server if held(server) + 1 <= room else None
+
+
+def _spill_to(depth: int) -> Callable:
+    def pick(
+        servers: Sequence[Server], ranked: Sequence[Server], held: Held, priority: int
+    ) -> Server | None:
+        return choose(ranked, held, priority, depth)
+
+    return pick
+
+
+POLICIES = {
+    policy.name: policy
+    for policy in (
+        Policy("product", _spill_to(SPILL_DEPTH)),
+        Policy("spill-3", _spill_to(3), 0.25),
+        Policy("plain-hash", _plain_hash, 0.25),
+        Policy("least-loaded", _least_loaded, 0.25),
+    )
+}
--- /dev/null
+++ b/damasktally/lab/report.py
@@ -0,0 +1,33 @@
+"""Show results side by side, as a table and as a plot over time."""
+
+from collections.abc import Sequence
+
+from damasktally.lab.play import WINDOW_S, Result
+
+BLOCKS = " .:-=+*#%@"
+
+
+def table(results: Sequence[Result]) -> list[str]:
+    """Return one line for each result, with a title."""
+    titles = ("load", "policy", "worth", "in aim", "late", "refused")
+    lines = ["{:<11}{:<14}{:>7}{:>9}{:>9}{:>9}".format(*titles)]
+    for item in results:
+        parts = [count / item.asked for count in (item.in_aim, item.late, item.refused)]
+        lines.append(
+            f"{item.load:<11}{item.policy:<14}{item.worth:>7.3f}"
+            + "".join(f"{100 * part:>8.1f}%" for part in parts)
+        )
+    return lines
+
+
+def plot(results: Sequence[Result]) -> list[str]:
+    """Return, for each result, the worth served in each window, dark for all of it."""
+    lines = [f"worth served by {WINDOW_S:g} s, ' ' for nothing to '@' for all of it"]
+    for item in results:
+        marks = ""
+        for number in sorted(item.windows):
+            served, asked = item.windows[number]
+            level = int(served / max(asked, 1e-9) * (len(BLOCKS) - 1) + 0.5)
+            marks += BLOCKS[min(level, len(BLOCKS) - 1)]
+        lines.append(f"{item.load:<11}{item.policy:<14}|{marks}|")
+    return lines
--- /dev/null
+++ b/damasktally/platform/template.py
@@ -0,0 +1,69 @@
+"""Fill in the template of an entry host's settings as the platform does, for checks."""
+
+import re
+from json import dumps
+from typing import Any
+
+from damasktally.errors import DamasktallyError
+
+PLACEHOLDER = re.compile(r"{{\s*([\w.]+)(\|json)?\s*}}")
+SAMPLE: dict[str, Any] = {
+    "NodeName": "edge-1",
+    "Zone": "zone-a",
+    "Region": "region-a",
+    "Listen": {
+        "Front": "10.0.0.1:8000",
+        "ReadyAddr": "10.0.0.1:8001",
+        "Directory": "10.0.0.1:8002",
+        "Control": "10.0.0.1:8003",
+    },
+    "Zones": {"zone-a": "region-a", "zone-b": "region-b"},
+    "Seeds": ["10.0.0.2:8003", "10.0.0.3:8003"],
+    "Bootstrap": False,
+    "Provider": {"Addr": "10.0.0.9:9000"},
+    "Bounds": {
+        "Grace": "6s",
+        "ttl_max": "5s",
+        "RetryRatio": "0.2",
+        "RetryWindow": "10s",
+        "RetrySlack": "64",
+        "QuotaSlack": "20",
+        "QuotaOverage": "0.1",
+        "QuotaWindow": "5s",
+    },
+    "Limits": {"Cores": 1.0, "CpuShare": 0.5, "LinkMbps": 1000},
+}
+"""Values of the kinds that the platform gives."""
+
+
+class UnknownPlaceholder(DamasktallyError):
+    """Tell that a template asks for a value that the platform does not give."""
+
+
+def is_template(text: str) -> bool:
+    """Tell whether settings still have to be filled in."""
+    return PLACEHOLDER.search(text) is not None
+
+
+def fill_sample(text: str) -> str:
+    """Return a template with sample values.
+
+    :raises UnknownPlaceholder: when it names a value that is not known.
+    """
+    return PLACEHOLDER.sub(lambda found: _value(*found.groups()), text)
+
+
+def _value(path: str, as_json: str | None) -> str:
+    value: Any = SAMPLE
+    for name in path.split("."):
+        if not isinstance(value, dict) or name not in value:
+            raise UnknownPlaceholder(
+                f"The template asks for {path}, which the platform does not give.",
+                "Correct the placeholder.",
+            )
+        value = value[name]
+    if as_json or isinstance(value, dict):
+        return dumps(value)
+    if isinstance(value, list):
+        return ",".join(value)
+    return str(value)
--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -26,6 +26,25 @@
       | a short bound         | isolation.bound_s    | 1               | checks.W104 |
       | keys that go on       | isolation.keyed      | serve           | checks.W105 |
 
+  Scenario: The template of the platform's deploy file is valid
+    When the command "check -c deploy/host.ini.template" is run
+    Then it ends with 0
+
+  Scenario Outline: A check of an entry host finds <fault> as <id>
+    Given the deploy template with "<text>" in place of "<before>"
+    When it is checked
+    Then it ends with <code> and tells <id>
+
+    Examples:
+      | fault                 | before                          | text              | code | id                     |
+      | shared ports          | {{Listen.ReadyAddr}}            | {{Listen.Front}}  | 2    | entry.E201             |
+      | an unknown place      | data_centre = {{Zone}}          | data_centre = x   | 2    | entry.E202             |
+      | another region        | region = {{Region}}             | region = x        | 2    | entry.E203             |
+      | unreadable bounds     | agreed = {{Bounds\|json}}       | agreed = {}       | 2    | entry.E204             |
+      | a host without seeds  | seeds = {{Seeds}}               | seeds =           | 0    | entry.W205             |
+      | a misspelt value      | {{NodeName}}                    | {{NodName}}       | 2    | asks for NodName       |
+      | an unknown option     | name = {{NodeName}}             | nam = x           | 2    | unknown field          |
+
   Scenario: Operators write desired state and read it back
     Given a platform for the command line
     When the command "apply -f examples/masa.yaml" is run
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -100,6 +100,19 @@
         assert any(option in line for line in lines), context.output
 
 
+@given('the deploy template with "{text}" in place of "{before}"')
+def change_template(context, text, before):
+    template = (ROOT / "deploy" / "host.ini.template").read_text(encoding="utf-8")
+    assert before in template, before
+    context.path = write_file(context, template.replace(before, text), ".ini")
+
+
+@then("it ends with {code:d} and tells {what}")
+def check_tells(context, code, what):
+    check_code(context, code)
+    assert what in context.output, context.output
+
+
 @given("the settings of an example with {option} set to {value}")
 def change_setting(context, option, value):
     loaded = load_settings(ROOT / "examples" / "masa-host.ini").ok_value
--- /dev/null
+++ b/features/steps/lab_steps.py
@@ -0,0 +1,46 @@
+"""Steps that play loads against models of servers."""
+
+from behave import then, when
+
+from damasktally.lab import LOADS, POLICIES, play
+
+
+@when(
+    "the load {load} is played for {seconds:d} s "
+    "by the policy {policy} with seeds {a:d}, {b:d} and {c:d}"
+)
+def when_played(context, load, seconds, policy, a, b, c):
+    context.results = [
+        play(LOADS[load], POLICIES[policy], seconds, number) for number in (a, b, c)
+    ]
+
+
+@when("the load {load} is played for {seconds:d} s by each policy with seed {number:d}")
+def when_each(context, load, seconds, number):
+    context.worth = {
+        name: play(LOADS[load], policy, seconds, number).worth
+        for name, policy in POLICIES.items()
+    }
+
+
+@then("the first two results are equal and the third one differs")
+def then_equal(context):
+    first, second, third = context.results
+    assert first == second
+    assert first != third
+
+
+@then("every request of a result was served in time, late or refused")
+def then_whole(context):
+    for item in context.results:
+        assert item.asked == item.in_aim + item.late + item.refused, item
+
+
+@then("product serves more than spill-3")
+def then_more(context):
+    assert context.worth["product"] > context.worth["spill-3"], context.worth
+
+
+@then("least-loaded serves less than half of what product serves")
+def then_less(context):
+    assert 2 * context.worth["least-loaded"] < context.worth["product"], context.worth
