--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -119,6 +119,11 @@
         """Return the seconds since this host itself reached the store."""
         return min(NEVER_S, self._loop.time() - self._reached_at)
 
+    def _tell_started(self, leads: bool) -> None:
+        never = self.age_s >= NEVER_S
+        age_s = None if never else round(self.age_s, 2)
+        emit(FOLLOWING_STARTED, relay=leads, age_s=age_s)
+
     def _start_following(self) -> None:
         self._tasks = [create_task(self._follow(topic)) for topic in Topic]
 
@@ -139,7 +144,7 @@
             if needed:
                 self._needed_at = now
             if needed and not self._tasks and (leads or await self._reaches_store()):
-                emit(FOLLOWING_STARTED, relay=leads, age_s=round(self.age_s, 2))
+                self._tell_started(leads)
                 self._start_following()
             elif self._tasks and now - self._needed_at > STOP_FOLLOWING_S:
                 emit(FOLLOWING_ENDED)
