Took ports for started hosts from below those of outgoing connections.

The demo picked ports from the kernel's range for outgoing connections, which can take a port between its choice and the start of the process; the entry scenarios had got ports of their own for that reason, in a second copy of the function.

Change: one free_port, below the kernel's range, from a random start; a fleet that does not settle now tells which processes ended and the end of their logs.

Conclusion: one way to lose a process at its start is closed; if it shows again, the log's end is in the error.

--- a/benchmarks/process_fleet.py
+++ b/benchmarks/process_fleet.py
@@ -129,7 +129,14 @@
             ):
                 return
             sleep(0.2)
-        raise TimeoutError(f"the fleet did not settle within {READY_S} s: {found}")
+        ended = {
+            name: (item.process.poll(), item.log.read_text(errors="replace")[-500:])
+            for name, item in self.processes.items()
+            if item.process.poll() is not None
+        }
+        raise TimeoutError(
+            f"the fleet did not settle within {READY_S} s; ended: {ended}; {found}"
+        )
 
     def sample(self) -> None:
         """Record which revision each host has in force."""
--- a/damasktally/demo/fleet.py
+++ b/damasktally/demo/fleet.py
@@ -1,6 +1,5 @@
 """Start platform, backend servers and hosts in one process, on loopback."""
 
-import socket
 from dataclasses import dataclass, field
 
 from damasktally.clock import boot_time
@@ -22,6 +21,7 @@
 )
 from damasktally.resources.commands import Commands
 from damasktally.standins.memory import MemoryStore
+from damasktally.standins.ports import free_port
 from damasktally.standins.server import StandInPlatform
 
 CREDENTIAL = "a credential for the demo only"
@@ -29,13 +29,6 @@
 """The fraction of a link that its spec leaves to others unless it says otherwise."""
 
 
-def free_port() -> int:
-    """Return a loopback port that nothing listens on at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def host_settings(
     name: str, region: str, data_centre: str, platform_url: str, store_region: str
 ) -> Settings:
--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -88,6 +88,9 @@
     Then the generated pages are current
     And every link in README and docs leads to a file
 
+  Scenario: Ports of hosts that are started are none that a connection can take
+    Then 200 free ports lie below the ports of outgoing connections, none twice
+
   Scenario: Events have unique numbers, and the code uses every one
     Then the events' numbers are unique and each is used
 
--- a/features/fault_soak/fleet.py
+++ b/features/fault_soak/fleet.py
@@ -16,10 +16,10 @@
     StandInStore,
     answer,
     configuration,
-    free_port,
     route,
 )
 
+from damasktally.standins.ports import free_port
 from fault_soak.proxy import Proxy
 
 ROOT = Path(__file__).resolve().parent.parent.parent
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -25,6 +25,7 @@
 from damasktally.host import Host
 from damasktally.resources.files import read_objects
 from damasktally.standins.memory import MemoryStore
+from damasktally.standins.ports import free_port
 from damasktally.standins.server import StandInPlatform
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -128,6 +129,15 @@
     assert found == [number], found
 
 
+@then("{count:d} free ports lie below the ports of outgoing connections, none twice")
+def check_ports(context, count):
+    kernel = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text()
+    first = int(kernel.split()[0])
+    ports = {free_port() for _ in range(count)}
+    assert len(ports) == count, len(ports)
+    assert max(ports) < first, (max(ports), first)
+
+
 @given("a platform for the command line")
 def start_store(context):
     context.platform = StandInPlatform(MemoryStore())
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -11,6 +11,7 @@
 from damasktally.entry.host import EntryHost
 from damasktally.entry.settings import EntrySettings
 from damasktally.http1 import inbound
+from damasktally.standins.ports import free_port
 from features.steps.entry_world import (
     BOUNDS,
     CLOSE,
@@ -21,7 +22,6 @@
     answer,
     call,
     configuration,
-    free_port,
     read_answer,
     route,
     until,
--- a/features/steps/entry_world.py
+++ b/features/steps/entry_world.py
@@ -5,8 +5,6 @@
 """
 
 import json
-import os
-import socket
 from asyncio import (
     AbstractEventLoop,
     CancelledError,
@@ -27,7 +25,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from itertools import cycle
 from threading import Thread
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -74,25 +71,6 @@
         self._thread.join(CALL_LIMIT_S)
 
 
-FIRST_PORT, LAST_PORT = 18_000, 30_000
-"""Below the ports that the kernel gives to outgoing connections."""
-_ports = cycle(range(FIRST_PORT, LAST_PORT))
-for _ in range(os.getpid() * 97 % (LAST_PORT - FIRST_PORT)):
-    next(_ports)
-
-
-def free_port() -> int:
-    """Return a port that is free now, and that no outgoing connection takes."""
-    for port in _ports:
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise AssertionError("no port is free")
-
-
 async def read_head(reader: StreamReader) -> tuple[str, dict[str, str]] | None:
     """Read a message's first line and headers."""
     try:
--- a/features/steps/loan_steps.py
+++ b/features/steps/loan_steps.py
@@ -12,7 +12,7 @@
 from damasktally.clock import boot_time
 from damasktally.conf.settings import split_address
 from damasktally.demo.callers import CallerClient, Credentials
-from damasktally.demo.fleet import CREDENTIAL, free_port
+from damasktally.demo.fleet import CREDENTIAL
 from damasktally.peers import PeerNetwork
 from damasktally.peers.peer_pb2 import (
     Ask,
@@ -21,6 +21,7 @@
     HeartbeatAnswer,
     Vouch,
 )
+from damasktally.standins.ports import free_port
 
 PATH = "/baskets/1"
 
