--- a/damasktally/platform/template.py
+++ b/damasktally/platform/template.py
@@ -33,7 +33,8 @@
     },
     "Limits": {"Cores": 1.0, "CpuShare": 0.5, "LinkMbps": 1000},
 }
-"""Values of the kinds that the platform gives."""
+"""Values of the kinds that the platform gives; ``Front`` is where callers connect, and
+``Control`` is where the other hosts do."""
 
 
 class UnknownPlaceholder(DamasktallyError):
