Limited responses and requests without end.

Change: FramingCounter limits what a message holds besides its body, for servers and callers alike; ResponseMemory limits all incomplete bodies together and aborts the longest; at most 16 interim or mismatched responses precede one; trailers are dropped; a request has 60 s to arrive. The store's client uses the same connections. Ruled out: limits by time only, since a fast sender fills the memory before a deadline. Conclusion: an at-most-once request ends with 502, never as not run.

--- a/damasktally/entry/connection_pool.py
+++ b/damasktally/entry/connection_pool.py
@@ -3,6 +3,7 @@
 from asyncio import get_running_loop
 
 from damasktally.http1.outbound import ServerConnection, connect
+from damasktally.http1.response_memory import ResponseMemory
 
 MAX_IDLE_S = 6.0
 """Upper bound of ``max_idle_s``: longer idle connections are never reused."""
@@ -20,9 +21,12 @@
     The key is the server's id, which names one run of the server, and not its
     address: a server that is started at the address of another one gets new
     connections.
+
+    :param memory: limits the bytes of all responses that are being received.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ResponseMemory) -> None:
+        self._memory = memory
         self._idle: dict[str, list[ServerConnection]] = {}
         self._loop = get_running_loop()
 
@@ -46,7 +50,7 @@
             if conn.can_send and now - conn.idle_since <= limit:
                 return conn
             conn.close()
-        return await connect(address, timeout_s)
+        return await connect(address, timeout_s, self._memory)
 
     def release(self, server: str, conn: ServerConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -47,6 +47,7 @@
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
 from damasktally.http1.inbound import CallerPort
+from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.bounds import decode_bounds
 from damasktally.platform.codec import (
     decode_configuration,
@@ -93,9 +94,11 @@
             self._log_change,
         )
         self._confirmed_at: dict[Topic, float] = {}
+        response_memory = ResponseMemory()
         self._store = StoreClient(
             split_address(settings.store.address),
             lambda purpose: self._metrics.store_calls.labels(purpose).inc(),
+            response_memory,
         )
         self._summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
@@ -143,7 +146,7 @@
             lambda: self._update_shares(self._loop.time()),
         )
         self._capacity_log = CapacityLog(self._view)
-        self._connection_pool = ConnectionPool()
+        self._connection_pool = ConnectionPool(response_memory)
         self._candidates = ServerCandidates(
             self._view, self._own, self._topology, settings.region_of
         )
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -8,6 +8,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from damasktally.fleet.model import CallerLimits
+from damasktally.http1.framing import FramingCounter
 from damasktally.http1.messages import Headers, Request, Response, encode_response
 
 LINGERING_CLOSE_S = 1.0
@@ -16,7 +17,8 @@
 Closing a socket that holds unread bytes resets the connection, and the caller could
 lose the response.
 """
-TIMEOUT_CHECK_INTERVAL_S = 0.25
+MAX_ARRIVAL_S = 60.0
+"""Seconds from a request's first byte until all of it has to be received."""
 MAX_QUEUED_REQUESTS = 2
 """Pipelined requests that may wait on a connection before reading is paused."""
 MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024
@@ -101,9 +103,10 @@
         """Clear what was read of the current request."""
         self._target = b""
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
+        self._framing = FramingCounter(self._port.limits().head_bytes)
         self._request_started_at: float | None = None
         self._in_head = True
 
@@ -160,12 +163,17 @@
             self._request_started_at = now
         if self._in_head:
             self._head_bytes += len(data)
+        else:
+            self._framing.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
             self._refuse(400)
             return
-        if self._in_head and self._head_bytes > self._port.limits().head_bytes:
+        is_head_too_long = (
+            self._in_head and self._head_bytes > self._port.limits().head_bytes
+        )
+        if is_head_too_long or self._framing.is_exceeded():
             self._refuse(431)
 
     def on_message_begin(self) -> None:
@@ -178,8 +186,15 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header with its name in lower case."""
-        self._headers.append((name.lower(), value))
+        """Append a header with its name in lower case; drop a trailer.
+
+        Trailers arrive after the body. They could change the meaning of the headers,
+        and are dropped, which HTTP allows.
+        """
+        if self._in_head:
+            self._headers.append((name.lower(), value))
+        else:
+            self._framing.add_header(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         """Enforce the size limits and answer ``Expect: 100-continue``."""
@@ -201,7 +216,8 @@
         """Append a part of the body and enforce the body limits."""
         if self._closing:
             return
-        self._body.append(data)
+        self._framing.add_body(len(data))
+        self._body += data
         self._body_bytes += len(data)
         self._adjust_buffered_bytes(len(data))
         if self._port.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
@@ -222,7 +238,7 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             first_byte_at=self._request_started_at or self._last_byte_at,
             last_byte_at=self._last_byte_at,
             keep_alive=self._parser.should_keep_alive(),
@@ -307,6 +323,8 @@
             self._refuse(408)
         elif now - self._last_byte_at > limits.idle_timeout_s:
             self._refuse(408)
+        elif now - self._request_started_at > MAX_ARRIVAL_S:
+            self._refuse(408)
 
     def abort(self) -> None:
         """Close the connection immediately."""
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -23,10 +23,15 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from damasktally.errors import DamasktallyError
+from damasktally.http1.framing import FramingCounter
 from damasktally.http1.messages import BODYLESS_STATUSES, Headers, Response
+from damasktally.http1.response_memory import ResponseMemory
 
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 """Responses with a longer body fail, as they are held in memory."""
+MAX_SKIPPED_RESPONSES = 16
+"""Interim responses, and responses to earlier requests, that may precede the response
+to a request."""
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
@@ -56,12 +61,19 @@
     pending, or after a response, close the connection, so that they are never taken
     for the response to another request.
 
+    A server in trouble may send bytes that never make a complete response. Head,
+    framing, body and the number of skipped responses are therefore limited; a response
+    beyond a limit fails and the connection is closed.
+
+    :param memory: limits the bytes of all responses that are being received.
+
     ``idle_since`` is when the last response was complete, in seconds on the event
     loop's clock. ``keep_alive_timeout_s`` is how long the server keeps the connection
     open while it is idle, or ``None`` if its last response did not state it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ResponseMemory) -> None:
+        self._memory = memory
         self._loop: AbstractEventLoop = get_running_loop()
         self._transport: Transport | None = None
         self._parser = HttpResponseParser(self)
@@ -69,9 +81,10 @@
         self._matches: ResponseMatcher | None = None
         self._head_only = False
         self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._in_body = False
+        self._framing = FramingCounter()
+        self._skipped_count = 0
         self._is_unsolicited = False
         self._received_eof = False
         self.idle_since = self._loop.time()
@@ -105,6 +118,8 @@
         self._pending_response = self._loop.create_future()
         self._matches = matches
         self._head_only = head_only
+        self._framing = FramingCounter()
+        self._skipped_count = 0
         self._transport.write(data)
         return self._pending_response
 
@@ -119,10 +134,13 @@
         if self._pending_response is None:
             self.close()
             return
+        self._framing.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as exc:
             self._fail(f"malformed HTTP: {exc}")
+        if self._pending_response is not None and self._framing.is_exceeded():
+            self._fail("its headers or its framing are too long")
 
     def eof_received(self) -> bool:
         """Record that the server closed its side of the connection properly.
@@ -149,23 +167,40 @@
             self._is_unsolicited = True
             self._reusable = False
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._discard_body()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header with its name in lower case."""
-        self._headers.append((name.lower(), value))
+        """Append a header with its name in lower case; drop a trailer.
+
+        Trailers arrive after the body. They could change the meaning of the headers,
+        and are dropped, which HTTP allows.
+        """
+        self._framing.add_header(len(name) + len(value))
+        if self._pending_response is not None and not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Record that the body follows."""
         self._in_body = True
 
     def on_body(self, data: bytes) -> None:
-        """Append a part of the body and enforce its size limit."""
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+        """Append a part of the body and enforce the size limits."""
+        if self._pending_response is None:
+            return
+        self._framing.add_body(len(data))
+        self._body += data
+        if len(self._body) > MAX_RESPONSE_BODY_BYTES:
             self._fail("the body is too large")
+        else:
+            self._memory.add(self._abort_body, len(data))
+
+    def _abort_body(self) -> None:
+        """Fail the response, as all responses together are too large."""
+        self._fail("too many bytes of responses are being received")
+
+    def _discard_body(self) -> None:
+        self._memory.remove(self._abort_body)
+        self._body = bytearray()
 
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is unsolicited."""
@@ -175,13 +210,18 @@
     def _complete_response(self) -> None:
         """Resolve the pending response if the parsed one is final and matches."""
         self._in_body = False
+        if self._pending_response is None:
+            return
         status = self._parser.get_status_code()
-        if status < MIN_FINAL_STATUS or self._pending_response is None:
+        if status < MIN_FINAL_STATUS:
+            self._skip_response()
             return
-        response = Response(status, self._headers, b"".join(self._body))
+        response = Response(status, self._headers, bytes(self._body))
+        self._discard_body()
         keep_alive = self._parser.should_keep_alive() and not self._received_eof
         if not self._matches(response):
             self._reusable = False
+            self._skip_response()
             return
         # A response may arrive before the request was sent completely. The server
         # then still expects the rest of the body, so the connection is not reused.
@@ -195,6 +235,12 @@
         if not self._reusable:
             self._transport.close() if flushed else self._transport.abort()
 
+    def _skip_response(self) -> None:
+        """Wait for the next response, unless too many were skipped already."""
+        self._skipped_count += 1
+        if self._skipped_count > MAX_SKIPPED_RESPONSES:
+            self._fail("too many other responses came first")
+
     def _has_known_length(self) -> bool:
         """Return whether the end of the body does not depend on a close."""
         if self._parser.get_status_code() in BODYLESS_STATUSES or self._head_only:
@@ -205,6 +251,8 @@
     def _fail(self, cause: str) -> None:
         """Close the connection and fail the pending response."""
         pending_response, self._pending_response = self._pending_response, None
+        self._discard_body()
+        self._headers = []
         self.close()
         if pending_response is not None and not pending_response.done():
             pending_response.set_exception(
@@ -212,16 +260,20 @@
             )
 
 
-async def connect(address: tuple[str, int], timeout_s: float) -> ServerConnection:
+async def connect(
+    address: tuple[str, int], timeout_s: float, memory: ResponseMemory
+) -> ServerConnection:
     """Open a connection to a server.
 
     :param address: host and port.
+    :param memory: limits the bytes of all responses that are being received.
     :raises ConnectFailed: if no connection is established within ``timeout_s``.
     """
     loop = get_running_loop()
     try:
         transport, conn = await wait_for(
-            loop.create_connection(ServerConnection, *address), timeout_s
+            loop.create_connection(lambda: ServerConnection(memory), *address),
+            timeout_s,
         )
     except (OSError, TimeoutError) as exc:
         raise ConnectFailed(
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -20,6 +20,7 @@
     ServerConnection,
     connect,
 )
+from damasktally.http1.response_memory import ResponseMemory
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -107,12 +108,17 @@
 
     :param address: host and port of the store.
     :param count_call: called with the purpose of each call that is made.
+    :param memory: limits the bytes of all responses that are being received.
     """
 
     def __init__(
-        self, address: tuple[str, int], count_call: Callable[[str], None]
+        self,
+        address: tuple[str, int],
+        count_call: Callable[[str], None],
+        memory: ResponseMemory,
     ) -> None:
         self._address = address
+        self._memory = memory
         self._count_call = count_call
         self._idle_connections: list[ServerConnection] = []
 
@@ -242,7 +248,7 @@
             if conn.can_send:
                 return conn
         try:
-            return await connect(self._address, CONNECT_TIMEOUT_S)
+            return await connect(self._address, CONNECT_TIMEOUT_S, self._memory)
         except ConnectFailed as exc:
             raise StoreUnavailable(
                 "The store cannot be reached.", "Check the network to it."
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -78,6 +78,18 @@
       | bytes that are no answer     |
       | an encoded body              |
 
+  Scenario Outline: A server whose answers have no end is closed early and paused: <fault>
+    Given every server answers with <fault>
+    When a caller sends POST /pay/1
+    Then the caller gets 502 within 0.5 s
+    When a caller sends GET /read/1
+    Then one of the servers is paused
+
+    Examples:
+      | fault                         |
+      | headers without end           |
+      | interim responses without end |
+
   Scenario: An answer to another request is discarded, and the right one awaited
     Given every server answers with only another request's id
     When a caller sends POST /pay/1
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -179,6 +179,8 @@
     "an encoded body": lambda a: make_answer(
         a.headers["request-id"], body="x", extra="Content-Encoding: gzip\r\n"
     ),
+    "headers without end": lambda a: b"HTTP/1.1 200 X\r\n" + b"A: b\r\n" * 20_000,
+    "interim responses without end": lambda a: b"HTTP/1.1 103 X\r\n\r\n" * 100,
     "only another request's id": lambda a: make_answer("other", body="x"),
 }
 
@@ -554,6 +556,21 @@
     assert seconds - 0.1 <= context.seconds <= seconds + 0.4, context.seconds
 
 
+@then("the caller gets {status:d} within {seconds:g} s")
+def then_in_time(context, status, seconds):
+    """Check that an answer came early enough."""
+    assert context.answer.status == status, context.answer
+    assert context.seconds <= seconds, context.seconds
+
+
+@then("one of the servers is paused")
+def then_paused(context):
+    """Check that outlier detection pauses a server that failed requests."""
+    detector = context.host._candidates.outlier_detector
+    now = context.host._loop.time()
+    assert not all(detector.is_usable(item.id, now) for item in context.servers)
+
+
 @then("the caller gets {status:d}")
 def then_status(context, status):
     """Check a status."""
