Let four relays of a large fleet follow the store, and passed its changes on.

Change: choose_store_followers names four relays over the regions; messages carry the age of the state that a host has from others, so that a relay whose calls fail relies on those of other data centres; hosts that are no relay take over last; a host that did not reply stays unresponsive for 10 s. Lists of hosts may be stale if they have the own object, and a restarted host that finds its object does not write it. A host that is taken for a relay replies with the list of hosts. A change of topology is no longer logged as a lost peer. Ruled out: followers in each region only, which costs more calls on three regions and leaves a lone region with one. Tests: an assertion said that a host is responsive as soon as no replies are expected; that was the fault, and is replaced by two steps on both sides of the new bound. New scenarios for the choice and the ages; the age scenario is new with the mechanism. Conclusion: what the fleet reads no longer depends on the number of data centres.

--- a/damasktally/decisions/relays.py
+++ b/damasktally/decisions/relays.py
@@ -3,12 +3,14 @@
 In a small fleet every host sends heartbeats to every other host. In a large fleet the
 cost for each host would grow with the fleet. There the hosts of a data centre send
 heartbeats only to each other, and a few of them, the relays, exchange summaries with
-the relays of the other data centres and follow the store for all hosts. The choice is a
-pure function of the hosts that are alive, so that no agreement is needed: if two hosts
-disagree for a moment, only more messages than necessary are sent.
+the relays of the other data centres. A few relays of the fleet follow the store and
+pass its changes on, so that the calls to the store depend on the changes and not on the
+number of data centres. Each choice is a pure function of the hosts that are alive, so
+that no agreement is needed: if two hosts disagree for a moment, only more messages or
+calls than necessary are sent.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from damasktally.decisions.affinity import rendezvous_score
@@ -17,11 +19,14 @@
 """Size of the fleet up to which every host sends heartbeats to every other."""
 RELAYS_PER_DATA_CENTRE = 2
 """With two relays, the loss of one does no harm."""
+STORE_FOLLOWERS = 4
+"""Relays that follow the store. The loss of a region leaves some of them."""
 LINK_MBPS_PER_CORE = 50.0
 """Mbit/s of a host's link that count as one core."""
 MAX_RELAY_STORE_AGE_S = 2.6
-"""A relay follows the store if it reached it within this time. A probe takes up to a
-second, and so does the detection that one fails."""
+"""A relay has the state of the store if it, or a relay that it hears from, reached the
+store within this time. A probe takes up to a second, and so does the detection that one
+fails."""
 MAX_RELAY_SILENCE_S = 1.2
 """A relay counts as failed if no heartbeat arrived from it for this long."""
 
@@ -69,12 +74,32 @@
     return [item.host for item in ranked[:RELAYS_PER_DATA_CENTRE]]
 
 
+def choose_store_followers(
+    relays_by_data_centre: Mapping[tuple[str, str], Sequence[str]],
+) -> list[str]:
+    """Return the names of the relays that follow the store for the whole fleet.
+
+    Primary relays come first, and one of each region before the second of any.
+
+    :param relays_by_data_centre: relays by region and data centre, the primary first.
+    """
+    data_centres_seen: dict[str, int] = {}
+    ranked = []
+    for region, data_centre in sorted(relays_by_data_centre):
+        position = data_centres_seen.get(region, 0)
+        data_centres_seen[region] = position + 1
+        for rank, host in enumerate(relays_by_data_centre[region, data_centre]):
+            ranked.append((rank, position, region, host))
+    ranked.sort()
+    return [host for _, _, _, host in ranked[:STORE_FOLLOWERS]]
+
+
 @dataclass(frozen=True, slots=True)
 class RelayState:
     """Hold when a relay of the same data centre was last known to work.
 
     :param silent_s: seconds since its last heartbeat.
-    :param store_age_s: seconds since it reached the store, as of that heartbeat.
+    :param store_age_s: age of its state of the store in seconds, as of that heartbeat.
     """
 
     silent_s: float
@@ -82,7 +107,7 @@
 
 
 def has_live_relay(relays: Iterable[RelayState]) -> bool:
-    """Return whether some relay is alive and follows the store.
+    """Return whether some relay is alive and has the state of the store.
 
     A host whose data centre has such a relay need not follow the store itself.
     """
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -117,6 +117,7 @@
                 lambda: self._registration.is_complete,
                 lambda: self._topology.should_follow_store(self._loop.time()),
                 lambda: self._topology.has_store_following_relay(self._loop.time()),
+                lambda: self._topology.is_relay(self._loop.time()),
             ),
             self._rng,
         )
@@ -346,7 +347,11 @@
         self._boot_offset = offset
 
     def _own_state(self) -> OwnState:
-        return OwnState(self.is_ready, self._is_stopped, self._store_sync.store_age_s)
+        now = self._loop.time()
+        store_age_s = self._store_sync.store_age_s
+        if not self._topology.is_full_mesh(now):
+            store_age_s = min(store_age_s, self._topology.relayed_store_age_s(now))
+        return OwnState(self.is_ready, self._is_stopped, store_age_s)
 
     @property
     def is_ready(self) -> bool:
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -43,7 +43,8 @@
 
     :param ready: whether callers may be sent to this host.
     :param stopped: whether the process is about to end.
-    :param store_age_s: seconds since this host itself last reached the store.
+    :param store_age_s: age of this host's state of the store in seconds: since it, or
+        a host from which it gets changes, reached the store.
     """
 
     ready: bool
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -33,6 +33,8 @@
 
 MIN_URGENT_INTERVAL_S = 0.05
 """Shortest time between two rounds of urgent summaries."""
+HEARTBEATS_PER_BOOTSTRAP = 5
+"""A host that takes this one for a relay gets one list in this many heartbeats."""
 ROUNDS_PER_STANDBY_SEND = 4
 """A standby relay sends and receives messages in one round of this many."""
 
@@ -109,27 +111,35 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         address = (heartbeat.peer_host, heartbeat.peer_port)
-        if self._members.apply_heartbeat(heartbeat, now):
+        is_new = self._members.apply_heartbeat(heartbeat, now)
+        if is_new:
             self._topology.invalidate()
             self._send_datagram(address, self._encode_heartbeat(now, is_complete=True))
-        if not heartbeat.stopped and self._needs_bootstrap(heartbeat, now):
-            self._send_bootstrap_summary(address, now)
+        is_reply_due = is_new or heartbeat.sequence % HEARTBEATS_PER_BOOTSTRAP == 0
+        if self._is_remote(heartbeat) or is_reply_due:
+            if not heartbeat.stopped and self._needs_bootstrap(heartbeat, now):
+                self._send_bootstrap_summary(address, now)
         if not self._is_active_relay(now):
             return
         if self._message_builder.add_host_counts(heartbeat.host, heartbeat.admitted):
             self._send_urgent_summaries(now)
 
+    def _is_remote(self, heartbeat: Heartbeat) -> bool:
+        return heartbeat.data_centre != self._members.own.data_centre
+
     def _needs_bootstrap(self, heartbeat: Heartbeat, now: float) -> bool:
         """Return whether a host does not know the relays of its data centre yet.
 
         In a large fleet, heartbeats go to relays of the sender's own data centre. A
-        sender elsewhere used this host as a seed, because it knows no such relay.
+        sender elsewhere used this host as a seed. One of this data centre takes this
+        host for a relay, as it knows only some of the hosts here.
         """
-        is_remote = heartbeat.data_centre != self._members.own.data_centre
-        return is_remote and not self._topology.is_full_mesh(now)
+        if self._topology.is_full_mesh(now):
+            return False
+        return self._is_remote(heartbeat) or not self._topology.is_relay(now)
 
     def _send_bootstrap_summary(self, address: Address, now: float) -> None:
-        """Send a host of another data centre the list of hosts of its own."""
+        """Send a host the list of hosts, among them those of its data centre."""
         summary = self._message_builder.build_bootstrap_summary(now)
         if summary is not None:
             self._send_datagram(address, msgspec.msgpack.encode(summary))
@@ -252,10 +262,15 @@
             self._transport.sendto(data, address)
 
     def log_liveness_changes(self, now: float) -> None:
-        """Log hosts whose heartbeats began or stopped, since the previous call."""
+        """Log hosts whose heartbeats began or stopped, since the previous call.
+
+        A host that sends none any more is not lost as long as a relay lists it: hosts
+        send to others once the topology has changed.
+        """
         live_hosts = {record.member.host for record in self._members.live_records(now)}
-        for host in sorted(self._live_hosts - live_hosts):
+        listed_hosts = self._topology.listed_hosts(now)
+        for host in sorted(self._live_hosts - live_hosts - listed_hosts):
             emit(PEER_LOST, peer=host, hosts_heard=len(live_hosts))
         for host in sorted(live_hosts - self._live_hosts):
             emit(PEER_REGAINED, peer=host, hosts_heard=len(live_hosts))
-        self._live_hosts = live_hosts
+        self._live_hosts = live_hosts | (self._live_hosts & listed_hosts)
--- a/damasktally/entry/registration.py
+++ b/damasktally/entry/registration.py
@@ -9,17 +9,30 @@
 from damasktally.events.catalogue import VIEW_CHANGED
 from damasktally.fleet.members import MemberTable
 from damasktally.platform.codec import decode_member, encode_member
-from damasktally.platform.store import MEMBERS_KIND, StoreClient, StoreUnavailable
+from damasktally.platform.store import (
+    MEMBERS_KIND,
+    Listing,
+    StoreClient,
+    StoreUnavailable,
+)
 
 RETRY_DELAY_S = 1.0
-FIRST_START_WAIT_S = 0.5
-"""Wait before listing the hosts when the whole fleet starts, so that all register."""
+FIRST_START_WAIT_S = 1.5
+"""Wait before listing the hosts when the whole fleet starts, so that all register and
+a stale list has them."""
+STALE_LIST_INTERVAL_S = 0.5
+MAX_STALE_LISTS = 4
+"""Stale lists without this host's own object, after which the list must be exact."""
 
 
 class Registration:
     """Write this host's object once, and list the others.
 
-    ``is_complete`` turns true once the store has taken the object and listed the hosts.
+    Lists may be stale, which costs a tenth of an exact one. One that has this host's
+    object has all hosts that registered before it. Those that registered later send
+    heartbeats to hosts that both know.
+
+    ``is_complete`` turns true once the store has the object and listed the hosts.
 
     :param store: the platform's store.
     :param members: receives the hosts that are listed.
@@ -38,16 +51,14 @@
         self._members = members
         self._is_first_start = is_first_start
         self._rng = rng
+        self._own_spec = encode_member(members.own)
         self.is_complete = False
 
     async def run(self) -> None:
         """Register and list the hosts; retry until the store has done both."""
-        own = self._members.own
-        spec = encode_member(own)
         while not self.is_complete:
             try:
-                await self._write(own.host, spec)
-                listing = await self._store.list_objects(MEMBERS_KIND)
+                listing = await self._register_and_list()
             except StoreUnavailable:
                 await sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
                 continue
@@ -56,10 +67,29 @@
                 self._add_member(stored, now)
             self.is_complete = True
 
-    async def _write(self, name: str, spec: Any) -> None:
-        stored = await self._store.create(MEMBERS_KIND, name, spec)
-        if not _is_same_host(stored, spec):
-            await self._store.replace(MEMBERS_KIND, name, spec)
+    async def _register_and_list(self) -> Listing:
+        if not self._is_first_start:
+            # A restarted host mostly finds its object, and need not write it again.
+            listing = await self._store.list_objects(MEMBERS_KIND, allow_stale=True)
+            if self._has_own_object(listing):
+                return listing
+        await self._write()
+        for _ in range(MAX_STALE_LISTS):
+            listing = await self._store.list_objects(MEMBERS_KIND, allow_stale=True)
+            if self._has_own_object(listing):
+                return listing
+            await sleep(STALE_LIST_INTERVAL_S)
+        return await self._store.list_objects(MEMBERS_KIND)
+
+    def _has_own_object(self, listing: Listing) -> bool:
+        stored = listing.specs.get(self._members.own.host)
+        return _is_same_host(stored, self._own_spec)
+
+    async def _write(self) -> None:
+        name = self._members.own.host
+        stored = await self._store.create(MEMBERS_KIND, name, self._own_spec)
+        if not _is_same_host(stored, self._own_spec):
+            await self._store.replace(MEMBERS_KIND, name, self._own_spec)
         if self._is_first_start:
             await sleep(FIRST_START_WAIT_S)
 
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -1,8 +1,8 @@
 """Follow the store: list each topic once, then watch it for changes.
 
-In a large fleet, only the relays follow the store all the time. Any other host starts
-to when no relay of its data centre reaches the store, and stops again once one has
-reached it for a while.
+In a large fleet, only a few relays follow the store all the time. Any other host starts
+to when no relay has recent state of the store, and stops again once one has had it for
+a while.
 """
 
 from asyncio import Task, create_task, gather, get_running_loop, sleep
@@ -45,10 +45,13 @@
 MAX_RETRY_DELAY_S = 1.0
 ROLE_POLL_INTERVAL_S = 0.1
 START_POLL_INTERVAL_S = 0.01
-MAX_START_WAIT_S = 1.0
+MAX_START_WAIT_S = 2.5
 """Longest wait of a starting host for the list of hosts and for a relay."""
 NEVER_REACHED_AGE_S = 1e6
 """Age that messages carry if this host has never reached the store."""
+TAKEOVER_DELAY_S = 1.5
+"""A host that is no relay leaves the relays this long to reach a store that answers
+again, before it follows the store itself."""
 STOP_FOLLOWING_DELAY_S = 3.0
 """A host continues to follow the store for this long after it last had to."""
 
@@ -61,13 +64,15 @@
         role depends.
     :param should_follow_store: returns whether this host has to follow the store
         whatever the others do.
-    :param has_store_following_relay: returns whether a relay that follows the store
-        is alive.
+    :param has_store_following_relay: returns whether a relay that has recent state of
+        the store is alive.
+    :param is_relay: returns whether this host is a relay.
     """
 
     is_fleet_known: Callable[[], bool]
     should_follow_store: Callable[[], bool]
     has_store_following_relay: Callable[[], bool]
+    is_relay: Callable[[], bool]
 
 
 class StoreSync:
@@ -154,7 +159,7 @@
             if (
                 is_needed
                 and not self._watch_tasks
-                and (should_follow or await self._can_reach_store())
+                and (should_follow or await self._can_take_over())
             ):
                 self._log_following_started(should_follow)
                 self._start_following()
@@ -173,17 +178,21 @@
             role.should_follow_store() or role.has_store_following_relay()
         )
 
-    async def _can_reach_store(self) -> bool:
-        """Return whether one cheap call succeeds; wait for a while if it does not.
+    async def _can_take_over(self) -> bool:
+        """Return whether the store answers and no relay has recent state of it.
 
-        Many hosts may lose their relays at once, so none of them lists topics first.
+        Many hosts may lose their relays at once, so none of them lists topics first,
+        and those that are no relay wait for the relays. If the store does not answer,
+        wait for a while.
         """
         try:
             await self._store.probe()
         except StoreUnavailable:
             await sleep(MAX_RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
             return False
-        return True
+        if not self._role.is_relay():
+            await sleep(TAKEOVER_DELAY_S * self._rng.uniform(1.0, 1.5))
+        return not self._role.has_store_following_relay()
 
     async def _run_probes(self) -> None:
         """Renew stale watches, which the store dropped and would never respond to."""
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -6,13 +6,16 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import RELAYED_LAG_S, REPORT_LAG_S, QuotaReport
 from damasktally.decisions.relays import (
+    MAX_RELAY_STORE_AGE_S,
     RelayCandidate,
     RelayState,
     choose_relays,
+    choose_store_followers,
     has_live_relay,
     is_full_mesh,
 )
@@ -43,12 +46,14 @@
     :param fleet_size: number of hosts, as peers report it if no summary is known yet.
     :param known_fleet_size: number of hosts by this host's own records and summaries.
     :param relays: relays of this data centre, the primary first.
+    :param is_store_follower: whether this host follows the store for the fleet.
     """
 
     computed_at: float
     fleet_size: int
     known_fleet_size: int
     relays: tuple[Member, ...]
+    is_store_follower: bool
 
 
 class FleetTopology:
@@ -99,7 +104,19 @@
             fleet_size = max(
                 [known_fleet_size, *(record.fleet_size for record in records)]
             )
-        return _Snapshot(now, fleet_size, known_fleet_size, relays)
+        is_follower = self._own in relays and self._is_chosen_follower(relays, now)
+        return _Snapshot(now, fleet_size, known_fleet_size, relays, is_follower)
+
+    def _is_chosen_follower(self, relays: tuple[Member, ...], now: float) -> bool:
+        """Return whether this relay is one of those that follow the store.
+
+        :param relays: relays of this data centre, the primary first.
+        """
+        by_data_centre = {
+            (members[0].region, members[0].data_centre): [m.host for m in members]
+            for members in (relays, *self._remote_relays(now))
+        }
+        return self._own.host in choose_store_followers(by_data_centre)
 
     def _live_local_members(self, now: float) -> dict[str, Member]:
         """Return the hosts of this data centre that are assumed alive, by name.
@@ -192,12 +209,46 @@
     def should_follow_store(self, now: float) -> bool:
         """Return whether this host has to follow the store itself.
 
-        Every host does so in a full mesh; otherwise the relays do it for the others.
+        Every host does so in a full mesh; otherwise a few relays do it for the others.
+        """
+        return self.is_full_mesh(now) or self._get_snapshot(now).is_store_follower
+
+    def relayed_store_age_s(self, now: float) -> float:
+        """Return the age of the store's state that other hosts have, in seconds.
+
+        A relay that does not follow the store gets changes from one that does, and
+        reports the age of what it gets. Ages only grow on the way, so that two hosts
+        cannot keep each other's young.
+
+        :returns: infinity if no other live host has any.
         """
-        return self.is_full_mesh(now) or self.is_relay(now)
+        ages = [
+            record.store_age_s + now - record.last_seen_at
+            for record in self._members.live_records(now)
+        ]
+        ages += [
+            record.summary.store_age_s + now - record.received_at
+            for record in self._summaries.live_records(now)
+        ]
+        return min(ages, default=inf)
+
+    def listed_hosts(self, now: float) -> set[str]:
+        """Return the names of the hosts that live relays list as alive."""
+        return {
+            member.host
+            for record in self._summaries.live_records(now)
+            for member in listed_members(record.data_centre_hosts, ready_only=False)
+        }
 
     def has_store_following_relay(self, now: float) -> bool:
-        """Return whether another relay here is alive and follows the store."""
+        """Return whether another relay here is alive and has the store's state.
+
+        A relay counts the relays of other data centres, too.
+        """
+        if self.is_relay(now) and self.relayed_store_age_s(now) <= (
+            MAX_RELAY_STORE_AGE_S
+        ):
+            return True
         return has_live_relay(
             RelayState(now - record.last_seen_at, record.store_age_s)
             for record in self.local_relay_records(now)
@@ -300,6 +351,13 @@
 
         :returns: a tuple for each data centre, the primary relay first.
         """
+        return [
+            tuple(member.peer_address for member in members)
+            for members in self._remote_relays(now)
+        ]
+
+    def _remote_relays(self, now: float) -> list[tuple[Member, ...]]:
+        """Return the relays of each other data centre, the primary relay first."""
         by_data_centre: dict[str, dict[str, Member]] = {}
         for record in self._members.records():
             if now - record.last_seen_at <= LISTED_HOST_LIFETIME_S:
@@ -311,7 +369,7 @@
         by_data_centre.pop(self._own.data_centre, None)
         return [
             tuple(
-                members[host].peer_address
+                members[host]
                 for host in choose_relays(
                     data_centre,
                     [RelayCandidate(m.host, m.capacity) for m in members.values()],
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -19,6 +19,8 @@
 REPLY_TIMEOUT_S = 1.8
 """A relay that sends nothing for this long after messages started to go to it is
 replaced by another host."""
+UNRESPONSIVE_RETRY_S = 10.0
+"""A host that did not reply may be tried again after this long."""
 REMOVAL_TIMEOUT_S = 30.0
 """A host or relay that sent nothing for this long is removed from the tables."""
 
@@ -42,8 +44,8 @@
     :param is_complete: whether ``demand`` and ``admitted`` name every customer;
         otherwise they name only those whose values changed.
     :param capacity: capacity of the sender in cores, bounded by its network link.
-    :param store_age_s: seconds since the sender itself last reached the store; a large
-        number if it does not follow the store.
+    :param store_age_s: seconds since the sender, or a host from which it gets changes,
+        last reached the store; a large number if none did.
     :param fleet_size: number of hosts known to the sender, itself included.
     """
 
@@ -82,7 +84,8 @@
     :param demand: requests a second of each customer at that host.
     :param admitted: number of requests of each customer that it admitted since its
         process started.
-    :param store_age_s: seconds since it reached the store, as of its last message.
+    :param store_age_s: age of its state of the store in seconds, as of its last
+        message.
     :param fleet_size: number of hosts known to it, itself included.
     """
 
@@ -186,6 +189,9 @@
     def expect_replies(self, hosts: Iterable[Member], now: float) -> None:
         """Record which hosts currently get messages that require a reply.
 
+        A host that did not reply stays unresponsive for a while when another one is
+        tried. Otherwise hosts would return to a dead relay again and again.
+
         :param hosts: all of them; those that the table lacks are added.
         :param now: seconds on the event loop's clock.
         """
@@ -193,10 +199,11 @@
         for member in expected.values():
             self.add(member, now)
         for name, record in self._records.items():
-            if name not in expected:
+            since = record.reply_expected_since
+            if name in expected:
+                record.reply_expected_since = now if since is None else since
+            elif not record.is_unresponsive(now) or now - since > UNRESPONSIVE_RETRY_S:
                 record.reply_expected_since = None
-            elif record.reply_expected_since is None:
-                record.reply_expected_since = now
 
     def apply_relay_summary(
         self,
@@ -209,7 +216,7 @@
 
         :param member: the relay, as its summary lists it.
         :param revisions: revision of each topic that the relay has.
-        :param store_age_s: seconds since the relay reached the store.
+        :param store_age_s: age of the relay's state of the store in seconds.
         :param now: seconds on the event loop's clock.
         """
         record = self._records.get(member.host)
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -57,7 +57,8 @@
         a total that the relay has added up since its start.
     :param is_complete: whether ``demand`` and ``admitted`` name every customer;
         otherwise they name only those whose values changed.
-    :param store_age_s: seconds since the relay reached the store.
+    :param store_age_s: seconds since the relay, or a host from which it gets changes,
+        last reached the store.
     :param included_heartbeats: for each host whose heartbeats the relay receives, the
         sequence number of the last heartbeat that is part of the totals.
     """
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -28,6 +28,8 @@
 SERVERS_KIND = "servers"
 MEMBERS_KIND = "damasktally-hosts"
 
+ALLOW_STALE = "AllowStale=1"
+"""Query parameter that lets the store respond from a replica that is seconds old."""
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
@@ -122,21 +124,26 @@
         self._count_call = count_call
         self._idle_connections: list[ServerConnection] = []
 
-    async def list_objects(self, kind: str) -> Listing:
+    async def list_objects(self, kind: str, allow_stale: bool = False) -> Listing:
         """List all objects of a kind.
 
+        :param allow_stale: whether the store may respond from a replica that is
+            seconds old. Such a call costs a tenth of an exact one.
         :raises StoreUnavailable: if the store does not respond, or reports an error.
         """
         specs: dict[str, Any] = {}
-        path = f"/objects/{kind}"
+        parameters = [ALLOW_STALE] if allow_stale else []
+        purpose = "stale-list" if allow_stale else "list"
+        after: list[str] = []
         while True:
-            response = await self._call("GET", path, None, "list", CALL_TIMEOUT_S)
+            path = f"/objects/{kind}?{'&'.join(parameters + after)}"
+            response = await self._call("GET", path, None, purpose, CALL_TIMEOUT_S)
             page = _decode(response, WireListing)
             specs.update({item.Metadata.Name: item.Spec for item in page.items})
             if not page.More or not page.items:
                 return Listing(page.StoreRevision, specs)
             last = quote(page.items[-1].Metadata.Name, safe="")
-            path = f"/objects/{kind}?after={last}"
+            after = [f"after={last}"]
 
     async def probe(self) -> int:
         """Return a revision that the store has reached, possibly seconds ago.
@@ -146,7 +153,7 @@
 
         :raises StoreUnavailable: if the store does not respond, or reports an error.
         """
-        path = f"/objects/{EVACUATIONS_KIND}?AllowStale=1"
+        path = f"/objects/{EVACUATIONS_KIND}?{ALLOW_STALE}"
         response = await self._call("GET", path, None, "probe", PROBE_TIMEOUT_S)
         return _decode(response, WireListing).StoreRevision
 
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -12,6 +12,23 @@
       | 1.3    | 0.1       | no     |
       | 0.1    | 2.7       | no     |
 
+  Scenario: Calls to the store do not grow with the number of data centres
+    Then these relays follow the store
+      | data centres in each region | followers                                     |
+      | 1, 0, 0                     | a-1.p, a-1.s                                  |
+      | 1, 1, 0                     | a-1.p, b-1.p, a-1.s, b-1.s                    |
+      | 3, 3, 3                     | a-1.p, b-1.p, c-1.p, a-2.p                    |
+      | 0, 3, 3                     | b-1.p, c-1.p, b-2.p, c-2.p                    |
+      | 9, 9, 9                     | a-1.p, b-1.p, c-1.p, a-2.p                    |
+
+  Scenario: A relay that does not follow the store reports the age of what it gets
+    Given a relay whose data centre is not among those that follow the store
+    When a relay elsewhere reports that it reached the store 0.4 s ago
+    Then after 1 s the state of the relay is 1.4 s old, and it relies on the other
+    And its hosts rely on it for as long
+    When two relays hear only from each other
+    Then their ages of the store's state grow with time
+
   Scenario: Totals continue when counters restart, end, or come from another relay
     Then totals are kept when a counter restarts
     And totals switch to a standby relay without counting requests twice
@@ -27,6 +44,8 @@
   Scenario: Partial heartbeats are merged, and unresponsive hosts are detected
     Then a heartbeat with only the changed entries keeps the others
     And a host that does not reply in time is unresponsive
+    And it stays so when no messages go to it any more, until it sends one
+    And it may be tried again after 10 s, and a responsive one at any time
 
   Scenario Outline: Small shares admit whole requests, and no window exceeds the limit
     Given a large fleet of <hosts> hosts and a customer with a rate of <rate>
--- /dev/null
+++ b/features/steps/follower_steps.py
@@ -0,0 +1,152 @@
+"""Steps for the relays that follow the store, and for those that rely on them."""
+
+from math import inf
+
+from behave import given, then, when
+
+from damasktally.decisions.heartbeat_history import HeartbeatHistory
+from damasktally.decisions.relays import choose_store_followers
+from damasktally.entry.topology import FleetTopology
+from damasktally.fleet.members import MemberTable
+from damasktally.fleet.model import Member
+from damasktally.fleet.summaries import (
+    DataCentreHosts,
+    HostSummary,
+    RelaySummary,
+    SummaryTable,
+)
+
+REGIONS = ("a", "b", "c")
+DATA_CENTRES_PER_REGION = 3
+HOSTS_PER_DATA_CENTRE = 4
+OWN_HOST = "b-3.h0"
+
+
+def make_summary(data_centre, store_age_s, sequence=1):
+    """Return a data centre's summary by its primary relay."""
+    hosts = [
+        HostSummary(f"{data_centre}.h{n}", 1, "10.0.0.1:80", "10.0.0.1", 7, True, 9 - n)
+        for n in range(HOSTS_PER_DATA_CENTRE)
+    ]
+    return RelaySummary(
+        relay=f"{data_centre}.h0",
+        started_ms=1,
+        sequence=sequence,
+        peer_host="10.0.0.1",
+        peer_port=7,
+        scope=data_centre,
+        data_centre_hosts=[DataCentreHosts(data_centre[0], data_centre, hosts)],
+        live_host_count=HOSTS_PER_DATA_CENTRE,
+        silent_host_count=0,
+        revisions=(1, 1, 1),
+        demand={},
+        admitted={},
+        is_complete=True,
+        store_age_s=store_age_s,
+        included_heartbeats={},
+    )
+
+
+def make_topology(own_name):
+    """Return the topology of the primary relay of a data centre, and its summaries."""
+    data_centre = own_name.split(".")[0]
+    own = Member(
+        own_name, 1, data_centre[0], data_centre, "10.0.0.1:80", ("10.0.0.1", 7), 9.0
+    )
+    summaries = SummaryTable()
+    topology = FleetTopology(MemberTable(own), summaries, HeartbeatHistory())
+    return topology, summaries
+
+
+def data_centre_names(counts):
+    """Yield region and data centre for the number of data centres in each region."""
+    for region, count in zip(REGIONS, counts, strict=True):
+        for number in range(1, count + 1):
+            yield region, f"{region}-{number}"
+
+
+@then("these relays follow the store")
+def then_followers(context):
+    """Choose the followers of each row."""
+    for row in context.table:
+        counts = [int(text) for text in row["data centres in each region"].split(",")]
+        relays = {
+            (region, name): [f"{name}.p", f"{name}.s"]
+            for region, name in data_centre_names(counts)
+        }
+        expected = row["followers"].split(", ")
+        assert choose_store_followers(relays) == expected, (row, relays)
+
+
+@given("a relay whose data centre is not among those that follow the store")
+def given_other_relay(context):
+    """Create a relay of the last data centre of its region, which hears from all."""
+    context.topology, context.summaries = make_topology(OWN_HOST)
+    counts = [DATA_CENTRES_PER_REGION] * len(REGIONS)
+    for _, name in data_centre_names(counts):
+        if name != "b-3":
+            context.summaries.apply_summary(make_summary(name, inf), 10.0)
+    assert context.topology.is_relay(10.0)
+    assert not context.topology.should_follow_store(10.0)
+    assert not context.topology.has_store_following_relay(10.0)
+
+
+@when("a relay elsewhere reports that it reached the store {age_s:g} s ago")
+def when_relay_reports(context, age_s):
+    """Apply the summary of a relay that follows the store."""
+    context.summaries.apply_summary(make_summary("a-1", age_s, 2), 10.0)
+
+
+@then(
+    "after {later_s:g} s the state of the relay is {age_s:g} s old, "
+    "and it relies on the other"
+)
+def then_state_age(context, later_s, age_s):
+    """Check the age that the relay reports."""
+    now = 10.0 + later_s
+    assert abs(context.topology.relayed_store_age_s(now) - age_s) < 0.01
+    assert context.topology.has_store_following_relay(now)
+
+
+@then("its hosts rely on it for as long")
+def then_hosts_rely(context):
+    """Check a host that gets the relay's summary of the fleet."""
+    topology, _ = make_topology("b-3.h1")
+    members = topology._members
+    relay = context.topology._own
+    for later_s, relies in ((1.0, True), (2.5, False)):
+        now = 10.0 + later_s
+        age_s = context.topology.relayed_store_age_s(now)
+        members.add(relay, now)
+        members.apply_relay_summary(relay, {}, age_s, now)
+        topology.invalidate()
+        assert topology.has_store_following_relay(now) == relies, (later_s, age_s)
+
+
+@when("two relays hear only from each other")
+def when_only_each_other(context):
+    """Let two relays report ages to each other for 5 s."""
+    names = ("a-3", "b-3")
+    pairs = {name: make_topology(f"{name}.h0") for name in names}
+    context.ages = []
+
+    def report_age_s(name, now):
+        # Only the first one ever reached the store, once.
+        own_age_s = now - 20.0 if name == "a-3" else inf
+        return min(own_age_s, pairs[name][0].relayed_store_age_s(now))
+
+    for tick in range(25):
+        now = 20.0 + 0.2 * tick
+        for name, other in (names, names[::-1]):
+            summary = make_summary(other, report_age_s(other, now), tick + 1)
+            pairs[name][1].apply_summary(summary, now)
+        context.ages.append(min(report_age_s(name, now) for name in names))
+
+
+@then("their ages of the store's state grow with time")
+def then_ages_grow(context):
+    """Check that no report makes the state young again."""
+    assert all(
+        later - earlier > 0.19
+        for earlier, later in zip(context.ages, context.ages[1:], strict=False)
+    ), context.ages
