--- a/damasktally/entry/forwarder.py
+++ b/damasktally/entry/forwarder.py
@@ -83,7 +83,9 @@
             )
         finally:
             self._candidates.loads.end(server.id)
-        self._record_outcome(server, outcome, response)
+        if not (outcome is AttemptOutcome.LOST and req.is_disconnected):
+            # A response that was lost because the caller left is no server's failure.
+            self._record_outcome(server, outcome, response)
         return Attempt(server.id, outcome, self._loop.time() - started_at, response)
 
     async def _connect_and_send(
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -144,6 +144,12 @@
     "A backend server failed requests of this host and gets none for a while.",
     "Check the server.",
 )
+HANDLER_FAILED = Event(
+    513,
+    "handler-failed",
+    "The handler of a request raised an error, and the caller got a 500.",
+    "Report it with its traceback.",
+)
 SETTINGS_RELOADED = Event(
     110, "settings-reloaded", "The settings were read again after SIGHUP.", "None."
 )
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -4,9 +4,12 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from traceback import format_exc
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from damasktally.events import emit
+from damasktally.events.catalogue import HANDLER_FAILED
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.framing import FramingCounter
 from damasktally.http1.messages import Headers, Request, Response, encode_response
@@ -226,7 +229,12 @@
             self._refuse(413)
 
     def _adjust_buffered_bytes(self, delta: int) -> None:
-        """Add to the buffered bytes of this connection and of its port."""
+        """Add to the buffered bytes of this connection and of its port.
+
+        All bytes are released when the connection is lost, also those of a request
+        that is still being handled and whose end releases them again.
+        """
+        delta = max(delta, -self._buffered_bytes)
         self._buffered_bytes += delta
         self._port.buffered_bytes += delta
 
@@ -256,7 +264,7 @@
             while self._queue and not self._transport.is_closing():
                 req = self._queue.popleft()
                 self._active_request = req
-                response = await self._port.handle(req)
+                response = await self._handle(req)
                 self._active_request = None
                 self._adjust_buffered_bytes(-len(req.body))
                 if req.is_disconnected:
@@ -269,6 +277,17 @@
             self._last_byte_at = self._loop.time()
             self._resume_reading()
 
+    async def _handle(self, req: Request) -> Response:
+        """Return the handler's response, or a 500 if it raises.
+
+        A 500 does not claim that the request did not run.
+        """
+        try:
+            return await self._port.handle(req)
+        except Exception as exc:
+            emit(HANDLER_FAILED, error=repr(exc), traceback=format_exc())
+            return Response(500, [], b"")
+
     def _resume_reading(self) -> None:
         """Read from the connection again if reading was paused."""
         if self._transport.is_closing():
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -121,6 +121,21 @@
     When a caller of /read/1 disconnects after 0.2 s
     Then a server's connection is closed within 0.5 s
 
+  Scenario: Servers are not paused for callers that disconnect
+    Given every server takes 3 s
+    When 6 callers of /read/1 disconnect after 0.1 s
+    Then none of the servers is paused
+
+  Scenario: Bytes of a body are released once when its caller disconnects
+    Given every server takes 0.4 s
+    When 1000 bytes are sent to /pay/1 by a caller that disconnects after 0.1 s
+    Then the host buffers no bytes once the server has answered
+
+  Scenario: A request whose handler raises an error gets a 500
+    Given the handler of requests raises an error
+    When a caller asks for /read/1
+    Then the caller gets 500
+
   Scenario: A non-idempotent request continues when its caller disconnects
     Given every server takes 0.6 s
     When a caller of /pay/1 disconnects after 0.2 s
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -340,6 +340,52 @@
     context.loop_thread.run(disconnect())
 
 
+@when("{count:d} callers of {path} disconnect after {seconds:g} s")
+def when_callers_disconnect(context, count, path, seconds):
+    """Send requests one after the other and close each connection early."""
+
+    async def disconnect_all():
+        for _ in range(count):
+            task = create_task(send_request(context.port, path))
+            await sleep(seconds)
+            task.cancel()
+            await sleep(0.05)
+
+    context.loop_thread.run(disconnect_all())
+
+
+@when(
+    "{size:d} bytes are sent to {path} by a caller that disconnects after {seconds:g} s"
+)
+def when_caller_with_body_disconnects(context, size, path, seconds):
+    """Send a request with a body and close the connection early."""
+
+    async def disconnect():
+        body = b"x" * size
+        task = create_task(send_request(context.port, path, "POST", body=body))
+        await sleep(seconds)
+        task.cancel()
+
+    context.loop_thread.run(disconnect())
+
+
+@then("the host buffers no bytes once the server has answered")
+def then_released_once(context):
+    """Wait for the answer and check the counted bytes, which must not be negative."""
+    context.loop_thread.run(sleep(0.8))
+    assert context.host._caller_port.buffered_bytes == 0
+
+
+@given("the handler of requests raises an error")
+def given_failing_handler(context):
+    """Replace the handler of the callers' port."""
+
+    async def fail(req):
+        raise RuntimeError("handler")
+
+    context.host._caller_port.handle = fail
+
+
 @when("the preferred server starts to drain")
 def when_server_drains(context):
     """Write the state draining into a server's entry."""
@@ -563,6 +609,14 @@
     assert context.seconds <= seconds, context.seconds
 
 
+@then("none of the servers is paused")
+def then_none_paused(context):
+    """Check that outlier detection pauses no server."""
+    detector = context.host._candidates.outlier_detector
+    now = context.host._loop.time()
+    assert all(detector.is_usable(item.id, now) for item in context.servers)
+
+
 @then("one of the servers is paused")
 def then_paused(context):
     """Check that outlier detection pauses a server that failed requests."""
