Limited the responses that the threaded host's clients read.

Cause: http.client limits lines and the number of headers only. Endless interim responses, trailers and chunk extensions kept a thread for good, and probes and the client of the object API read bodies of any length. It also took a 103 for the final response. Change: http1/limited_client.py: LimitedConnection counts framing with FramingCounter and skips all interim responses; fetch reads at most 16 MB until a deadline. The forwarder, the prober and the client of the object API use it. The stub of the random answers is now a ReceivedResponse, as _send returns one; it checks the same answers. Conclusion: open for this path: a head that trickles may outlast the deadline, up to the 64 KB of the limit.

--- a/damasktally/forwarding/upstream.py
+++ b/damasktally/forwarding/upstream.py
@@ -12,7 +12,6 @@
 from threading import Lock
 
 from urllib3 import HTTPHeaderDict
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
@@ -23,6 +22,7 @@
     CallerGone,
     NotSent,
 )
+from damasktally.http1.limited_client import LimitedConnection
 
 MAX_IDLE_S = 20.0
 """Seconds after which an idle connection is not reused."""
@@ -70,7 +70,7 @@
     """
 
     server: str
-    http: HTTPConnection
+    http: LimitedConnection
     sock: socket.socket
     last_used_at: float
     is_reused: bool = False
@@ -171,7 +171,7 @@
                 )
             self._open_counts[server] = self._open_counts.get(server, 0) + 1
         host, port = address.rsplit(":", 1)
-        http = HTTPConnection(
+        http = LimitedConnection(
             host.strip("[]"),
             int(port),
             timeout=CONNECT_TIMEOUT_S,
--- a/damasktally/host/prober.py
+++ b/damasktally/host/prober.py
@@ -2,14 +2,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from time import monotonic
 
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from damasktally.events import emit
 from damasktally.events.catalogue import SERVER_EJECTED
 from damasktally.forwarding.attempt import LOAD_HEADER
 from damasktally.host.actor import HostActor
+from damasktally.http1.limited_client import fetch, make_pool_manager
 from damasktally.resources.kinds import Pool
 from damasktally.resources.view import View
 from damasktally.steering.dispatcher import Dispatcher
@@ -40,7 +42,7 @@
         self._dispatcher = dispatcher
         self._view = view
         self._next_index = 0
-        self._http = PoolManager(
+        self._http = make_pool_manager(
             retries=False, timeout=Timeout(PROBE_TIMEOUT_S), maxsize=1
         )
 
@@ -66,8 +68,13 @@
         path = view.pools.get(server.pool, Pool()).probe_path
         headers = {"Connection": "close"}
         try:
-            response = self._http.request(
-                "GET", f"http://{server.address}{path}", headers=headers
+            response = fetch(
+                self._http,
+                "GET",
+                f"http://{server.address}{path}",
+                monotonic() + PROBE_TIMEOUT_S,
+                monotonic,
+                headers=headers,
             )
         except HTTPError:
             if self._dispatcher.record_failure(server.pool, name):
--- a/damasktally/objects/client.py
+++ b/damasktally/objects/client.py
@@ -1,13 +1,19 @@
 """HTTP client of the platform's object API."""
 
 from collections.abc import Sequence
+from time import monotonic
 from typing import TypeVar
 from urllib.parse import quote
 
 from pydantic import ValidationError
-from urllib3 import BaseHTTPResponse, PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
+from damasktally.http1.limited_client import (
+    ReceivedResponse,
+    fetch,
+    make_pool_manager,
+)
 from damasktally.objects.api import ObjectPage, StoredObject, WatchPage
 from damasktally.objects.budget import CallBudget
 from damasktally.objects.exceptions import (
@@ -38,7 +44,7 @@
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
         self._budget = budget
-        self._pool = PoolManager(maxsize=MAX_IDLE_CONNECTIONS, retries=False)
+        self._pool = make_pool_manager(maxsize=MAX_IDLE_CONNECTIONS, retries=False)
 
     def list_objects(self, kinds: Sequence[str], purpose: str) -> ObjectPage:
         """Read all objects of some kinds at one revision."""
@@ -89,7 +95,7 @@
             raise StoreUnavailable(
                 f"The platform responded with status {response.status}.", STORE_REMEDY
             )
-        return response.data
+        return response.body
 
     def _write(
         self,
@@ -114,7 +120,7 @@
             raise NotFound(f"{kind} {name} does not exist.", "Check the name.")
         if response.status != 200:
             raise _make_outcome_unknown(kind, name)
-        return response.data
+        return response.body
 
     def _send(
         self,
@@ -123,10 +129,17 @@
         body: bytes | None,
         headers: dict[str, str],
         wait_s: float,
-    ) -> BaseHTTPResponse:
+    ) -> ReceivedResponse:
         timeout = Timeout(connect=self._timeout_s, read=self._timeout_s + wait_s)
-        return self._pool.request(
-            method, self._url + path, body=body, headers=headers, timeout=timeout
+        return fetch(
+            self._pool,
+            method,
+            self._url + path,
+            monotonic() + self._timeout_s + wait_s,
+            monotonic,
+            body=body,
+            headers=headers,
+            timeout=timeout,
         )
 
 
--- a/features/entry/endless_messages.feature
+++ b/features/entry/endless_messages.feature
@@ -53,6 +53,34 @@
       | a body without end               |
       | chunks of 8 bytes without end    |
 
+  Scenario Outline: The threaded host's client ends a response without end: <kind>
+    Given a server that sends <kind> to every caller
+    When the threaded host's client reads the response for at most 3 s
+    Then the response is lost within 3 s
+
+    Examples:
+      | kind                          |
+      | one header without end        |
+      | headers without end           |
+      | a status line without end     |
+      | interim responses without end |
+      | a chunk extension without end |
+      | extensions of one-byte chunks |
+      | trailers without end          |
+      | one trailer without end       |
+
+  Scenario Outline: A probe or a call of the object store ends a response without end: <kind>
+    Given a server that sends <kind> to every caller
+    When it is probed, or asked for an object, with 1 s for the response
+    Then both fail within 3 s
+
+    Examples:
+      | kind                          |
+      | headers without end           |
+      | interim responses without end |
+      | a body without end            |
+      | trailers without end          |
+
   Scenario Outline: A response that arrives slowly is lost at the deadline: <kind>
     Given a server that sends <kind> in reads of 1 byte to every caller
     When a request with a deadline of 0.5 s is sent to it
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -13,14 +13,30 @@
 )
 from asyncio import timeout as async_timeout
 from pathlib import Path
+from time import monotonic
 
 from behave import given, then, when
+from prometheus_client import CollectorRegistry
+from urllib3 import HTTPHeaderDict, Timeout
+from urllib3.exceptions import HTTPError
 
 from damasktally.fleet.model import CallerLimits
+from damasktally.forwarding.exceptions import AnswerLate
+from damasktally.forwarding.exceptions import AnswerLost as LostInThreadedHost
+from damasktally.forwarding.upstream import ConnectionPool as ThreadedPool
+from damasktally.forwarding.upstream import (
+    read_body_chunk,
+    read_response_head,
+    send_request,
+)
 from damasktally.http1.inbound import CallerPort
+from damasktally.http1.limited_client import fetch, make_pool_manager
 from damasktally.http1.messages import Response, encode_request
 from damasktally.http1.outbound import AnswerLost, ServerConnection, connect
 from damasktally.http1.response_memory import ResponseMemory
+from damasktally.objects.budget import CallBudget
+from damasktally.objects.client import HttpStore
+from damasktally.objects.exceptions import StoreUnavailable
 from features.steps.endless_messages import (
     CHUNKED_HEAD,
     CHUNKED_REQUEST_HEAD,
@@ -234,6 +250,57 @@
     assert context.result["peak_mb"] < limit_mb, context.result
 
 
+@when("the threaded host's client reads the response for at most {limit_s:g} s")
+def when_threaded_client_reads(context, limit_s):
+    """Send a request and read head and body until an error or the limit."""
+    pool = ThreadedPool(monotonic, lambda server: 1)
+    conn = pool.acquire("s", f"127.0.0.1:{context.port}", False, True, False)
+    deadline = monotonic() + limit_s
+    context.is_lost = False
+    send_request(conn, "GET", "/", HTTPHeaderDict(), None, False, limit_s)
+    try:
+        response = read_response_head(conn, deadline, monotonic)
+        while read_body_chunk(conn, response, KIB, deadline, monotonic):
+            pass
+    except LostInThreadedHost:
+        context.is_lost = True
+    except AnswerLate:
+        pass
+    finally:
+        pool.discard(conn)
+
+
+@then("the response is lost within {limit_s:g} s")
+def then_lost_in_time(context, limit_s):
+    """Check that the framing was limited, and not only the time."""
+    assert context.is_lost
+
+
+@when("it is probed, or asked for an object, with 1 s for the response")
+def when_probed(context):
+    """Fetch with the client of the prober, and with that of the object store."""
+    url = f"http://127.0.0.1:{context.port}"
+    context.failures = []
+    context.began_at = monotonic()
+    try:
+        manager = make_pool_manager(retries=False, timeout=Timeout(1.0))
+        fetch(manager, "GET", url, monotonic() + 1.0, monotonic)
+    except HTTPError as exc:
+        context.failures.append(exc)
+    try:
+        budget = CallBudget(10.0, monotonic, CollectorRegistry())
+        HttpStore(url, 1.0, budget).get("Pool", "a", "test")
+    except StoreUnavailable as exc:
+        context.failures.append(exc)
+
+
+@then("both fail within {limit_s:g} s")
+def then_both_failed(context, limit_s):
+    """Check the errors and the time."""
+    assert len(context.failures) == 2, context.failures
+    assert monotonic() - context.began_at <= limit_s
+
+
 @when("a request with a deadline of {seconds:g} s is sent to it")
 def when_request_with_deadline(context, seconds):
     """Send a request and wait until the deadline."""
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 from prometheus_client import CollectorRegistry
+from urllib3 import HTTPHeaderDict
 
 from damasktally import objects as platform_api
 from damasktally.clock import seconds_since_boot
@@ -26,6 +27,7 @@
     StoreSnapshot,
     ViewKeeper,
 )
+from damasktally.http1.limited_client import ReceivedResponse
 from damasktally.membership.freshness import Freshness
 from damasktally.metrics import HostMetrics
 from damasktally.objects import (
@@ -276,7 +278,7 @@
     @settings(max_examples=count, database=None, deadline=None)
     @for_all(bodies)
     def check_body(body):
-        client._send = lambda *args: SimpleNamespace(status=200, data=body)
+        client._send = lambda *args: ReceivedResponse(200, HTTPHeaderDict(), body)
         for call in (
             lambda: client.list_objects(["Customer"], "test"),
             lambda: client.watch(0, ["Customer"], 0.0),
