Let a connection attempt that is cancelled end.

Cause: asyncio.wait_for of Python 3.11 returns the result, or raises the error, of an attempt that ends in the same turn of the loop in which it is cancelled. The task then goes on: a host that stops to follow the store could keep watching it, and a host that closes waited for such a task (the scenario of both relays that lose the store). Change: connect uses asyncio.timeout. Ruled out: a stall of the stand-in store, since its port refused at once.

--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -6,7 +6,7 @@
     Protocol,
     Transport,
     get_running_loop,
-    wait_for,
+    timeout,
 )
 from collections.abc import Callable
 from socket import (
@@ -271,10 +271,11 @@
     """
     loop = get_running_loop()
     try:
-        transport, conn = await wait_for(
-            loop.create_connection(lambda: ServerConnection(memory), *address),
-            timeout_s,
-        )
+        # wait_for would lose a cancellation that comes when the attempt has ended.
+        async with timeout(timeout_s):
+            transport, conn = await loop.create_connection(
+                lambda: ServerConnection(memory), *address
+            )
     except (OSError, TimeoutError) as exc:
         raise ConnectFailed(
             f"Cannot connect to {address[0]}:{address[1]}: {type(exc).__name__}.",
