Moved what a host knows of itself and of suspensions out of the host's module.

Change: own_member in settings, SuspensionDetector, MemberRecord.is_assumed_alive and SummaryTable.listed_hosts; a list without parameters has no question mark in its path. The soak reports the exit code of a host that ended. Conclusion: behaviour is meant to be the same.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -10,12 +10,10 @@
     sleep,
 )
 from random import Random
-from time import CLOCK_BOOTTIME, clock_gettime, monotonic, time
 
 from damasktally.addresses import split_address
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
-from damasktally.decisions.relays import capacity_in_cores
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.connection_pool import ConnectionPool
@@ -27,9 +25,10 @@
 from damasktally.entry.peers import PeerProtocol
 from damasktally.entry.registration import Registration
 from damasktally.entry.requests import RequestHandler
-from damasktally.entry.settings import EntrySettings
+from damasktally.entry.settings import EntrySettings, own_member
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_sync import FollowerRole, StoreSync
+from damasktally.entry.suspension import SuspensionDetector
 from damasktally.entry.topology import FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import (
@@ -42,7 +41,7 @@
     VIEW_CHANGED,
 )
 from damasktally.fleet.members import MemberTable
-from damasktally.fleet.model import CallerLimits, Customer, Member
+from damasktally.fleet.model import CallerLimits, Customer
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
@@ -60,9 +59,6 @@
 RELAYED_TICK_INTERVAL_S = 0.2
 """The same in a large fleet: shorter, as each relay adds to the age of the counts."""
 MAINTENANCE_INTERVAL_S = 1.0
-MIN_SUSPENSION_S = 0.5
-"""The host was suspended if the clock that includes suspensions has gained
-at least this much on the one that does not."""
 DRAIN_ACCEPT_S = 2.5
 """Callers that have not looked up again may still connect for this long after
 SIGTERM, but for at most half of the time until the process is killed."""
@@ -87,7 +83,7 @@
         self._bounds = decode_bounds(settings.bounds.agreed)
         self._metrics = EntryMetrics()
         self._output = output
-        self._own = _own_member(settings)
+        self._own = own_member(settings)
         self._members = MemberTable(self._own)
         self._view = FleetView(
             Decoders(decode_configuration, decode_server, CONFIGURATION_NAME),
@@ -184,7 +180,7 @@
         self._tasks: list[Task] = []
         self._is_stopping = False
         self._is_stopped = False
-        self._boot_offset = _boot_offset()
+        self._suspension_detector = SuspensionDetector()
 
     @classmethod
     def from_config(
@@ -339,12 +335,11 @@
         self._metrics.log_lines_left_out.set(dropped)
 
     def _detect_suspension(self) -> None:
-        offset = _boot_offset()
-        if offset - self._boot_offset > MIN_SUSPENSION_S:
-            emit(HOST_RESUMED, suspended_s=round(offset - self._boot_offset, 2))
+        suspended_s = self._suspension_detector.measure_s()
+        if suspended_s > 0:
+            emit(HOST_RESUMED, suspended_s=round(suspended_s, 2))
             self._connection_pool.close_all()
             self._store_sync.reconnect()
-        self._boot_offset = offset
 
     def _own_state(self) -> OwnState:
         now = self._loop.time()
@@ -393,23 +388,3 @@
             source=change.source,
             detail=change.detail,
         )
-
-
-def _own_member(settings: EntrySettings) -> Member:
-    return Member(
-        host=settings.host.name,
-        started_ms=int(time() * 1000),
-        region=settings.host.region,
-        data_centre=settings.host.data_centre,
-        caller_address=settings.listen.callers,
-        peer_address=split_address(settings.listen.peers),
-        capacity=capacity_in_cores(
-            settings.limits.cores * settings.limits.core_share,
-            settings.limits.link_mbps,
-        ),
-    )
-
-
-def _boot_offset() -> float:
-    """Return the seconds for which the system was suspended since it booted."""
-    return clock_gettime(CLOCK_BOOTTIME) - monotonic()
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -268,7 +268,7 @@
         send to others once the topology has changed.
         """
         live_hosts = {record.member.host for record in self._members.live_records(now)}
-        listed_hosts = self._topology.listed_hosts(now)
+        listed_hosts = self._summaries.listed_hosts(now)
         for host in sorted(self._live_hosts - live_hosts - listed_hosts):
             emit(PEER_LOST, peer=host, hosts_heard=len(live_hosts))
         for host in sorted(live_hosts - self._live_hosts):
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -3,13 +3,16 @@
 from configparser import ConfigParser
 from configparser import Error as IniError
 from pathlib import Path
+from time import time
 from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
 from damasktally.addresses import split_address
+from damasktally.decisions.relays import capacity_in_cores
 from damasktally.errors import DamasktallyError
+from damasktally.fleet.model import Member
 
 NonEmptyText = Annotated[str, Meta(min_length=1)]
 AddressText = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]+$")]
@@ -156,3 +159,19 @@
             f"{name}: {exc}.", "docs/ref/entry-settings.md lists every option."
         ) from exc
     return settings
+
+
+def own_member(settings: EntrySettings) -> Member:
+    """Return this host as other hosts know it, started now."""
+    return Member(
+        host=settings.host.name,
+        started_ms=int(time() * 1000),
+        region=settings.host.region,
+        data_centre=settings.host.data_centre,
+        caller_address=settings.listen.callers,
+        peer_address=split_address(settings.listen.peers),
+        capacity=capacity_in_cores(
+            settings.limits.cores * settings.limits.core_share,
+            settings.limits.link_mbps,
+        ),
+    )
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -19,7 +19,12 @@
     has_live_relay,
     is_full_mesh,
 )
-from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, MemberRecord, MemberTable
+from damasktally.fleet.members import (
+    HEARTBEAT_TIMEOUT_S,
+    LISTED_HOST_LIFETIME_S,
+    MemberRecord,
+    MemberTable,
+)
 from damasktally.fleet.model import Member
 from damasktally.fleet.summaries import (
     WHOLE_FLEET,
@@ -29,8 +34,6 @@
     members_in_data_centre,
 )
 
-LISTED_HOST_LIFETIME_S = 1.0
-"""A host that the store lists counts as alive for this long without a heartbeat."""
 CACHE_LIFETIME_S = 0.2
 """The topology is computed again once the cached one is this old."""
 
@@ -128,7 +131,7 @@
         alive = {
             host: record.member
             for host, record in records.items()
-            if _is_alive(record, now)
+            if record.is_assumed_alive(now)
         }
         fleet = self._summaries.whole_fleet(now)
         listed = (
@@ -232,22 +235,13 @@
         ]
         return min(ages, default=inf)
 
-    def listed_hosts(self, now: float) -> set[str]:
-        """Return the names of the hosts that live relays list as alive."""
-        return {
-            member.host
-            for record in self._summaries.live_records(now)
-            for member in listed_members(record.data_centre_hosts, ready_only=False)
-        }
-
     def has_store_following_relay(self, now: float) -> bool:
         """Return whether another relay here is alive and has the store's state.
 
         A relay counts the relays of other data centres, too.
         """
-        if self.is_relay(now) and self.relayed_store_age_s(now) <= (
-            MAX_RELAY_STORE_AGE_S
-        ):
+        age_s = self.relayed_store_age_s(now)
+        if self.is_relay(now) and age_s <= MAX_RELAY_STORE_AGE_S:
             return True
         return has_live_relay(
             RelayState(now - record.last_seen_at, record.store_age_s)
@@ -402,13 +396,5 @@
         ]
 
 
-def _is_alive(record: MemberRecord, now: float) -> bool:
-    """Return whether a host with this record is assumed alive."""
-    if record.is_unresponsive(now):
-        return False
-    limit = HEARTBEAT_TIMEOUT_S if record.has_been_seen else LISTED_HOST_LIFETIME_S
-    return now - record.last_seen_at <= limit
-
-
 def _report_from_record(record: MemberRecord) -> QuotaReport:
     return QuotaReport(record.identity, record.admitted, record.demand)
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -19,6 +19,8 @@
 REPLY_TIMEOUT_S = 1.8
 """A relay that sends nothing for this long after messages started to go to it is
 replaced by another host."""
+LISTED_HOST_LIFETIME_S = 1.0
+"""A host that the store lists counts as alive for this long without a heartbeat."""
 UNRESPONSIVE_RETRY_S = 10.0
 """A host that did not reply may be tried again after this long."""
 REMOVAL_TIMEOUT_S = 30.0
@@ -110,6 +112,16 @@
             return False
         return now - max(self.reply_expected_since, self.last_seen_at) > REPLY_TIMEOUT_S
 
+    def is_assumed_alive(self, now: float) -> bool:
+        """Return whether the host may be relied on.
+
+        :param now: seconds on the event loop's clock.
+        """
+        if self.is_unresponsive(now):
+            return False
+        limit = HEARTBEAT_TIMEOUT_S if self.has_been_seen else LISTED_HOST_LIFETIME_S
+        return now - self.last_seen_at <= limit
+
     @property
     def identity(self) -> tuple[str, int]:
         """Return the host's name and start time, which identify its process."""
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -204,6 +204,17 @@
             if now - record.received_at <= HEARTBEAT_TIMEOUT_S
         ]
 
+    def listed_hosts(self, now: float) -> set[str]:
+        """Return the names of the hosts that live relays list as alive.
+
+        :param now: seconds on the event loop's clock.
+        """
+        return {
+            member.host
+            for record in self.live_records(now)
+            for member in listed_members(record.data_centre_hosts, ready_only=False)
+        }
+
     def remove_silent(self, now: float) -> None:
         """Remove the relays that sent nothing for too long.
 
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -136,7 +136,8 @@
         purpose = "stale-list" if allow_stale else "list"
         after: list[str] = []
         while True:
-            path = f"/objects/{kind}?{'&'.join(parameters + after)}"
+            query = "&".join(parameters + after)
+            path = f"/objects/{kind}?{query}" if query else f"/objects/{kind}"
             response = await self._call("GET", path, None, purpose, CALL_TIMEOUT_S)
             page = _decode(response, WireListing)
             specs.update({item.Metadata.Name: item.Spec for item in page.items})
--- a/features/fault_soak/run.py
+++ b/features/fault_soak/run.py
@@ -71,7 +71,10 @@
         await gather(*tasks, return_exceptions=True)
         for host in fleet.hosts:
             if not host.is_running:
-                result.problems.append(f"{host.name} ended without being stopped")
+                code = host.process.returncode
+                result.problems.append(
+                    f"{host.name} ended without being stopped, exit code {code}"
+                )
     finally:
         await fleet.close()
     requests = [request for caller in callers for request in caller.requests]
