--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -268,9 +268,11 @@
         send to others once the topology has changed.
         """
         live_hosts = {record.member.host for record in self._members.live_records(now)}
-        listed_hosts = self._summaries.listed_hosts(now)
-        for host in sorted(self._live_hosts - live_hosts - listed_hosts):
+        silent_hosts = self._live_hosts - live_hosts
+        # Listing the hosts of all summaries is expensive, and seldom needed.
+        listed_hosts = self._summaries.listed_hosts(now) if silent_hosts else set()
+        for host in sorted(silent_hosts - listed_hosts):
             emit(PEER_LOST, peer=host, hosts_heard=len(live_hosts))
         for host in sorted(live_hosts - self._live_hosts):
             emit(PEER_REGAINED, peer=host, hosts_heard=len(live_hosts))
-        self._live_hosts = live_hosts | (self._live_hosts & listed_hosts)
+        self._live_hosts = live_hosts | (silent_hosts & listed_hosts)
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -49,14 +49,19 @@
     :param fleet_size: number of hosts, as peers report it if no summary is known yet.
     :param known_fleet_size: number of hosts by this host's own records and summaries.
     :param relays: relays of this data centre, the primary first.
+    :param remote_relays: relays of each other data centre, if this host is a relay.
     :param is_store_follower: whether this host follows the store for the fleet.
+    :param store_reached_at: when the others' newest state of the store was current, in
+        seconds of the event loop's time.
     """
 
     computed_at: float
     fleet_size: int
     known_fleet_size: int
     relays: tuple[Member, ...]
+    remote_relays: tuple[tuple[Member, ...], ...]
     is_store_follower: bool
+    store_reached_at: float
 
 
 class FleetTopology:
@@ -107,17 +112,42 @@
             fleet_size = max(
                 [known_fleet_size, *(record.fleet_size for record in records)]
             )
-        is_follower = self._own in relays and self._is_chosen_follower(relays, now)
-        return _Snapshot(now, fleet_size, known_fleet_size, relays, is_follower)
+        remote_relays = tuple(self._remote_relays(now)) if self._own in relays else ()
+        return _Snapshot(
+            now,
+            fleet_size,
+            known_fleet_size,
+            relays,
+            remote_relays,
+            self._is_chosen_follower(relays, remote_relays),
+            self._store_reached_at(now),
+        )
+
+    def _store_reached_at(self, now: float) -> float:
+        """Return when the newest state of the store that others have was current."""
+        times = [
+            record.last_seen_at - record.store_age_s
+            for record in self._members.live_records(now)
+        ]
+        times += [
+            record.received_at - record.summary.store_age_s
+            for record in self._summaries.live_records(now)
+        ]
+        return max(times, default=-inf)
 
-    def _is_chosen_follower(self, relays: tuple[Member, ...], now: float) -> bool:
-        """Return whether this relay is one of those that follow the store.
+    def _is_chosen_follower(
+        self, relays: tuple[Member, ...], remote: tuple[tuple[Member, ...], ...]
+    ) -> bool:
+        """Return whether this host is one of the relays that follow the store.
 
         :param relays: relays of this data centre, the primary first.
+        :param remote: relays of each other data centre, the primary first.
         """
+        if self._own not in relays:
+            return False
         by_data_centre = {
             (members[0].region, members[0].data_centre): [m.host for m in members]
-            for members in (relays, *self._remote_relays(now))
+            for members in (relays, *remote)
         }
         return self._own.host in choose_store_followers(by_data_centre)
 
@@ -225,15 +255,7 @@
 
         :returns: infinity if no other live host has any.
         """
-        ages = [
-            record.store_age_s + now - record.last_seen_at
-            for record in self._members.live_records(now)
-        ]
-        ages += [
-            record.summary.store_age_s + now - record.received_at
-            for record in self._summaries.live_records(now)
-        ]
-        return min(ages, default=inf)
+        return now - self._get_snapshot(now).store_reached_at
 
     def has_store_following_relay(self, now: float) -> bool:
         """Return whether another relay here is alive and has the store's state.
@@ -341,13 +363,13 @@
         return sorted(self._live_local_members(now))
 
     def remote_relay_addresses(self, now: float) -> list[tuple[Address, ...]]:
-        """Return the peer addresses of the relays of each other data centre.
+        """Return where a relay reaches the relays of each other data centre.
 
-        :returns: a tuple for each data centre, the primary relay first.
+        :returns: peer addresses, a tuple for each data centre, the primary relay first.
         """
         return [
             tuple(member.peer_address for member in members)
-            for members in self._remote_relays(now)
+            for members in self._get_snapshot(now).remote_relays
         ]
 
     def _remote_relays(self, now: float) -> list[tuple[Member, ...]]:
