Logged the rate limits that servers name in their answers.

Change: the header is decoded into ServerReport together with the load; server-limit-changed (514), server-report-unreadable (515) and the gauge of limited servers; ServerReports is the one place that takes reports in. No decision uses the limit yet. Conclusion: from here on the log shows what a host believes of a server's limit.

--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -6,6 +6,7 @@
 from damasktally.decisions.affinity import AffinityRanking
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.outlier_detection import OutlierDetector
+from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.warmup_limiter import WarmupLimiter, warmup_tokens
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.model import Member, Server
@@ -52,6 +53,7 @@
         self._affinity_ranking = AffinityRanking(own.region, region_of)
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
         self.loads = ServerLoads()
+        self.limits = ServerLimits()
         self.outlier_detector = OutlierDetector()
         self.warmup_limiter = WarmupLimiter()
 
--- a/damasktally/entry/forwarder.py
+++ b/damasktally/entry/forwarder.py
@@ -5,6 +5,7 @@
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.outcome import Attempt, AttemptOutcome
+from damasktally.entry.server_reports import ServerReports
 from damasktally.events import emit
 from damasktally.events.catalogue import SERVER_PAUSED
 from damasktally.fleet.model import Customer, Server
@@ -24,8 +25,7 @@
     NOT_RUN,
     REMAINING_MS,
     REQUEST_ID,
-    SERVER_LOAD,
-    parse_load,
+    decode_server_report,
 )
 
 CONNECT_TIMEOUT_S = 0.35
@@ -50,13 +50,19 @@
 
     :param view: servers that were replaced at their address are removed from it.
     :param candidates: receives loads, successes and failures.
+    :param reports: receives what servers report of themselves.
     :param pool: idle connections to servers.
     """
 
     def __init__(
-        self, view: FleetView, candidates: ServerCandidates, pool: ConnectionPool
+        self,
+        view: FleetView,
+        candidates: ServerCandidates,
+        reports: ServerReports,
+        pool: ConnectionPool,
     ) -> None:
         self._view = view
+        self._reports = reports
         self._candidates = candidates
         self._pool = pool
         self._loop = get_running_loop()
@@ -149,7 +155,8 @@
             return AttemptOutcome.LOST, None
         finally:
             req.on_disconnect = None
-        self._record_load(server, response)
+        if response.status != MISDIRECTED_STATUS:
+            self._reports.record(server, decode_server_report(response))
         self._pool.release(server.id, conn)
         return _classify_response(response), response
 
@@ -165,15 +172,6 @@
             headers.append((CUSTOMER, customer.name.encode()))
         return encode_request(req.method, req.target, headers, req.body)
 
-    def _record_load(self, server: Server, response: Response) -> None:
-        """Record the load that a server reported with its response."""
-        value = response.header(SERVER_LOAD)
-        load = parse_load(value) if value is not None else None
-        if load is not None:
-            running, waiting, _ = load
-            now = self._loop.time()
-            self._candidates.loads.record_report(server.id, running, waiting, now)
-
     def _record_outcome(
         self, server: Server, outcome: AttemptOutcome, response: Response | None
     ) -> None:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -25,6 +25,7 @@
 from damasktally.entry.peers import PeerProtocol
 from damasktally.entry.registration import Registration
 from damasktally.entry.requests import RequestHandler
+from damasktally.entry.server_reports import ServerReports
 from damasktally.entry.settings import EntrySettings, own_member
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_sync import FollowerRole, StoreSync
@@ -147,7 +148,12 @@
         self._candidates = ServerCandidates(
             self._view, self._own, self._topology, settings.region_of
         )
-        forwarder = Forwarder(self._view, self._candidates, self._connection_pool)
+        self._server_reports = ServerReports(
+            self._candidates.loads, self._candidates.limits
+        )
+        forwarder = Forwarder(
+            self._view, self._candidates, self._server_reports, self._connection_pool
+        )
         self._requests = RequestHandler(
             self._view,
             self._topology,
@@ -304,6 +310,7 @@
         known_servers = self._view.servers.ids()
         self._connection_pool.close_all_except(known_servers)
         self._candidates.keep_only(known_servers)
+        self._server_reports.keep_only(known_servers)
         self._capacity_log.log_changes(now)
         self._update_metrics(now)
 
@@ -324,6 +331,7 @@
         if self._output is not None:
             self._report_dropped_lines(self._output)
         self._metrics.hosts_heard.set(len(self._members.live_records(now)))
+        self._metrics.limited_servers.set(self._candidates.limits.limited_count())
         for topic, confirmed_at in self._confirmed_at.items():
             self._metrics.view_age.labels(topic.value).set(now - confirmed_at)
 
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -33,6 +33,11 @@
             "Requests that were sent again, to another server.",
             registry=self.registry,
         )
+        self.limited_servers = Gauge(
+            "damasktally_entry_limited_servers",
+            "Backend servers that name a rate limit for all hosts together.",
+            registry=self.registry,
+        )
         self.lookups = Counter(
             "damasktally_entry_lookups", "Look-ups answered.", registry=self.registry
         )
--- /dev/null
+++ b/damasktally/entry/server_reports.py
@@ -0,0 +1,48 @@
+"""Take in what backend servers report of themselves with their responses."""
+
+from asyncio import get_running_loop
+
+from damasktally.decisions.load import ServerLoads
+from damasktally.decisions.server_limits import ServerLimits
+from damasktally.events import emit
+from damasktally.events.catalogue import SERVER_LIMIT_CHANGED, SERVER_REPORT_UNREADABLE
+from damasktally.fleet.model import Server, ServerReport
+
+
+class ServerReports:
+    """Pass each report on to the decisions that depend on it, and log changes.
+
+    :param loads: receives the numbers of running and waiting requests.
+    :param limits: receives the rate limits.
+    """
+
+    def __init__(self, loads: ServerLoads, limits: ServerLimits) -> None:
+        self._loads = loads
+        self._limits = limits
+        self._unreadable: set[tuple[str, tuple[str, ...]]] = set()
+        self._loop = get_running_loop()
+
+    def record(self, server: Server, report: ServerReport) -> None:
+        """Record the report of a server that a response to this host carried."""
+        now = self._loop.time()
+        if report.running is not None and report.waiting is not None:
+            self._loads.record_report(server.id, report.running, report.waiting, now)
+        if self._limits.record(server.id, server.started_ms, report.rate_limit, now):
+            emit(SERVER_LIMIT_CHANGED, server=server.id, limit=report.rate_limit)
+        self._log_unreadable(server, report)
+
+    def _log_unreadable(self, server: Server, report: ServerReport) -> None:
+        """Log once for each server which of its headers cannot be decoded."""
+        entry = (server.id, report.unreadable)
+        if report.unreadable and entry not in self._unreadable:
+            self._unreadable.add(entry)
+            emit(
+                SERVER_REPORT_UNREADABLE,
+                server=server.id,
+                headers=list(report.unreadable),
+            )
+
+    def keep_only(self, servers: set[str]) -> None:
+        """Remove what is known of all but the given servers."""
+        self._limits.keep_only(servers)
+        self._unreadable = {item for item in self._unreadable if item[0] in servers}
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -144,6 +144,19 @@
     "A backend server failed requests of this host and gets none for a while.",
     "Check the server.",
 )
+SERVER_LIMIT_CHANGED = Event(
+    514,
+    "server-limit-changed",
+    "A backend server named another rate limit for all hosts together, or none any "
+    "more; the fields show the host from which this one learned it.",
+    "Check the server if its limit is low.",
+)
+SERVER_REPORT_UNREADABLE = Event(
+    515,
+    "server-report-unreadable",
+    "A backend server's response had headers about its state that cannot be decoded.",
+    "Correct the server.",
+)
 HANDLER_FAILED = Event(
     513,
     "handler-failed",
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -178,6 +178,23 @@
     started_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerReport:
+    """What a server reports of itself with a response.
+
+    :param running: requests that it processes, or None if it does not say.
+    :param waiting: requests in its queue, or None if it does not say.
+    :param rate_limit: requests a second that it takes from all hosts together, or None
+        if it names no limit.
+    :param unreadable: names of the headers that could not be decoded.
+    """
+
+    running: int | None
+    waiting: int | None
+    rate_limit: float | None
+    unreadable: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """One process of an entry host.
--- a/damasktally/platform/headers.py
+++ b/damasktally/platform/headers.py
@@ -3,6 +3,11 @@
 Names are in lower case, as the HTTP parsers return them.
 """
 
+from math import isfinite
+
+from damasktally.fleet.model import ServerReport
+from damasktally.http1.messages import Response
+
 REQUEST_ID = b"request-id"
 REMAINING_MS = b"deadline-ms"
 """Time for which the sender still waits: a duration in milliseconds, no timestamp."""
@@ -12,11 +17,39 @@
 CUSTOMER = b"tenant"
 EXPECTED_SERVER = b"expect-instance"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
+"""Requests a second that the server takes from all hosts together, a decimal number."""
 NOT_RUN = b"not-run"
 """Present if the server did not run the request."""
 RETRY_AFTER = b"retry-after"
 
 
+def decode_server_report(response: Response) -> ServerReport:
+    """Decode what a server reports of itself in the headers of a response.
+
+    A header that is malformed counts as missing, and is listed as unreadable.
+    """
+    unreadable = []
+    load_text, limit_text = response.header(SERVER_LOAD), response.header(SERVER_LIMIT)
+    load = parse_load(load_text) if load_text is not None else None
+    if load_text is not None and load is None:
+        unreadable.append(SERVER_LOAD.decode())
+    rate_limit = _parse_rate(limit_text) if limit_text is not None else None
+    if limit_text is not None and rate_limit is None:
+        unreadable.append(SERVER_LIMIT.decode())
+    running, waiting, _ = load or (None, None, None)
+    return ServerReport(running, waiting, rate_limit, tuple(unreadable))
+
+
+def _parse_rate(value: bytes) -> float | None:
+    """Parse requests a second; return None if the value is malformed or negative."""
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0 else None
+
+
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
     """Parse a server's load report.
 
