Logged the fingerprint of requests that lost a response.

Change: request-ended carries a hash of method, host, target, customer and body if a response was lost. Conclusion: requests under which servers ended can be grouped.

--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -9,6 +9,7 @@
 from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS, choose_server
 from damasktally.decisions.weighted_round_robin import WeightedRoundRobin
 from damasktally.entry.candidates import ServerCandidates
+from damasktally.entry.fingerprint import fingerprint_of
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.outcome import Attempt, AttemptOutcome, RequestTrace
@@ -305,6 +306,7 @@
             caller_gone=req.is_disconnected,
             view_age_s=round(self._loop.time() - self._view.confirmed_at, 2),
             inputs=trace.inputs,
+            fingerprint=_fingerprint_if_lost(req, trace),
             attempts=[
                 [
                     attempt.server_id,
@@ -354,6 +356,16 @@
     return route.priority
 
 
+def _fingerprint_if_lost(req: Request, trace: RequestTrace) -> str:
+    """Return the request's fingerprint if a response was lost, else an empty text.
+
+    Requests under which servers ended can be recognised by it in the log.
+    """
+    if any(attempt.outcome is AttemptOutcome.LOST for attempt in trace.attempts):
+        return fingerprint_of(req, trace.customer)
+    return ""
+
+
 def _settles_request(attempt: Attempt, at_most_once: bool) -> bool:
     """Return whether no further attempt follows.
 
