--- /dev/null
+++ b/features/entry/crash_requests.feature
@@ -0,0 +1,21 @@
+Feature: A request that ends the servers that run it is not sent to ever more of them
+
+  A request may end each backend server that begins to run it, and callers may send it
+  again, to any host. After it has ended three servers, hosts refuse it.
+
+  # Guards against incident second1: each host tried it anew on every attempt of a caller.
+  Scenario: Twelve hosts stop a request that ended three servers
+    Given 12 hosts in 2 data centres
+    And 12 more servers beside the first
+    When callers send /read/bad, which ends servers, 8 times a second to all hosts for 10 s
+    Then at most 3 servers receive it later than 3 s after it ended the third
+    And /read/bad gets 503 with a Retry-After header from every host
+    And /read/good is served by every host
+
+  # Guards against the same in a fleet whose hosts hear of each other through relays.
+  Scenario: Thirty hosts with relays stop a request that ended three servers
+    Given 30 hosts in 2 data centres
+    And 12 more servers beside the first
+    When callers send /read/bad, which ends servers, 8 times a second to all hosts for 10 s
+    Then at most 3 servers receive it later than 3 s after it ended the third
+    And /read/bad gets 503 with a Retry-After header from every host
