Showed changes of servers' limits in explanations.

Change: the event is part of the context of a request. Conclusion: an operator sees the limit beside the request.

--- a/damasktally/events/explanation.py
+++ b/damasktally/events/explanation.py
@@ -7,6 +7,7 @@
     HOST_LEAVING,
     PEER_LOST,
     REQUEST_ENDED,
+    SERVER_LIMIT_CHANGED,
     SERVER_PAUSED,
     SERVICE_CAPACITY,
     STORE_LOST,
@@ -22,6 +23,7 @@
     for event in (
         HOST_LEAVING,
         PEER_LOST,
+        SERVER_LIMIT_CHANGED,
         SERVER_PAUSED,
         SERVICE_CAPACITY,
         STORE_LOST,
