Blocked requests that end the servers that run them.

Cause: hosts treated each attempt of a caller alone. Outlier detection blames servers only, and retries are bounded for one attempt, so the same request got up to max_attempts servers at every attempt, at any host. Change: CrashSuspects recognises a request by its fingerprint; three server processes that lost its response, none of which was exonerated by a later answer to it, block it for 600 s after the losses. Heartbeats and summaries carry losses and exonerations, which hosts merge regardless of order. A blocked request gets a 503 with the time at which the block ends, request-blocked (516) and the reason ends-servers. Ruled out: blaming any request that was lost three times would block bystanders; an answer exonerates them.

--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import RELAYED_LAG_S, CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
@@ -60,6 +61,7 @@
             self.quotas,
             counts,
             ServerLimits(self.member.host),
+            CrashSuspects(),
             lambda: OwnState(True, False, 0.1),
         )
 
--- /dev/null
+++ b/damasktally/decisions/crash_suspects.py
@@ -0,0 +1,157 @@
+"""Find requests that end the servers that run them, and block them.
+
+A request that loses its response at several server processes, and is answered by none,
+is taken to end them. It is recognised by its fingerprint, at whichever host it
+arrives. Hosts merge each other's entries: of an entry the earlier time and an
+exoneration are kept, so that the order and the number of messages do not matter.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from damasktally.fleet.crash_reports import CrashEntry, CrashReport
+
+CRASHES_TO_BLOCK = 3
+"""Server processes that a request may end before it is blocked."""
+CRASH_LIFETIME_S = 600.0
+"""How long a loss counts, and so the longest time for which a request is blocked."""
+MAX_REPORT_AGE_S = 10.0
+"""Losses of requests that are not blocked are passed on for this long."""
+MAX_REPORTS_PER_MESSAGE = 16
+MAX_SUSPECTS = 1_000
+"""Requests that are remembered; beyond, the one with the oldest loss is forgotten."""
+
+
+@dataclass(slots=True)
+class _Crash:
+    """Loss of a response.
+
+    :param lost_at: seconds on the event loop's clock.
+    """
+
+    lost_at: float
+    is_exonerated: bool
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """Request under which responses were lost.
+
+    :param crashes: its losses by server process.
+    :param changed_at: when this host last learned of a loss or an exoneration.
+    """
+
+    crashes: dict[str, _Crash]
+    changed_at: float
+
+    def merge(self, entry: CrashEntry, now: float) -> None:
+        """Merge one entry of this or another host."""
+        lost_at = now - entry.age_s
+        known = self.crashes.get(entry.process)
+        if known is None:
+            self.crashes[entry.process] = _Crash(lost_at, entry.is_exonerated)
+            self.changed_at = now
+            return
+        known.lost_at = min(known.lost_at, lost_at)
+        if entry.is_exonerated and not known.is_exonerated:
+            known.is_exonerated = True
+            self.changed_at = now
+
+
+class CrashSuspects:
+    """Losses of responses by request and server process.
+
+    Times called ``now`` are in seconds on the event loop's clock.
+    """
+
+    def __init__(self) -> None:
+        self._suspects: dict[str, _Suspect] = {}
+
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    def record_loss(self, fingerprint: str, process: str, now: float) -> bool:
+        """Record that a server process lost its response to a request.
+
+        :param process: identifies the process of the server.
+        :returns: whether the request is blocked from now on.
+        """
+        entry = CrashEntry(process, 0.0, False)
+        return self.merge(CrashReport(fingerprint, (entry,)), now)
+
+    def record_answer(self, fingerprint: str, now: float) -> None:
+        """Record that a server answered a request, which exonerates it so far."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return
+        for process in suspect.crashes:
+            suspect.merge(CrashEntry(process, 0.0, True), now)
+
+    def merge(self, report: CrashReport, now: float) -> bool:
+        """Merge the losses that this host or another one learned of.
+
+        :returns: whether the request is blocked from now on.
+        """
+        was_blocked = self.blocked_s(report.fingerprint, now) > 0
+        suspect = self._suspects.setdefault(report.fingerprint, _Suspect({}, now))
+        for entry in report.entries:
+            suspect.merge(entry, now)
+        if len(self._suspects) > MAX_SUSPECTS:
+            del self._suspects[min(self._suspects, key=self._changed_at)]
+        return not was_blocked and self.blocked_s(report.fingerprint, now) > 0
+
+    def _changed_at(self, fingerprint: str) -> float:
+        return self._suspects[fingerprint].changed_at
+
+    def blocked_s(self, fingerprint: str, now: float) -> float:
+        """Return for how many seconds a request stays blocked; 0 if it is not."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return 0.0
+        ends = sorted(
+            crash.lost_at + CRASH_LIFETIME_S - now
+            for crash in suspect.crashes.values()
+            if not crash.is_exonerated
+        )
+        if len(ends) < CRASHES_TO_BLOCK:
+            return 0.0
+        return max(0.0, ends[-CRASHES_TO_BLOCK])
+
+    def blocked_count(self, now: float) -> int:
+        """Return the number of requests that are blocked."""
+        return sum(self.blocked_s(name, now) > 0 for name in self._suspects)
+
+    def reports(self, now: float) -> Iterator[CrashReport]:
+        """Return the losses to pass on, those of blocked requests first."""
+        ranked = []
+        for fingerprint, suspect in self._suspects.items():
+            is_blocked = self.blocked_s(fingerprint, now) > 0
+            if is_blocked or now - suspect.changed_at <= MAX_REPORT_AGE_S:
+                ranked.append((is_blocked, suspect.changed_at, fingerprint))
+        ranked.sort(reverse=True)
+        for _, _, fingerprint in ranked[:MAX_REPORTS_PER_MESSAGE]:
+            yield self._report(fingerprint, now)
+
+    def _report(self, fingerprint: str, now: float) -> CrashReport:
+        """Return the newest losses of a request, as many as are needed to block it."""
+        crashes = sorted(
+            self._suspects[fingerprint].crashes.items(),
+            key=lambda item: (not item[1].is_exonerated, item[1].lost_at),
+            reverse=True,
+        )
+        return CrashReport(
+            fingerprint,
+            tuple(
+                CrashEntry(process, round(now - crash.lost_at, 2), crash.is_exonerated)
+                for process, crash in crashes[:CRASHES_TO_BLOCK]
+            ),
+        )
+
+    def remove_expired(self, now: float) -> None:
+        """Remove the losses that do not count any more."""
+        for fingerprint, suspect in list(self._suspects.items()):
+            for process, crash in list(suspect.crashes.items()):
+                if now - crash.lost_at > CRASH_LIFETIME_S:
+                    del suspect.crashes[process]
+            if not suspect.crashes:
+                del self._suspects[fingerprint]
--- /dev/null
+++ b/damasktally/entry/crash_reports.py
@@ -0,0 +1,65 @@
+"""Take in which server processes lost their responses to a request."""
+
+from asyncio import get_running_loop
+from collections.abc import Iterable
+
+from damasktally.decisions.crash_suspects import CrashSuspects
+from damasktally.entry.outcome import Attempt, AttemptOutcome
+from damasktally.events import emit
+from damasktally.events.catalogue import REQUEST_BLOCKED
+from damasktally.fleet.crash_reports import CrashReport
+from damasktally.fleet.model import Server
+
+OWN_SOURCE = "self"
+"""Source, in the log, of what this host's own requests showed."""
+
+
+class CrashReports:
+    """Record losses and answers by request, and log which requests are blocked.
+
+    :param suspects: decides which requests are blocked.
+    """
+
+    def __init__(self, suspects: CrashSuspects) -> None:
+        self._suspects = suspects
+        self._loop = get_running_loop()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no request is known to have lost a response."""
+        return len(self._suspects) == 0
+
+    def blocked_s(self, fingerprint: str) -> float:
+        """Return for how many seconds a request stays blocked; 0 if it is not."""
+        return self._suspects.blocked_s(fingerprint, self._loop.time())
+
+    def record_attempt(
+        self, fingerprint: str, server: Server, attempt: Attempt
+    ) -> None:
+        """Record a lost response, or an answer by a server that ran the request."""
+        now = self._loop.time()
+        if attempt.outcome is AttemptOutcome.LOST:
+            process = f"{server.id}/{server.started_ms}"
+            if self._suspects.record_loss(fingerprint, process, now):
+                self._log_blocked(fingerprint, OWN_SOURCE)
+        elif attempt.outcome is AttemptOutcome.ANSWERED:
+            if attempt.response.status < 500:
+                self._suspects.record_answer(fingerprint, now)
+
+    def merge(self, reports: Iterable[CrashReport], source: str) -> None:
+        """Merge what another host reported.
+
+        :param source: name of the host that sent the reports, for the log.
+        """
+        now = self._loop.time()
+        for report in reports:
+            if self._suspects.merge(report, now):
+                self._log_blocked(report.fingerprint, source)
+
+    def _log_blocked(self, fingerprint: str, source: str) -> None:
+        emit(
+            REQUEST_BLOCKED,
+            fingerprint=fingerprint,
+            seconds=round(self.blocked_s(fingerprint), 1),
+            source=source,
+        )
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -12,16 +12,19 @@
 from random import Random
 
 from damasktally.addresses import split_address
+from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.connection_pool import ConnectionPool
+from damasktally.entry.crash_reports import CrashReports
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.host_handlers import HostHandlers
 from damasktally.entry.message_builder import FleetMessageBuilder, OwnState
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.output import LogOutput
+from damasktally.entry.peer_reports import PeerReports
 from damasktally.entry.peers import PeerProtocol
 from damasktally.entry.registration import Registration
 from damasktally.entry.requests import RequestHandler
@@ -132,6 +135,8 @@
         self._server_reports = ServerReports(
             self._candidates.loads, self._candidates.limits
         )
+        self._crash_suspects = CrashSuspects()
+        crash_reports = CrashReports(self._crash_suspects)
         message_builder = FleetMessageBuilder(
             self._own,
             self._topology,
@@ -140,6 +145,7 @@
             self._quotas,
             heartbeat_history,
             self._candidates.limits,
+            self._crash_suspects,
             self._own_state,
         )
         self._peer_protocol = PeerProtocol(
@@ -148,7 +154,7 @@
             self._topology,
             message_builder,
             self._transfer,
-            self._server_reports,
+            PeerReports(self._server_reports, crash_reports),
             lambda: self._update_shares(self._loop.time()),
         )
         self._capacity_log = CapacityLog(self._view)
@@ -161,6 +167,7 @@
             self._topology,
             self._candidates,
             forwarder,
+            crash_reports,
             self._quotas,
             self._metrics,
             self._bounds,
@@ -313,6 +320,7 @@
         self._connection_pool.close_all_except(known_servers)
         self._candidates.keep_only(known_servers)
         self._server_reports.keep_only(known_servers)
+        self._crash_suspects.remove_expired(now)
         self._capacity_log.log_changes(now)
         self._update_metrics(now)
 
@@ -333,6 +341,7 @@
         if self._output is not None:
             self._report_dropped_lines(self._output)
         self._metrics.hosts_heard.set(len(self._members.live_records(now)))
+        self._metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
         self._metrics.limited_servers.set(self._candidates.limits.limited_count())
         for topic, confirmed_at in self._confirmed_at.items():
             self._metrics.view_age.labels(topic.value).set(now - confirmed_at)
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from damasktally.decisions.counter_totals import CounterTotals
+from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
@@ -20,7 +21,7 @@
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, Heartbeat
 from damasktally.fleet.model import Member
-from damasktally.fleet.server_limits import ReportScope, ServerLimitReport
+from damasktally.fleet.server_limits import ReportScope
 from damasktally.fleet.summaries import (
     WHOLE_FLEET,
     DataCentreHosts,
@@ -84,6 +85,7 @@
     :param quotas: supplies this host's demand and admitted counts by customer.
     :param heartbeat_history: records the counts that each heartbeat carried.
     :param server_limits: supplies the rate limits that servers named.
+    :param crash_suspects: supplies the requests under which servers ended.
     :param get_own_state: returns the current state of this host.
     """
 
@@ -96,6 +98,7 @@
         quotas: CustomerQuotas,
         heartbeat_history: HeartbeatHistory,
         server_limits: ServerLimits,
+        crash_suspects: CrashSuspects,
         get_own_state: Callable[[], OwnState],
     ) -> None:
         self._own = own
@@ -104,6 +107,7 @@
         self._view = view
         self._quotas = quotas
         self._server_limits = server_limits
+        self._crash_suspects = crash_suspects
         self._get_own_state = get_own_state
         self._heartbeat_history = heartbeat_history
         self._data_centre_totals = CounterTotals()
@@ -218,6 +222,7 @@
             store_age_s=round(state.store_age_s, 2),
             fleet_size=self._topology.known_fleet_size(now),
             server_limits=tuple(self._server_limits.reports(ReportScope.OWN, now)),
+            crash_reports=tuple(self._crash_suspects.reports(now)),
         )
 
     def build_data_centre_summary(self, now: float) -> RelaySummary:
@@ -237,7 +242,8 @@
             [self._list_local_hosts(now)],
             (1 + len(live), len(known) - len(live)),
             (demand, self._data_centre_totals.totals),
-            tuple(self._server_limits.reports(ReportScope.DATA_CENTRE, now)),
+            ReportScope.DATA_CENTRE,
+            now,
         )
 
     def build_fleet_summary(self, now: float) -> RelaySummary:
@@ -298,7 +304,8 @@
             data_centre_hosts,
             (live_count, silent_count),
             (_sum_by_customer(demands), self._fleet_totals.totals),
-            tuple(self._server_limits.reports(ReportScope.FLEET, now)),
+            ReportScope.FLEET,
+            now,
             {record.member.host: record.sequence for record in live},
         )
 
@@ -331,13 +338,15 @@
         data_centre_hosts: list[DataCentreHosts],
         host_counts: tuple[int, int],
         counts: tuple[Mapping[str, float], Mapping[str, int]],
-        server_limits: tuple[ServerLimitReport, ...],
+        report_scope: ReportScope,
+        now: float,
         included_heartbeats: Mapping[str, int] = MappingProxyType({}),
     ) -> RelaySummary:
         """Build the next summary of an outbox.
 
         :param host_counts: numbers of live and of silent hosts.
         :param counts: demand and total of admitted requests, each by customer.
+        :param report_scope: the widest scope of the servers' limits that it carries.
         :param included_heartbeats: number of each host's last included heartbeat.
         """
         outbox.sequence += 1
@@ -365,7 +374,8 @@
             is_complete=is_demand_complete and is_admitted_complete,
             store_age_s=round(self._get_own_state().store_age_s, 2),
             included_heartbeats=dict(included_heartbeats),
-            server_limits=server_limits,
+            server_limits=tuple(self._server_limits.reports(report_scope, now)),
+            crash_reports=tuple(self._crash_suspects.reports(now)),
         )
 
     def _revisions(self) -> tuple[int, ...]:
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -38,6 +38,11 @@
             "Backend servers that name a rate limit for all hosts together.",
             registry=self.registry,
         )
+        self.blocked_requests = Gauge(
+            "damasktally_entry_blocked_requests",
+            "Distinct requests that are refused because servers ended under them.",
+            registry=self.registry,
+        )
         self.lookups = Counter(
             "damasktally_entry_lookups", "Look-ups answered.", registry=self.registry
         )
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -50,6 +50,8 @@
 
     :param configuration: version of the configuration, or 0 if there was none.
     :param reason: why the request ended as it did.
+    :param fingerprint: hash by which the same request is recognised, once computed.
+    :param retry_after_s: when a refused caller may return, if the decision named it.
     :param inputs: the values on which the last decision was based, by name.
     """
 
@@ -60,4 +62,6 @@
     service: str = ""
     reason: Reason | None = None
     attempts: list[Attempt] = field(default_factory=list)
+    fingerprint: str = ""
+    retry_after_s: float | None = None
     inputs: dict[str, float] = field(default_factory=dict)
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -15,13 +15,12 @@
 import msgspec
 
 from damasktally.entry.message_builder import FleetMessageBuilder
-from damasktally.entry.server_reports import ServerReports
+from damasktally.entry.peer_reports import PeerReports
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.topology import Address, FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import PEER_LOST, PEER_REGAINED, RELAY_FAILED
 from damasktally.fleet.members import Heartbeat, MemberTable
-from damasktally.fleet.server_limits import ReportScope
 from damasktally.fleet.summaries import (
     WHOLE_FLEET,
     RelaySummary,
@@ -49,7 +48,7 @@
     :param topology: determines the receivers of messages.
     :param message_builder: builds the messages.
     :param transfer: notified of the revisions that a peer has.
-    :param server_reports: receives the limits of servers that a peer reports.
+    :param reports: receives what peers report of servers and requests.
     :param on_counts_received: called when a relay's summary brought the counts of all
         hosts.
     """
@@ -61,7 +60,7 @@
         topology: FleetTopology,
         message_builder: FleetMessageBuilder,
         transfer: StateTransfer,
-        server_reports: ServerReports,
+        reports: PeerReports,
         on_counts_received: Callable[[], None],
     ) -> None:
         self._members = members
@@ -69,7 +68,7 @@
         self._topology = topology
         self._message_builder = message_builder
         self._transfer = transfer
-        self._server_reports = server_reports
+        self._reports = reports
         self._on_counts_received = on_counts_received
         self._loop = get_running_loop()
         self._transport: DatagramTransport | None = None
@@ -117,9 +116,7 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         address = (heartbeat.peer_host, heartbeat.peer_port)
         is_new = self._members.apply_heartbeat(heartbeat, now)
-        self._server_reports.record_limits(
-            heartbeat.server_limits, ReportScope.DATA_CENTRE, heartbeat.host
-        )
+        self._reports.record_heartbeat(heartbeat)
         if is_new:
             self._topology.invalidate()
             self._send_datagram(address, self._encode_heartbeat(now, is_complete=True))
@@ -165,7 +162,7 @@
     def _handle_summary(self, summary: RelaySummary, now: float) -> None:
         if self._summaries.apply_summary(summary, now):
             self._topology.invalidate()
-        self._record_limits(summary, now)
+        self._reports.record_summary(summary, self._topology.is_relay(now))
         if summary.scope != WHOLE_FLEET:
             if summary.scope != self._members.own.data_centre and self._is_active_relay(
                 now
@@ -187,16 +184,6 @@
         if not self._topology.should_follow_store(now):
             self._on_counts_received()
 
-    def _record_limits(self, summary: RelaySummary, now: float) -> None:
-        """Record the limits of servers in a summary.
-
-        A relay has the limits of the whole fleet from the summaries of data centres.
-        """
-        if summary.scope != WHOLE_FLEET or not self._topology.is_relay(now):
-            self._server_reports.record_limits(
-                summary.server_limits, ReportScope.FLEET, summary.relay
-            )
-
     def send_due_messages(self, seeds: list[Address]) -> None:
         """Send the messages of one round.
 
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -9,6 +9,7 @@
 from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS, choose_server
 from damasktally.decisions.weighted_round_robin import WeightedRoundRobin
 from damasktally.entry.candidates import ServerCandidates
+from damasktally.entry.crash_reports import CrashReports
 from damasktally.entry.fingerprint import fingerprint_of
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.metrics import EntryMetrics
@@ -56,6 +57,7 @@
     :param topology: the hosts among which the retry slack is divided.
     :param candidates: ranks the servers for a request.
     :param forwarder: sends a request to one server.
+    :param crash_reports: decides which requests are blocked, since they end servers.
     :param quotas: rate limits of the customers.
     :param bounds: limits agreed with the users of the fleet.
     """
@@ -66,6 +68,7 @@
         topology: FleetTopology,
         candidates: ServerCandidates,
         forwarder: Forwarder,
+        crash_reports: CrashReports,
         quotas: CustomerQuotas,
         metrics: EntryMetrics,
         bounds: Bounds,
@@ -75,6 +78,7 @@
         self._topology = topology
         self._candidates = candidates
         self._forwarder = forwarder
+        self._crash_reports = crash_reports
         self._quotas = quotas
         self._metrics = metrics
         self._bounds = bounds
@@ -160,6 +164,8 @@
             if deadline - now < MIN_REMAINING_TIME_S:
                 trace.reason = Reason.TIME_IS_UP
                 return self._failure_response(trace)
+            if self._is_blocked(req, trace):
+                return self._failure_response(trace)
             server = self._select_server(req, trace, tried_servers, now)
             if server is None:
                 trace.reason = trace.reason or Reason.NO_ROOM
@@ -170,6 +176,7 @@
                 req, server, trace.customer, deadline, at_most_once
             )
             trace.attempts.append(attempt)
+            self._record_possible_crash(req, trace, server, attempt)
             if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
                 self._response_times.record(trace.service, attempt.duration_s)
             tried_servers.append(server.id)
@@ -210,6 +217,31 @@
             }
         return selected
 
+    def _is_blocked(self, req: Request, trace: RequestTrace) -> bool:
+        """Return whether the request is one that ends servers, and explain it."""
+        if self._crash_reports.is_empty:
+            return False
+        blocked_s = self._crash_reports.blocked_s(_fingerprint(req, trace))
+        if blocked_s <= 0:
+            return False
+        trace.reason = Reason.ENDS_SERVERS
+        trace.retry_after_s = blocked_s
+        trace.inputs = {"blocked for s": round(blocked_s, 1)}
+        return True
+
+    def _record_possible_crash(
+        self, req: Request, trace: RequestTrace, server: Server, attempt: Attempt
+    ) -> None:
+        """Record a lost response, or an answer to a request that lost one before.
+
+        A response that was lost because the caller left shows nothing.
+        """
+        is_lost = attempt.outcome is AttemptOutcome.LOST and not req.is_disconnected
+        if is_lost or not self._crash_reports.is_empty:
+            self._crash_reports.record_attempt(
+                _fingerprint(req, trace), server, attempt
+            )
+
     def _may_retry(self, trace: RequestTrace, send_count: int, now: float) -> bool:
         """Return whether the route and the retry budget allow another attempt.
 
@@ -244,10 +276,16 @@
             return text_response(502, trace.reason.value)
         if answered:
             return self._attempt_response(answered[-1], trace)
-        wait_s = NO_SERVER_RETRY_AFTER_S
-        if trace.reason is not Reason.NO_SERVER:
-            wait_s = self._response_times.expected_wait_s(trace.service)
-        return retry_later_response(503, trace.reason.value, self._jitter(wait_s))
+        wait_s = self._jitter(self._retry_after_s(trace))
+        return retry_later_response(503, trace.reason.value, wait_s)
+
+    def _retry_after_s(self, trace: RequestTrace) -> float:
+        """Return the seconds after which a refused request may be served."""
+        if trace.retry_after_s is not None:
+            return trace.retry_after_s
+        if trace.reason is Reason.NO_SERVER:
+            return NO_SERVER_RETRY_AFTER_S
+        return self._response_times.expected_wait_s(trace.service)
 
     def _attempt_response(self, attempt: Attempt, trace: RequestTrace) -> Response:
         """Return the response for an attempt that settles its request.
@@ -306,7 +344,7 @@
             caller_gone=req.is_disconnected,
             view_age_s=round(self._loop.time() - self._view.confirmed_at, 2),
             inputs=trace.inputs,
-            fingerprint=_fingerprint_if_lost(req, trace),
+            fingerprint=trace.fingerprint,
             attempts=[
                 [
                     attempt.server_id,
@@ -356,14 +394,11 @@
     return route.priority
 
 
-def _fingerprint_if_lost(req: Request, trace: RequestTrace) -> str:
-    """Return the request's fingerprint if a response was lost, else an empty text.
-
-    Requests under which servers ended can be recognised by it in the log.
-    """
-    if any(attempt.outcome is AttemptOutcome.LOST for attempt in trace.attempts):
-        return fingerprint_of(req, trace.customer)
-    return ""
+def _fingerprint(req: Request, trace: RequestTrace) -> str:
+    """Return the request's fingerprint, computed at its first use."""
+    if not trace.fingerprint:
+        trace.fingerprint = fingerprint_of(req, trace.customer)
+    return trace.fingerprint
 
 
 def _settles_request(attempt: Attempt, at_most_once: bool) -> bool:
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -157,6 +157,13 @@
     "A backend server's response had headers about its state that cannot be decoded.",
     "Correct the server.",
 )
+REQUEST_BLOCKED = Event(
+    516,
+    "request-blocked",
+    "Several servers ended while they ran the same request, and none answered it; "
+    "hosts refuse it for a while. Its fingerprint is in the lines of its requests.",
+    "Find the caller by the fingerprint, and correct the servers.",
+)
 HANDLER_FAILED = Event(
     513,
     "handler-failed",
--- a/damasktally/events/explanation.py
+++ b/damasktally/events/explanation.py
@@ -6,6 +6,7 @@
 from damasktally.events.catalogue import (
     HOST_LEAVING,
     PEER_LOST,
+    REQUEST_BLOCKED,
     REQUEST_ENDED,
     SERVER_LIMIT_CHANGED,
     SERVER_PAUSED,
@@ -23,6 +24,7 @@
     for event in (
         HOST_LEAVING,
         PEER_LOST,
+        REQUEST_BLOCKED,
         SERVER_LIMIT_CHANGED,
         SERVER_PAUSED,
         SERVICE_CAPACITY,
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -27,6 +27,10 @@
         "encoded-answer",
         "the response was encoded, so it did not come from the server itself",
     )
+    ENDS_SERVERS = (
+        "ends-servers",
+        "several servers ended while they ran the same request, and none answered it",
+    )
     NO_COMMON_HOME = (
         "no-common-home",
         "the route and the customer have no home region in common",
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damasktally.fleet.crash_reports import CrashReport
 from damasktally.fleet.model import Member
 from damasktally.fleet.server_limits import ServerLimitReport
 from damasktally.fleet.topics import Topic, revisions_by_topic
@@ -51,6 +52,7 @@
         last reached the store; a large number if none did.
     :param fleet_size: number of hosts known to the sender, itself included.
     :param server_limits: rate limits that servers named in responses to the sender.
+    :param crash_reports: requests under which servers ended, as far as it knows.
     """
 
     host: str
@@ -71,6 +73,7 @@
     store_age_s: float = 0.0
     fleet_size: int = 1
     server_limits: tuple[ServerLimitReport, ...] = ()
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 @dataclass(slots=True)
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damasktally.fleet.crash_reports import CrashReport
 from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, REMOVAL_TIMEOUT_S
 from damasktally.fleet.model import Member
 from damasktally.fleet.server_limits import ServerLimitReport
@@ -63,6 +64,7 @@
     :param included_heartbeats: for each host whose heartbeats the relay receives, the
         sequence number of the last heartbeat that is part of the totals.
     :param server_limits: rate limits that servers named in responses to these hosts.
+    :param crash_reports: requests under which servers ended, as far as the relay knows.
     """
 
     relay: str
@@ -81,6 +83,7 @@
     store_age_s: float
     included_heartbeats: dict[str, int]
     server_limits: tuple[ServerLimitReport, ...] = ()
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 WHOLE_FLEET = ""
--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -19,3 +19,17 @@
     When callers send /read/bad, which ends servers, 8 times a second to all hosts for 10 s
     Then at most 3 servers receive it later than 3 s after it ended the third
     And /read/bad gets 503 with a Retry-After header from every host
+
+  # Guards against blocking requests that were lost only because others ended servers.
+  Scenario: Only a request that no server answers is blocked
+    Then these losses and answers of a request block it or do not
+      | events                        | blocked |
+      | loss a, loss b                | no      |
+      | loss a, loss b, loss c        | yes     |
+      | loss a, loss a, loss a        | no      |
+      | loss a, loss b, answer, loss c | no     |
+      | loss a, answer, loss b, loss c, loss d | yes |
+      | loss a, loss b, 600 s, loss c | no      |
+    And a request that was blocked is admitted 600 s after its first loss
+    And hosts agree whatever order and repetition their reports have
+    And a host remembers no more than 1000 requests, and forgets the oldest first
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -10,6 +10,7 @@
 import msgspec
 from behave import given, then, when
 
+from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
@@ -94,6 +95,7 @@
             quotas,
             heartbeat_history,
             ServerLimits(own.host),
+            CrashSuspects(),
             get_own_state,
         )
         transfer = SimpleNamespace(handle_peer_revisions=lambda revisions: None)
@@ -103,7 +105,10 @@
             self.topology,
             self.message_builder,
             transfer,
-            SimpleNamespace(record_limits=lambda reports, scope, source: None),
+            SimpleNamespace(
+                record_heartbeat=lambda heartbeat: None,
+                record_summary=lambda summary, is_relay: None,
+            ),
             lambda: None,
         )
         self.sent = []
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -16,6 +16,7 @@
 from damasktally.events.explanation import explain_request
 from damasktally.events.reasons import Reason
 from damasktally.fleet.changes import describe_change
+from damasktally.fleet.crash_reports import CrashEntry, CrashReport
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Member
 from damasktally.fleet.server_limits import ServerLimitReport
@@ -277,6 +278,7 @@
         "store_age_s": 4.0,
         "fleet_size": 7,
         "server_limits": (ServerLimitReport("s-1", 1, 2.0, 0.5),),
+        "crash_reports": (CrashReport("f-1", (CrashEntry("s-1/1", 0.5, False),)),),
     }
     values = msgspec.msgpack.decode(
         msgspec.msgpack.encode(make_heartbeat(**later_fields))
