Stopped sending to servers that say in an answer that they leave.

Change: the header is decoded into ServerReport; a mark for the process joins the table of servers, so that it counts as draining wherever usable servers are listed, whatever the store says, until another process starts under the id. Heartbeats and summaries pass new marks on. Headers by which servers tell hosts of their state no longer reach callers. Conclusion: a host stops at the first answer, and the fleet within the time of a message or two. Not covered: the store coming back with an older copy.

--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -81,7 +81,7 @@
     :param own: this host.
     :param topology: lists the other hosts of the data centre and the relays.
     :param summaries: the last summaries of relays, of other data centres or the fleet.
-    :param view: supplies the revision of each topic.
+    :param view: supplies the revision of each topic, and the servers that leave.
     :param quotas: supplies this host's demand and admitted counts by customer.
     :param heartbeat_history: records the counts that each heartbeat carried.
     :param server_limits: supplies the rate limits that servers named.
@@ -223,6 +223,7 @@
             fleet_size=self._topology.known_fleet_size(now),
             server_limits=tuple(self._server_limits.reports(ReportScope.OWN, now)),
             crash_reports=tuple(self._crash_suspects.reports(now)),
+            leaving_servers=tuple(self._view.servers.new_leaving_marks(now)),
         )
 
     def build_data_centre_summary(self, now: float) -> RelaySummary:
@@ -376,6 +377,7 @@
             included_heartbeats=dict(included_heartbeats),
             server_limits=tuple(self._server_limits.reports(report_scope, now)),
             crash_reports=tuple(self._crash_suspects.reports(now)),
+            leaving_servers=tuple(self._view.servers.new_leaving_marks(now)),
         )
 
     def _revisions(self) -> tuple[int, ...]:
--- a/damasktally/entry/peer_reports.py
+++ b/damasktally/entry/peer_reports.py
@@ -10,7 +10,7 @@
 class PeerReports:
     """Pass the reports in heartbeats and summaries on to what records them.
 
-    :param server_reports: receives the rate limits of servers.
+    :param server_reports: receives the rate limits of servers, and which ones leave.
     :param crash_reports: receives the requests under which servers ended.
     """
 
@@ -25,6 +25,7 @@
         self._server_reports.record_limits(
             heartbeat.server_limits, ReportScope.DATA_CENTRE, heartbeat.host
         )
+        self._server_reports.record_leaving(heartbeat.leaving_servers, heartbeat.host)
         self._crash_reports.merge(heartbeat.crash_reports, heartbeat.host)
 
     def record_summary(self, summary: RelaySummary, is_relay: bool) -> None:
@@ -37,4 +38,5 @@
             self._server_reports.record_limits(
                 summary.server_limits, ReportScope.FLEET, summary.relay
             )
+        self._server_reports.record_leaving(summary.leaving_servers, summary.relay)
         self._crash_reports.merge(summary.crash_reports, summary.relay)
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -35,6 +35,9 @@
     API_KEY,
     REMAINING_MS,
     REQUEST_ID,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
+    SERVER_LOAD,
     parse_milliseconds,
 )
 
@@ -46,7 +49,8 @@
 """Retry delay that a host without a configuration sends, before jitter."""
 NO_SERVER_RETRY_AFTER_S = 0.5
 """Retry delay if a service has no usable server, before jitter."""
-NO_HEADERS: frozenset[bytes] = frozenset()
+EXCLUDED_RESPONSE_HEADERS = frozenset({SERVER_LOAD, SERVER_LIMIT, SERVER_LEAVING})
+"""Headers by which servers tell hosts of their own state."""
 CONTENT_ENCODING = b"content-encoding"
 
 
@@ -304,7 +308,7 @@
             trace.reason = Reason.ENCODED_ANSWER
             return text_response(502, trace.reason.value)
         trace.reason = trace.reason or Reason.ANSWERED
-        headers = end_to_end_headers(response.headers, NO_HEADERS)
+        headers = end_to_end_headers(response.headers, EXCLUDED_RESPONSE_HEADERS)
         return Response(response.status, headers, response.body)
 
     def _retry_budget(self, service: str) -> RetryBudget:
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -9,6 +9,7 @@
 from damasktally.events.catalogue import SERVER_LIMIT_CHANGED, SERVER_REPORT_UNREADABLE
 from damasktally.fleet.model import Server, ServerReport
 from damasktally.fleet.server_limits import ReportScope, ServerLimitReport
+from damasktally.fleet.view import FleetView
 
 OWN_SOURCE = "self"
 """Source, in the log, of what a response to this host reported."""
@@ -17,11 +18,15 @@
 class ServerReports:
     """Pass each report on to the decisions that depend on it, and log changes.
 
+    :param view: receives which servers leave.
     :param loads: receives the numbers of running and waiting requests.
     :param limits: receives the rate limits.
     """
 
-    def __init__(self, loads: ServerLoads, limits: ServerLimits) -> None:
+    def __init__(
+        self, view: FleetView, loads: ServerLoads, limits: ServerLimits
+    ) -> None:
+        self._view = view
         self._loads = loads
         self._limits = limits
         self._unreadable: set[tuple[str, tuple[str, ...]]] = set()
@@ -32,14 +37,26 @@
         now = self._loop.time()
         if report.running is not None and report.waiting is not None:
             self._loads.record_report(server.id, report.running, report.waiting, now)
+        if report.is_leaving:
+            self.record_leaving([(server.id, server.started_ms)], OWN_SOURCE)
         if report.unreadable:
             self._log_unreadable(server, report)
+        if report.is_limit_unreadable:
             return
         limit = ServerLimitReport(
             server.id, server.started_ms, report.rate_limit, age_s=0.0
         )
         self.record_limits([limit], ReportScope.OWN, OWN_SOURCE)
 
+    def record_leaving(self, servers: Iterable[tuple[str, int]], source: str) -> None:
+        """Record server processes that said that they leave.
+
+        :param servers: id and start of each process.
+        :param source: name of the host that sent them, for the log.
+        """
+        for server, started_ms in servers:
+            self._view.mark_leaving(server, started_ms, source, self._loop.time())
+
     def record_limits(
         self, reports: Iterable[ServerLimitReport], scope: ReportScope, source: str
     ) -> None:
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -53,6 +53,7 @@
     :param fleet_size: number of hosts known to the sender, itself included.
     :param server_limits: rate limits that servers named in responses to the sender.
     :param crash_reports: requests under which servers ended, as far as it knows.
+    :param leaving_servers: id and start of server processes that said that they leave.
     """
 
     host: str
@@ -74,6 +75,7 @@
     fleet_size: int = 1
     server_limits: tuple[ServerLimitReport, ...] = ()
     crash_reports: tuple[CrashReport, ...] = ()
+    leaving_servers: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(slots=True)
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -185,13 +185,17 @@
     :param running: requests that it processes, or None if it does not say.
     :param waiting: requests in its queue, or None if it does not say.
     :param rate_limit: requests a second that it takes from all hosts together, or None
-        if it names no limit.
+        if it names no limit, or one that cannot be decoded.
+    :param is_limit_unreadable: whether it names a limit that cannot be decoded.
+    :param is_leaving: whether it is about to end and wants no more requests.
     :param unreadable: names of the headers that could not be decoded.
     """
 
     running: int | None
     waiting: int | None
     rate_limit: float | None
+    is_limit_unreadable: bool = False
+    is_leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/damasktally/fleet/servers.py
+++ b/damasktally/fleet/servers.py
@@ -11,6 +11,25 @@
 """Fraction of all servers below which a removal is never a mass removal."""
 REREGISTRATION_GRACE_S = 2.4
 """How long servers of a mass removal stay in use until they register again."""
+LEAVING_MARK_LIFETIME_S = 120.0
+"""How long a mark outlives the registration of its server, which may come back."""
+LEAVING_REPORT_S = 10.0
+"""How long a new mark is passed on to other hosts."""
+MAX_LEAVING_REPORTS = 32
+"""The number of marks in one message."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingMark:
+    """A server process that said that it leaves.
+
+    :param started_ms: Unix time of its start in milliseconds.
+    :param marked_at: when this host learned of it, in seconds on the event loop's
+        clock.
+    """
+
+    started_ms: int
+    marked_at: float
 
 
 @dataclass(slots=True)
@@ -40,6 +59,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, ServerRecord] = {}
+        self._leaving: dict[str, LeavingMark] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -52,11 +72,46 @@
         return self._records.get(server)
 
     def usable(self) -> list[Server]:
-        """Return the servers that are not draining."""
+        """Return the servers that neither drain nor said that they leave."""
         return [
             item.server
             for item in self._records.values()
-            if not item.server.is_draining
+            if not item.server.is_draining and not self.is_leaving(item.server)
+        ]
+
+    def is_leaving(self, server: Server) -> bool:
+        """Return whether this process of a server said that it leaves."""
+        mark = self._leaving.get(server.id)
+        return mark is not None and mark.started_ms >= server.started_ms
+
+    def mark_leaving(self, server: str, started_ms: int, now: float) -> bool:
+        """Record that a process of a server said that it leaves.
+
+        The mark holds whatever the process registers later, until another one starts.
+
+        :param server: its id.
+        :param started_ms: Unix time of the start of the process in milliseconds.
+        :returns: whether that was unknown.
+        """
+        mark = self._leaving.get(server)
+        if mark is not None and mark.started_ms >= started_ms:
+            return False
+        self._leaving[server] = LeavingMark(started_ms, now)
+        return True
+
+    def new_leaving_marks(self, now: float) -> list[tuple[str, int]]:
+        """Return the marks to pass on, the newest first.
+
+        :returns: pairs of a server's id and the start of its process in milliseconds.
+        """
+        recent = [
+            (mark.marked_at, name, mark.started_ms)
+            for name, mark in self._leaving.items()
+            if now - mark.marked_at <= LEAVING_REPORT_S
+        ]
+        recent.sort(reverse=True)
+        return [(name, started_ms) for _, name, started_ms in recent][
+            :MAX_LEAVING_REPORTS
         ]
 
     def ids(self) -> set[str]:
@@ -117,8 +172,15 @@
         ]
         for name in expired:
             del self._records[name]
+        self._remove_old_marks(now)
         return expired
 
+    def _remove_old_marks(self, now: float) -> None:
+        for name, mark in list(self._leaving.items()):
+            is_old = now - mark.marked_at > LEAVING_MARK_LIFETIME_S
+            if is_old and name not in self._records:
+                del self._leaving[name]
+
     def extend_warm_up(self, server: str, until: float) -> None:
         """Move the end of a server's warm-up back, if it would end earlier.
 
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -65,6 +65,7 @@
         sequence number of the last heartbeat that is part of the totals.
     :param server_limits: rate limits that servers named in responses to these hosts.
     :param crash_reports: requests under which servers ended, as far as the relay knows.
+    :param leaving_servers: id and start of server processes that said that they leave.
     """
 
     relay: str
@@ -84,6 +85,7 @@
     included_heartbeats: dict[str, int]
     server_limits: tuple[ServerLimitReport, ...] = ()
     crash_reports: tuple[CrashReport, ...] = ()
+    leaving_servers: tuple[tuple[str, int], ...] = ()
 
 
 WHOLE_FLEET = ""
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -204,6 +204,20 @@
         self.generation += 1
         self._report_change(Topic.SERVERS, "self", f"replaced at its address: {server}")
 
+    def mark_leaving(
+        self, server: str, started_ms: int, source: str, now: float
+    ) -> None:
+        """Send no more requests to a process of a server that said that it leaves.
+
+        :param server: its id.
+        :param started_ms: Unix time of the start of the process in milliseconds.
+        :param source: ``self``, or the name of the host that was told.
+        :param now: seconds on the event loop's clock.
+        """
+        if self.servers.mark_leaving(server, started_ms, now):
+            self.generation += 1
+            self._report_change(Topic.SERVERS, source, f"says that it leaves: {server}")
+
     def _apply_changes(
         self,
         topic: Topic,
--- a/damasktally/platform/headers.py
+++ b/damasktally/platform/headers.py
@@ -19,6 +19,8 @@
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
 """Requests a second that the server takes from all hosts together, a decimal number."""
+SERVER_LEAVING = b"server-leaving"
+"""The value 1 says that the server is about to end and wants no more requests."""
 NOT_RUN = b"not-run"
 """Present if the server did not run the request."""
 RETRY_AFTER = b"retry-after"
@@ -35,10 +37,23 @@
     if load_text is not None and load is None:
         unreadable.append(SERVER_LOAD.decode())
     rate_limit = _parse_rate(limit_text) if limit_text is not None else None
-    if limit_text is not None and rate_limit is None:
+    is_limit_unreadable = limit_text is not None and rate_limit is None
+    if is_limit_unreadable:
         unreadable.append(SERVER_LIMIT.decode())
+    leaving_values = [
+        value.strip() for name, value in response.headers if name == SERVER_LEAVING
+    ]
+    if any(value not in (b"0", b"1") for value in leaving_values):
+        unreadable.append(SERVER_LEAVING.decode())
     running, waiting, _ = load or (None, None, None)
-    return ServerReport(running, waiting, rate_limit, tuple(unreadable))
+    return ServerReport(
+        running=running,
+        waiting=waiting,
+        rate_limit=rate_limit,
+        is_limit_unreadable=is_limit_unreadable,
+        is_leaving=b"1" in leaving_values,
+        unreadable=tuple(unreadable),
+    )
 
 
 def _parse_rate(value: bytes) -> float | None:
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -279,6 +279,7 @@
         "fleet_size": 7,
         "server_limits": (ServerLimitReport("s-1", 1, 2.0, 0.5),),
         "crash_reports": (CrashReport("f-1", (CrashEntry("s-1/1", 0.5, False),)),),
+        "leaving_servers": (("s-2", 5),),
     }
     values = msgspec.msgpack.decode(
         msgspec.msgpack.encode(make_heartbeat(**later_fields))
