Kept away from servers that refuse with a time.

Change: ServerPauses holds a pause for one process of a server and this host; of several the latest end holds. If all servers of a service pause, callers are refused at once with the time at which the first wants work, which is only moved back, never forward. Values that are zero or negative ask for no pause, unreadable ones are logged, one above an hour counts as an hour. Conclusion: at most the requests under way reach a pausing server.

--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -7,6 +7,7 @@
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.outlier_detection import OutlierDetector
 from damasktally.decisions.server_limits import ServerLimits
+from damasktally.decisions.server_pauses import ServerPauses
 from damasktally.decisions.warmup_limiter import WarmupLimiter, warmup_tokens
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.model import Member, Server
@@ -54,6 +55,7 @@
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
         self.loads = ServerLoads()
         self.limits = ServerLimits(own.host)
+        self.pauses = ServerPauses()
         self.outlier_detector = OutlierDetector()
         self.warmup_limiter = WarmupLimiter()
 
@@ -123,10 +125,23 @@
             if name not in tried and self._is_usable(by_id[name], now)
         ]
 
+    def pause_end_s(
+        self, service: str, home_regions: frozenset[str], now: float
+    ) -> float | None:
+        """Return how long it takes until a server of a service wants work again.
+
+        :param home_regions: regions that may serve; empty allows all.
+        :returns: seconds, or None unless all servers asked for a pause.
+        """
+        servers = self.eligible_servers(service, home_regions)
+        return self.pauses.earliest_end_s(servers, now)
+
     def _is_usable(self, server: Server, now: float) -> bool:
-        """Return whether failures, the server's limit and warm-up allow a request."""
+        """Return whether its failures, its own reports and its warm-up allow it."""
         if not self.outlier_detector.is_usable(server.id, now):
             return False
+        if self.pauses.is_paused(server, now):
+            return False
         if not self._is_within_limit(server, now):
             return False
         if not self._view.servers.is_warming_up(server.id, now):
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -133,7 +133,10 @@
             self._view, self._own, self._topology, settings.region_of
         )
         self._server_reports = ServerReports(
-            self._view, self._candidates.loads, self._candidates.limits
+            self._view,
+            self._candidates.loads,
+            self._candidates.limits,
+            self._candidates.pauses,
         )
         self._crash_suspects = CrashSuspects()
         crash_reports = CrashReports(self._crash_suspects)
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -49,6 +49,9 @@
 """Retry delay that a host without a configuration sends, before jitter."""
 NO_SERVER_RETRY_AFTER_S = 0.5
 """Retry delay if a service has no usable server, before jitter."""
+MIN_JITTER = 0.7
+MAX_JITTER = 1.3
+"""Bounds of the factor that spreads the times at which refused callers return."""
 EXCLUDED_RESPONSE_HEADERS = frozenset({SERVER_LOAD, SERVER_LIMIT, SERVER_LEAVING})
 """Headers by which servers tell hosts of their own state."""
 CONTENT_ENCODING = b"content-encoding"
@@ -206,8 +209,14 @@
         ranked = self._candidates.rank_servers(
             trace.service, allowed_regions, affinity_key, tried_servers, now
         )
-        if not ranked and not tried_servers:
-            trace.reason = Reason.NO_SERVER
+        if not ranked:
+            trace.retry_after_s = self._candidates.pause_end_s(
+                trace.service, allowed_regions, now
+            )
+            if trace.retry_after_s is not None:
+                trace.reason = Reason.SERVERS_PAUSED
+            elif not tried_servers:
+                trace.reason = Reason.NO_SERVER
         estimated_load = self._candidates.loads.estimate
         selected = choose_server(
             ranked,
@@ -280,16 +289,19 @@
             return text_response(502, trace.reason.value)
         if answered:
             return self._attempt_response(answered[-1], trace)
-        wait_s = self._jitter(self._retry_after_s(trace))
+        wait_s = self._retry_after_s(trace)
         return retry_later_response(503, trace.reason.value, wait_s)
 
     def _retry_after_s(self, trace: RequestTrace) -> float:
-        """Return the seconds after which a refused request may be served."""
+        """Return the seconds after which a refused request may be served.
+
+        A time that the decision named is only moved back, as nothing changes before.
+        """
         if trace.retry_after_s is not None:
-            return trace.retry_after_s
+            return trace.retry_after_s * self._rng.uniform(1.0, MAX_JITTER)
         if trace.reason is Reason.NO_SERVER:
-            return NO_SERVER_RETRY_AFTER_S
-        return self._response_times.expected_wait_s(trace.service)
+            return self._jitter(NO_SERVER_RETRY_AFTER_S)
+        return self._jitter(self._response_times.expected_wait_s(trace.service))
 
     def _attempt_response(self, attempt: Attempt, trace: RequestTrace) -> Response:
         """Return the response for an attempt that settles its request.
@@ -322,7 +334,7 @@
 
     def _jitter(self, wait_s: float) -> float:
         """Vary a retry delay, so that refused callers do not return all at once."""
-        return wait_s * self._rng.uniform(0.7, 1.3)
+        return wait_s * self._rng.uniform(MIN_JITTER, MAX_JITTER)
 
     def _record_request(
         self, req: Request, trace: RequestTrace, response: Response
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -5,8 +5,13 @@
 
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.server_limits import ServerLimits
+from damasktally.decisions.server_pauses import ServerPauses
 from damasktally.events import emit
-from damasktally.events.catalogue import SERVER_LIMIT_CHANGED, SERVER_REPORT_UNREADABLE
+from damasktally.events.catalogue import (
+    SERVER_ASKED_FOR_PAUSE,
+    SERVER_LIMIT_CHANGED,
+    SERVER_REPORT_UNREADABLE,
+)
 from damasktally.fleet.model import Server, ServerReport
 from damasktally.fleet.server_limits import ReportScope, ServerLimitReport
 from damasktally.fleet.view import FleetView
@@ -21,14 +26,20 @@
     :param view: receives which servers leave.
     :param loads: receives the numbers of running and waiting requests.
     :param limits: receives the rate limits.
+    :param pauses: receives the pauses that servers ask for.
     """
 
     def __init__(
-        self, view: FleetView, loads: ServerLoads, limits: ServerLimits
+        self,
+        view: FleetView,
+        loads: ServerLoads,
+        limits: ServerLimits,
+        pauses: ServerPauses,
     ) -> None:
         self._view = view
         self._loads = loads
         self._limits = limits
+        self._pauses = pauses
         self._unreadable: set[tuple[str, tuple[str, ...]]] = set()
         self._loop = get_running_loop()
 
@@ -39,6 +50,8 @@
             self._loads.record_report(server.id, report.running, report.waiting, now)
         if report.is_leaving:
             self.record_leaving([(server.id, server.started_ms)], OWN_SOURCE)
+        if report.pause_s is not None:
+            self._record_pause(server, report.pause_s, now)
         if report.unreadable:
             self._log_unreadable(server, report)
         if report.is_limit_unreadable:
@@ -48,6 +61,10 @@
         )
         self.record_limits([limit], ReportScope.OWN, OWN_SOURCE)
 
+    def _record_pause(self, server: Server, pause_s: float, now: float) -> None:
+        if self._pauses.record(server.id, server.started_ms, pause_s, now):
+            emit(SERVER_ASKED_FOR_PAUSE, server=server.id, seconds=pause_s)
+
     def record_leaving(self, servers: Iterable[tuple[str, int]], source: str) -> None:
         """Record server processes that said that they leave.
 
@@ -89,4 +106,5 @@
     def keep_only(self, servers: set[str]) -> None:
         """Remove what is known of all but the given servers."""
         self._limits.keep_only(servers, self._loop.time())
+        self._pauses.keep_only(servers)
         self._unreadable = {item for item in self._unreadable if item[0] in servers}
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -164,6 +164,12 @@
     "hosts refuse it for a while. Its fingerprint is in the lines of its requests.",
     "Find the caller by the fingerprint, and correct the servers.",
 )
+SERVER_ASKED_FOR_PAUSE = Event(
+    517,
+    "server-asked-for-pause",
+    "A backend server refused a request and named a time; it gets none until then.",
+    "Check the server's load.",
+)
 HANDLER_FAILED = Event(
     513,
     "handler-failed",
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -51,6 +51,10 @@
         "server-too-slow",
         "the server did not respond before the deadline",
     )
+    SERVERS_PAUSED = (
+        "servers-paused",
+        "every server that may take the request asked for a pause",
+    )
     TIME_IS_UP = (
         "time-is-up",
         "the deadline passed before a server could take the request",
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -188,6 +188,7 @@
         if it names no limit, or one that cannot be decoded.
     :param is_limit_unreadable: whether it names a limit that cannot be decoded.
     :param is_leaving: whether it is about to end and wants no more requests.
+    :param pause_s: seconds for which it wants no requests of this host, or None.
     :param unreadable: names of the headers that could not be decoded.
     """
 
@@ -196,6 +197,7 @@
     rate_limit: float | None
     is_limit_unreadable: bool = False
     is_leaving: bool = False
+    pause_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/damasktally/platform/headers.py
+++ b/damasktally/platform/headers.py
@@ -24,6 +24,9 @@
 NOT_RUN = b"not-run"
 """Present if the server did not run the request."""
 RETRY_AFTER = b"retry-after"
+"""Seconds, possibly with a fraction: from a server in a refusal, the pause that it
+wants from this host; to callers, when to return."""
+REFUSAL_STATUS = 503
 
 
 def decode_server_report(response: Response) -> ServerReport:
@@ -45,6 +48,9 @@
     ]
     if any(value not in (b"0", b"1") for value in leaving_values):
         unreadable.append(SERVER_LEAVING.decode())
+    pause_s, is_pause_readable = _decode_pause(response)
+    if not is_pause_readable:
+        unreadable.append(RETRY_AFTER.decode())
     running, waiting, _ = load or (None, None, None)
     return ServerReport(
         running=running,
@@ -52,17 +58,39 @@
         rate_limit=rate_limit,
         is_limit_unreadable=is_limit_unreadable,
         is_leaving=b"1" in leaving_values,
+        pause_s=pause_s,
         unreadable=tuple(unreadable),
     )
 
 
+def _decode_pause(response: Response) -> tuple[float | None, bool]:
+    """Decode the pause that a refusal asks for, the longest if it names several.
+
+    :returns: seconds, or None if there is none; and whether all values are readable.
+    """
+    if response.status != REFUSAL_STATUS:
+        return None, True
+    values = [
+        _parse_number(value) for name, value in response.headers if name == RETRY_AFTER
+    ]
+    readable = [value for value in values if value is not None]
+    longest = max(readable, default=0.0)
+    return longest if longest > 0 else None, len(readable) == len(values)
+
+
 def _parse_rate(value: bytes) -> float | None:
     """Parse requests a second; return None if the value is malformed or negative."""
+    rate = _parse_number(value)
+    return rate if rate is not None and rate >= 0 else None
+
+
+def _parse_number(value: bytes) -> float | None:
+    """Parse a decimal number; return None if it is malformed or not finite."""
     try:
-        rate = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return rate if isfinite(rate) and rate >= 0 else None
+    return number if isfinite(number) else None
 
 
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
--- /dev/null
+++ b/features/entry/server_pauses.feature
@@ -0,0 +1,76 @@
+Feature: A server that asks for a pause gets no requests until it ends
+
+  A backend server may refuse a request with 503 and Retry-After: it wants no requests from
+  that host for so many seconds.
+
+  Scenario: A server gets no requests during its pause and is used after it
+    Given a stand-in store with a configuration and 2 servers
+    And an entry host that is ready
+    And the order in which the servers are preferred is known
+    When the preferred server answers 503 without running it and asks for 0.8 s
+    And 5 callers ask one after the other
+    Then the preferred server received 1 request
+    When another 0.9 s pass
+    And the preferred server answers as usual
+    And 5 callers ask one after the other
+    Then the preferred server received 6 requests
+
+  Scenario: A server that starts again is not bound by the pause of its last process
+    Given a stand-in store with a configuration and 2 servers
+    And an entry host that is ready
+    And the order in which the servers are preferred is known
+    When the preferred server answers 503 without running it and asks for 30 s
+    And 2 callers ask one after the other
+    And the preferred server starts again under its id
+    And 5 callers ask one after the other
+    Then the preferred server received 6 requests
+
+  Scenario: When all servers pause, callers are told at once when the first wants work again
+    Given a stand-in store with a configuration and 2 servers
+    And an entry host that is ready
+    And the order in which the servers are preferred is known
+    When the preferred server answers 503 without running it and asks for 9 s
+    And the second server answers 503 without running it and asks for 4 s
+    And 2 callers ask one after the other
+    And a caller asks for /read/1
+    Then the caller gets 503 within 0.1 s
+    And the caller is asked to return after 3 to 5.2 s
+
+  Scenario: A refusal without a time has no effect on later requests
+    Given a stand-in store with a configuration and 2 servers
+    And an entry host that is ready
+    And the preferred server answers 503 without running the request
+    When 5 callers ask one after the other
+    Then the servers got 10 requests together
+
+  Scenario: Each value of the header has a meaning
+    Then these answers ask for a pause or do not
+      | status | values     | pause | readable |
+      | 503    | 3          | 3     | yes      |
+      | 503    | 0.25       | 0.25  | yes      |
+      | 503    | 0          | none  | yes      |
+      | 503    | -2         | none  | yes      |
+      | 503    | 1e9        | 3600  | yes      |
+      | 503    | soon       | none  | no       |
+      | 503    | nan        | none  | no       |
+      | 503    | 2, 5       | 5     | yes      |
+      | 503    | soon, 2    | 2     | no       |
+      | 200    | 3          | none  | yes      |
+
+  Scenario: The longest of several pauses holds
+    Then a pause of 3 s and one of 1 s that is asked for later end after 3 s
+    And a pause of 1 s and one of 3 s that is asked for later end after the second
+
+  # Guards against a host that sends to pausing servers, or spreads their load over all.
+  Scenario Outline: Pauses move load to the servers that want work
+    Given 20 servers of which <share> percent pause for 3 s, one after the other
+    When a host gets 200 requests a second for 10 s
+    Then no server gets more than 2 requests within a pause
+    And at least <served> percent of the requests find a server
+    And refused requests are told of a time at which a server wants work
+
+    Examples:
+      | share | served |
+      | 10    | 100    |
+      | 50    | 100    |
+      | 100   | 95     |
--- /dev/null
+++ b/features/steps/server_pause_steps.py
@@ -0,0 +1,128 @@
+"""Steps for servers that ask hosts for a pause."""
+
+from random import Random
+
+from behave import given, then, when
+from leaving_server_steps import answer_with
+
+from damasktally.decisions.server_pauses import ServerPauses
+from damasktally.fleet.model import Server
+from damasktally.http1.messages import Response
+from damasktally.platform.headers import decode_server_report
+
+
+@when("the {which} server answers 503 without running it and asks for {seconds:g} s")
+def when_asks_for_pause(context, which, seconds):
+    """Let a server refuse its requests with a time."""
+    server = context.first if which == "preferred" else context.second
+    answer_with(server, 503, f"Not-Run: 1 and Retry-After: {seconds}")
+
+
+@when("the preferred server answers as usual")
+def when_as_usual(context):
+    """End the refusals."""
+    context.first.respond = None
+
+
+@then("the caller is asked to return after {least:g} to {most:g} s")
+def then_retry_after(context, least, most):
+    """Check the time in a refusal."""
+    assert least <= float(context.answer.headers["retry-after"]) <= most, context.answer
+
+
+@then("these answers ask for a pause or do not")
+def then_pause_decoded(context):
+    """Decode each row."""
+    for row in context.table:
+        headers = [
+            (b"retry-after", value.encode()) for value in row["values"].split(", ")
+        ]
+        report = decode_server_report(Response(int(row["status"]), headers, b""))
+        pauses = ServerPauses()
+        pauses.record("s", 1, report.pause_s or 0.0, 0.0)
+        expected = 0.0 if row["pause"] == "none" else float(row["pause"])
+        assert pauses.remaining_s(make_server("s"), 0.0) == expected, row
+        assert bool(report.unreadable) == (row["readable"] == "no"), row
+
+
+def make_server(name):
+    """Return a server."""
+    return Server(name, "svc", ("h", 1), "dc-0", 4, False, 0.0, 1)
+
+
+@then(
+    "a pause of {first:g} s and one of {second:g} s that is asked for later "
+    "end after {end}"
+)
+def then_longest(context, first, second, end):
+    """Record two pauses, half a second apart."""
+    pauses = ServerPauses()
+    pauses.record("s", 1, first, 0.0)
+    pauses.record("s", 1, second, 0.5)
+    expected = max(first, 0.5 + second)
+    assert pauses.remaining_s(make_server("s"), 0.5) == expected - 0.5
+
+
+@given(
+    "{count:d} servers of which {share:d} percent pause for {seconds:g} s, "
+    "one after the other"
+)
+def given_pausing_servers(context, count, share, seconds):
+    """Choose when each server begins to refuse requests."""
+    context.servers = [make_server(f"s-{number}") for number in range(count)]
+    context.pause_s = seconds
+    context.refuses_from = {
+        f"s-{number}": 1.0 + 0.2 * number for number in range(count * share // 100)
+    }
+
+
+@when("a host gets {rate:d} requests a second for {seconds:g} s")
+def when_host_gets_requests(context, rate, seconds):
+    """Send each request to the first of the usable servers in its own order."""
+    rng = Random(3)
+    pauses = ServerPauses()
+    context.sent = {server.id: [] for server in context.servers}
+    context.pauses = {}
+    context.refusals = []
+    context.request_count = int(rate * seconds)
+    for number in range(context.request_count):
+        now = number / rate
+        order = rng.sample(context.servers, len(context.servers))
+        usable = [item for item in order if not pauses.is_paused(item, now)]
+        for server in usable:
+            context.sent[server.id].append(now)
+            begins = context.refuses_from.get(server.id)
+            if begins is None or now < begins or server.id in context.pauses:
+                break
+            context.pauses[server.id] = now
+            pauses.record(server.id, 1, context.pause_s, now)
+        else:
+            context.refusals.append((now, pauses.earliest_end_s(order, now)))
+
+
+@then("no server gets more than {count:d} requests within a pause")
+def then_few_in_pause(context, count):
+    """Count the requests from half a second after the refusal to the pause's end."""
+    for server, began in context.pauses.items():
+        inside = [
+            at
+            for at in context.sent[server]
+            if began + 0.5 <= at < began + context.pause_s
+        ]
+        assert len(inside) <= count, (server, len(inside))
+    assert len(context.pauses) == len(context.refuses_from)
+
+
+@then("at least {percent:d} percent of the requests find a server")
+def then_found(context, percent):
+    """Check how many requests were refused."""
+    found = context.request_count - len(context.refusals)
+    assert found * 100 >= percent * context.request_count, found
+
+
+@then("refused requests are told of a time at which a server wants work")
+def then_told(context):
+    """Check the time against the ends of the pauses."""
+    for now, wait_s in context.refusals:
+        ends = [began + context.pause_s for began in context.pauses.values()]
+        assert any(abs(now + wait_s - end) < 0.001 for end in ends), (now, wait_s)
