Ordered the store's revisions by era, and kept what is known when it comes back older.

Cause: hosts compared revisions by number alone. Change: the adapter composes the era and the revision into one ordered number, which caches, watches, relays and messages compare as before. A view that takes a copy of another era keeps what is in effect; only what is written from then on changes it, an older configuration is ignored, and after 2.4 s what is stored is compared: a missing server goes, a drained or removed process does not come back. After 6 s a process that is still stored counts as alive. Each host writes its entry again within 0.6 s of hearing of the era. An era that is missing, unreadable or lower is logged, and the known one stays; a response of an earlier era is not used. The first watch after an outage waits for 0.2 s only, as its response shows the era. Conclusion: hosts of two eras agree by order, not by time. Open: a host that starts within the 2 s before writers have written again takes the copy's configuration for the newest.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -41,11 +41,19 @@
     HOST_STARTED,
     HOST_STOPPED,
     LOG_LINES_LEFT_OUT,
+    REGISTERED_AGAIN,
     SETTINGS_RELOADED,
+    STORE_ERA_INVALID,
+    STORE_RESTORED,
     VIEW_CHANGED,
 )
 from damasktally.fleet.members import MemberTable
-from damasktally.fleet.model import CallerLimits, Customer
+from damasktally.fleet.model import (
+    CallerLimits,
+    Customer,
+    era_of,
+    revision_in_era,
+)
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
@@ -99,6 +107,7 @@
             split_address(settings.store.address),
             lambda purpose: self._metrics.store_calls.labels(purpose).inc(),
             response_memory,
+            self._log_era_problem,
         )
         self._summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
@@ -199,6 +208,9 @@
         self._is_stopping = False
         self._is_stopped = False
         self._suspension_detector = SuspensionDetector()
+        self._era: int | None = None
+        self._renewed_era = 0
+        self._last_era_problem = ""
 
     @classmethod
     def from_config(
@@ -311,8 +323,35 @@
         self._transfer.catch_up(now)
         self._record_relay_confirmations(now)
         self._view.remove_expired_servers(now)
+        self._view.settle(now)
+        self._follow_era()
         self._update_shares(now)
 
+    def _follow_era(self) -> None:
+        """Write this host's object again if the store came back from a copy since."""
+        newest = max(self._view.revisions.values())
+        if not newest:
+            return
+        era = era_of(newest)
+        previous, self._era = self._era, era
+        if previous is not None and era > previous:
+            emit(STORE_RESTORED, era=era, era_before=previous)
+        registered_era = max(self._registration.era, self._renewed_era)
+        if self._registration.is_complete and registered_era < era:
+            self._renewed_era = era
+            self._tasks.append(create_task(self._renew_registration()))
+
+    async def _renew_registration(self) -> None:
+        await self._registration.renew()
+        emit(REGISTERED_AGAIN, host=self._own.host, era=self._registration.era)
+
+    def _log_era_problem(self, problem: str) -> None:
+        """Log a wrong era of the store, once for each kind of problem in a row."""
+        self._metrics.store_era_problems.inc()
+        if problem != self._last_era_problem:
+            self._last_era_problem = problem
+            emit(STORE_ERA_INVALID, problem=problem)
+
     def _run_maintenance(self, now: float) -> None:
         """Do the work that can wait for a second."""
         self._members.remove_silent(now)
@@ -406,7 +445,8 @@
         emit(
             VIEW_CHANGED,
             topic=change.topic.value,
-            revision=change.revision,
+            revision=revision_in_era(change.revision),
+            era=era_of(change.revision),
             source=change.source,
             detail=change.detail,
         )
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -52,6 +52,11 @@
             ["purpose"],
             registry=self.registry,
         )
+        self.store_era_problems = Counter(
+            "damasktally_entry_store_era_problems",
+            "Responses of the store with a missing, unreadable or earlier era.",
+            registry=self.registry,
+        )
         self.log_lines_left_out = Gauge(
             "damasktally_entry_log_lines_left_out",
             "Log lines that were dropped to bound the log volume.",
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -26,6 +26,8 @@
     RetryPolicy,
     Route,
     Server,
+    era_of,
+    revision_in_era,
 )
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
@@ -346,6 +348,7 @@
         self._metrics.request_seconds.observe(duration_s)
         if not answered:
             self._metrics.refusals.labels(trace.reason.value).inc()
+        servers_revision = self._view.revisions[Topic.SERVERS]
         emit(
             REQUEST_ENDED,
             request=trace.request_id,
@@ -355,7 +358,8 @@
             customer=trace.customer.name if trace.customer else "",
             service=trace.service,
             configuration=trace.configuration,
-            servers_revision=self._view.revisions[Topic.SERVERS],
+            servers_revision=revision_in_era(servers_revision),
+            store_era=era_of(servers_revision),
             ms=round(duration_s * 1000, 1),
             caller_gone=req.is_disconnected,
             view_age_s=round(self._loop.time() - self._view.confirmed_at, 2),
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -20,6 +20,7 @@
     STORE_REGAINED,
     WATCHES_RENEWED,
 )
+from damasktally.fleet.model import era_of, revision_in_era
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
 from damasktally.platform.store import (
@@ -37,6 +38,8 @@
     Topic.SERVERS: SERVERS_KIND,
 }
 WATCH_WAIT_S = 20.0
+RECOVERY_WATCH_WAIT_S = 0.2
+"""Wait of the first watch after an outage, whose response shows the store's era."""
 """Time after which the store ends a watch that has no changes."""
 BURST_DELAY_S = 0.3
 """Pause after a change. Changes come in bursts, and one call then brings the rest."""
@@ -207,6 +210,10 @@
                 continue
             self._store_reached_at = self._loop.time()
             known_revision = max(self._view.revisions.values())
+            if era_of(store_revision) > era_of(known_revision) > 0:
+                # A watch from the era before may wait without end.
+                self.reconnect()
+                continue
             reason = self._stale_watches.record_probe_response(
                 store_revision, known_revision
             )
@@ -214,8 +221,8 @@
                 emit(
                     WATCHES_RENEWED,
                     reason=reason,
-                    reached=store_revision,
-                    known=known_revision,
+                    reached=revision_in_era(store_revision),
+                    known=revision_in_era(known_revision),
                 )
                 self.reconnect()
 
@@ -251,7 +258,9 @@
 
     async def _watch(self, topic: Topic) -> None:
         revision = self._view.revisions[topic]
-        page = await self._store.watch(KIND_BY_TOPIC[topic], revision, WATCH_WAIT_S)
+        is_recovering = topic in self._lost_at
+        wait_s = RECOVERY_WATCH_WAIT_S if is_recovering else WATCH_WAIT_S
+        page = await self._store.watch(KIND_BY_TOPIC[topic], revision, wait_s)
         changes = [(change.name, change.spec) for change in page.changes]
         self._view.apply(topic, page.revision, changes, "store", self._loop.time())
         if changes:
@@ -263,7 +272,7 @@
             emit(
                 STORE_LOST,
                 topic=topic.value,
-                revision=self._view.revisions[topic],
+                revision=revision_in_era(self._view.revisions[topic]),
                 reason=str(exc),
             )
 
@@ -273,6 +282,6 @@
             emit(
                 STORE_REGAINED,
                 topic=topic.value,
-                revision=self._view.revisions[topic],
+                revision=revision_in_era(self._view.revisions[topic]),
                 away_s=round(self._loop.time() - lost_at, 2),
             )
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -107,6 +107,26 @@
     "Watches were renewed, since the store may have lost them.",
     "None, unless it is frequent: then check the network path to the store.",
 )
+STORE_RESTORED = Event(
+    306,
+    "store-restored",
+    "The store came back from an older copy, in a new era; this host keeps what it "
+    "knows until the operators and the servers have written again.",
+    "Check that what was written shortly before is stored again.",
+)
+STORE_ERA_INVALID = Event(
+    307,
+    "store-era-invalid",
+    "A response of the store names no era, an unreadable or an earlier one; the known "
+    "era stays.",
+    "Check the store.",
+)
+REGISTERED_AGAIN = Event(
+    308,
+    "registered-again",
+    "This host wrote its own object again after the store came back from a copy.",
+    "None.",
+)
 PEER_LOST = Event(
     410,
     "peer-lost",
--- a/damasktally/events/explanation.py
+++ b/damasktally/events/explanation.py
@@ -14,6 +14,7 @@
     SERVICE_CAPACITY,
     STORE_LOST,
     STORE_REGAINED,
+    STORE_RESTORED,
     VIEW_CHANGED,
 )
 from damasktally.events.reasons import Reason
@@ -32,6 +33,7 @@
         SERVICE_CAPACITY,
         STORE_LOST,
         STORE_REGAINED,
+        STORE_RESTORED,
         VIEW_CHANGED,
     )
 )
@@ -78,7 +80,8 @@
         f"Route {record['route'] or '-'}, customer {record['customer'] or '-'}, "
         f"service {record['service'] or '-'}, configuration "
         f"{record['configuration']}, servers as of revision "
-        f"{record['servers_revision']}, view confirmed "
+        f"{record['servers_revision']} of era {record.get('store_era', 0)}, "
+        "view confirmed "
         f"{record.get('view_age_s', 'unknown')} s before.",
     ]
     if record.get("inputs"):
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -247,3 +247,30 @@
     quota_slack: float
     quota_overage: float
     quota_window_s: float
+
+
+ERA_OFFSET_BITS = 40
+"""Revisions of one era of the store are below two to this power."""
+
+
+def compose_revision(era: int, revision: int) -> int:
+    """Return a revision that is ordered over all eras of the store.
+
+    The store gives out its revisions again after it came back from an older copy, in a
+    new era. Any revision of a later era is the newer one.
+
+    :param era: how often the store came back, as the store counts it; 0 if it does
+        not say.
+    :param revision: the store's revision in that era.
+    """
+    return (era << ERA_OFFSET_BITS) | revision
+
+
+def era_of(revision: int) -> int:
+    """Return the store's era of a composed revision."""
+    return revision >> ERA_OFFSET_BITS
+
+
+def revision_in_era(revision: int) -> int:
+    """Return the store's own revision, without the era, of a composed one."""
+    return revision & ((1 << ERA_OFFSET_BITS) - 1)
--- a/damasktally/fleet/servers.py
+++ b/damasktally/fleet/servers.py
@@ -19,6 +19,22 @@
 """The number of marks in one message."""
 
 
+REMOVAL_MEMORY_S = 60.0
+"""How long a removed process is remembered, lest an older copy brings it back."""
+
+
+@dataclass(frozen=True, slots=True)
+class RemovedProcess:
+    """A server process whose registration was removed.
+
+    :param started_ms: Unix time of its start in milliseconds.
+    :param removed_at: seconds on the event loop's clock.
+    """
+
+    started_ms: int
+    removed_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingMark:
     """A server process that said that it leaves.
@@ -60,6 +76,7 @@
     def __init__(self) -> None:
         self._records: dict[str, ServerRecord] = {}
         self._leaving: dict[str, LeavingMark] = {}
+        self._removed: dict[str, RemovedProcess] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -147,11 +164,31 @@
         )
         for name in removed:
             record = self._records[name]
+            self._removed[name] = RemovedProcess(record.server.started_ms, now)
             if not is_mass_removal or record.server.is_draining:
                 del self._records[name]
             elif record.remove_at is None:
                 record.remove_at = now + REREGISTRATION_GRACE_S
 
+    def would_regress(self, server: Server) -> bool:
+        """Return whether a registration is older than what is known of the server.
+
+        The same process does not come back after it drained or was removed.
+        """
+        record = self._records.get(server.id)
+        if record is not None:
+            known = record.server
+            is_undone = known.is_draining and not server.is_draining
+            if server.started_ms == known.started_ms:
+                return is_undone
+            return server.started_ms < known.started_ms
+        removed = self._removed.get(server.id)
+        return removed is not None and server.started_ms <= removed.started_ms
+
+    def forget_removed(self) -> None:
+        """Forget which processes were removed, so that they may come back."""
+        self._removed.clear()
+
     def drop(self, server: str) -> None:
         """Remove a server at once, since another process responds at its address.
 
@@ -180,6 +217,9 @@
             is_old = now - mark.marked_at > LEAVING_MARK_LIFETIME_S
             if is_old and name not in self._records:
                 del self._leaving[name]
+        for name, removed in list(self._removed.items()):
+            if now - removed.removed_at > REMOVAL_MEMORY_S:
+                del self._removed[name]
 
     def extend_warm_up(self, server: str, until: float) -> None:
         """Move the end of a server's warm-up back, if it would end earlier.
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -10,8 +10,8 @@
 
 from damasktally.errors import DamasktallyError
 from damasktally.fleet.changes import describe_change
-from damasktally.fleet.model import Configuration, Server
-from damasktally.fleet.servers import ServerTable
+from damasktally.fleet.model import Configuration, Server, era_of
+from damasktally.fleet.servers import REREGISTRATION_GRACE_S, ServerTable
 from damasktally.fleet.topics import Topic
 
 
@@ -60,6 +60,21 @@
     edits: tuple[Edit, ...]
 
 
+@dataclass(slots=True)
+class _Restore:
+    """Return of the store from an older copy, as far as a topic has not settled.
+
+    Times are in seconds on the event loop's clock.
+
+    :param compare_at: when what is stored is compared with what is in effect.
+    :param adopt_at: when processes that were removed count as alive if still stored.
+    """
+
+    compare_at: float
+    adopt_at: float
+    is_compared: bool = False
+
+
 class FleetView:
     """Current configuration, evacuations and servers, each with its revision.
 
@@ -68,6 +83,10 @@
     is current, in seconds on the event loop's clock. ``evacuated`` holds the names of
     the data centres that take no requests for now.
 
+    After the store came back from an older copy, the stored objects are those of the
+    copy, while what is in effect changes only by what is written from then on. The two
+    are compared once the operators and the servers had time to write again.
+
     :param decoders: decode stored objects.
     :param on_change: called with every change.
     """
@@ -84,6 +103,7 @@
             topic: deque(maxlen=MAX_KEPT_VIEW_DELTAS) for topic in Topic
         }
         self.revisions: dict[Topic, int] = dict.fromkeys(Topic, 0)
+        self._restores: dict[Topic, _Restore] = {}
         self.configuration: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.servers = ServerTable()
@@ -125,6 +145,9 @@
             revision == known_revision and known_revision > 0
         ):
             return False
+        if known_revision and era_of(revision) != era_of(known_revision):
+            self._take_copy(topic, revision, specs, source, now)
+            return True
         stored = self._stored_objects[topic]
         removed = [name for name in stored if name not in specs]
         written = {
@@ -155,7 +178,11 @@
         :param now: seconds on the event loop's clock.
         :returns: whether they were applied.
         """
-        if revision <= self.revisions[topic]:
+        known_revision = self.revisions[topic]
+        if revision <= known_revision:
+            return False
+        if known_revision and era_of(revision) != era_of(known_revision):
+            # Changes of another era do not start from what this host has.
             return False
         changes = list(changes)
         self._advance_revision(topic, revision, changes)
@@ -175,6 +202,78 @@
             self._apply_changes(topic, written, list(removed), source, now)
         return True
 
+    def _take_copy(
+        self,
+        topic: Topic,
+        revision: int,
+        specs: Mapping[str, Any],
+        source: str,
+        now: float,
+    ) -> None:
+        """Take the objects of a store that came back from an older copy.
+
+        Of the configuration, a newer version is in force at once and an older one is
+        ignored. Evacuations and servers stay as they are until :meth:`settle`.
+        """
+        self.revisions[topic] = revision
+        self._deltas[topic].clear()
+        self._stored_objects[topic] = dict(specs)
+        self._report_change(topic, source, "the store came back from an older copy")
+        if topic is Topic.CONFIGURATION:
+            self._apply_configuration(specs, source)
+            self.generation += 1
+            return
+        self._restores[topic] = _Restore(
+            now + REREGISTRATION_GRACE_S, now + RESTORED_PROCESS_GRACE_S
+        )
+
+    def settle(self, now: float) -> None:
+        """Put in effect what the store holds, a while after it came back from a copy.
+
+        :param now: seconds on the event loop's clock.
+        """
+        for topic, restore in list(self._restores.items()):
+            if not restore.is_compared and now >= restore.compare_at:
+                restore.is_compared = True
+                self._adopt_stored(topic, now)
+            if now >= restore.adopt_at:
+                del self._restores[topic]
+                if topic is Topic.SERVERS:
+                    # The store would have removed them again if they were gone.
+                    self.servers.forget_removed()
+                    self._adopt_stored(topic, now)
+
+    def _adopt_stored(self, topic: Topic, now: float) -> None:
+        self.generation += 1
+        stored = self._stored_objects[topic]
+        if topic is Topic.EVACUATIONS:
+            self._set_evacuated(frozenset(stored), "self", now)
+            return
+        written = {
+            name: spec for name, spec in stored.items() if self._is_new(name, spec)
+        }
+        missing = [name for name in self.servers.ids() if name not in stored]
+        for name in missing:
+            self.servers.drop(name)
+        if written or missing:
+            self._apply_servers(written, [], "self", now)
+
+    def _is_new(self, name: str, spec: Any) -> bool:
+        """Return whether a stored server differs from the known one, and is newer."""
+        try:
+            server = self._decoders.server(name, spec)
+        except DamasktallyError:
+            return False
+        record = self.servers.get(name)
+        if record is not None and record.server == server:
+            return False
+        return not self.servers.would_regress(server)
+
+    def _is_comparing(self, topic: Topic) -> bool:
+        """Return whether a topic's stored objects are not in effect yet."""
+        restore = self._restores.get(topic)
+        return restore is not None and not restore.is_compared
+
     def _advance_revision(
         self, topic: Topic, revision: int, edits: Sequence[Edit]
     ) -> None:
@@ -230,7 +329,7 @@
         if topic is Topic.CONFIGURATION:
             self._apply_configuration(written, source)
         elif topic is Topic.EVACUATIONS:
-            self._apply_evacuations(source, now)
+            self._apply_evacuations(written, removed, source, now)
         else:
             self._apply_servers(written, removed, source, now)
 
@@ -251,8 +350,17 @@
         self.configuration = cfg
         self._report_change(Topic.CONFIGURATION, source, detail)
 
-    def _apply_evacuations(self, source: str, now: float) -> None:
+    def _apply_evacuations(
+        self, written: Mapping[str, Any], removed: list[str], source: str, now: float
+    ) -> None:
         evacuated = frozenset(self._stored_objects[Topic.EVACUATIONS])
+        if self._is_comparing(Topic.EVACUATIONS):
+            evacuated = self.evacuated.union(written).difference(removed)
+        self._set_evacuated(evacuated, source, now)
+
+    def _set_evacuated(
+        self, evacuated: frozenset[str], source: str, now: float
+    ) -> None:
         ended = self.evacuated - evacuated
         self.evacuated = evacuated
         for server in self.servers.usable():
@@ -293,6 +401,9 @@
         self._on_change(ViewChange(topic, self.revisions[topic], source, detail))
 
 
+RESTORED_PROCESS_GRACE_S = 6.0
+"""How long after the store came back a process that was removed before, and is stored
+again, is not used: longer than the store waits for a silent server."""
 MAX_LOGGED_SERVERS = 20
 """Servers that one log line describes at most."""
 MAX_KEPT_VIEW_DELTAS = 64
--- a/damasktally/platform/headers.py
+++ b/damasktally/platform/headers.py
@@ -27,6 +27,8 @@
 """Seconds, possibly with a fraction: from a server in a refusal, the pause that it
 wants from this host; to callers, when to return."""
 REFUSAL_STATUS = 503
+STORE_ERA = b"store-era"
+"""Rises by one each time the store comes back from an older copy."""
 
 
 def decode_server_report(response: Response) -> ServerReport:
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from damasktally.errors import DamasktallyError
+from damasktally.fleet.model import compose_revision, era_of, revision_in_era
 from damasktally.http1.messages import Response, encode_request
 from damasktally.http1.outbound import (
     AnswerLost,
@@ -21,6 +22,8 @@
     connect,
 )
 from damasktally.http1.response_memory import ResponseMemory
+from damasktally.platform.era import EraTracker
+from damasktally.platform.headers import STORE_ERA
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -47,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind by name, as of a revision."""
+    """All objects of a kind by name, as of a revision, which includes the era."""
 
     revision: int
     specs: Mapping[str, Any]
@@ -63,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes of a kind up to a revision, in order."""
+    """Changes of a kind up to a revision, which includes the era, in order."""
 
     revision: int
     changes: tuple[Change, ...]
@@ -111,6 +114,7 @@
     :param address: host and port of the store.
     :param count_call: called with the purpose of each call that is made.
     :param memory: limits the bytes of all responses that are being received.
+    :param report_era_problem: called when a response names an era that cannot be right.
     """
 
     def __init__(
@@ -118,12 +122,19 @@
         address: tuple[str, int],
         count_call: Callable[[str], None],
         memory: ResponseMemory,
+        report_era_problem: Callable[[str], None],
     ) -> None:
         self._address = address
+        self._eras = EraTracker(report_era_problem)
         self._memory = memory
         self._count_call = count_call
         self._idle_connections: list[ServerConnection] = []
 
+    @property
+    def era(self) -> int:
+        """Return the newest era that a response of the store named, or 0."""
+        return self._eras.era
+
     async def list_objects(self, kind: str, allow_stale: bool = False) -> Listing:
         """List all objects of a kind.
 
@@ -138,11 +149,16 @@
         while True:
             query = "&".join(parameters + after)
             path = f"/objects/{kind}?{query}" if query else f"/objects/{kind}"
+            era = self._eras.era
             response = await self._call("GET", path, None, purpose, CALL_TIMEOUT_S)
+            if after and era != self._eras.era:
+                raise StoreUnavailable(
+                    "The store came back from a copy during a list.", "List again."
+                )
             page = _decode(response, WireListing)
             specs.update({item.Metadata.Name: item.Spec for item in page.items})
             if not page.More or not page.items:
-                return Listing(page.StoreRevision, specs)
+                return Listing(self._compose(page.StoreRevision), specs)
             last = quote(page.items[-1].Metadata.Name, safe="")
             after = [f"after={last}"]
 
@@ -156,7 +172,7 @@
         """
         path = f"/objects/{EVACUATIONS_KIND}?{ALLOW_STALE}"
         response = await self._call("GET", path, None, "probe", PROBE_TIMEOUT_S)
-        return _decode(response, WireListing).StoreRevision
+        return self._compose(_decode(response, WireListing).StoreRevision)
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes of a kind after a revision.
@@ -168,18 +184,35 @@
         :raises StoreUnavailable: if the store does not respond, or reports another
             error.
         """
-        path = f"/objects/{kind}?Watch={revision}&WaitMs={int(wait_s * 1000)}"
+        self._require_era(revision)
+        known = revision_in_era(revision)
+        path = f"/objects/{kind}?Watch={known}&WaitMs={int(wait_s * 1000)}"
         limit_s = wait_s + WATCH_TIMEOUT_MARGIN_S
-        page = _decode(
-            await self._call("GET", path, None, "watch", limit_s), WireEvents
-        )
+        response = await self._call("GET", path, None, "watch", limit_s)
+        self._require_era(revision)
+        page = _decode(response, WireEvents)
         changes = tuple(
             Change(
                 item.Object.Metadata.Name, None if item.Tombstone else _event_spec(item)
             )
             for item in page.events
         )
-        return Changes(page.StoreRevision, changes)
+        return Changes(self._compose(page.StoreRevision), changes)
+
+    def _compose(self, revision: int) -> int:
+        """Return a revision of the store with its era."""
+        return compose_revision(self._eras.era, revision)
+
+    def _require_era(self, revision: int) -> None:
+        """Check that a revision is of the store's present era.
+
+        :raises HistoryGone: if it is not, as the number now means something else.
+        """
+        if era_of(revision) != self._eras.era:
+            raise HistoryGone(
+                "The store came back from a copy since this revision.",
+                "List the objects again.",
+            )
 
     async def create(self, kind: str, name: str, spec: Any) -> Any:
         """Create an object.
@@ -221,6 +254,10 @@
             headers.append((b"content-type", b"application/json"))
         data = encode_request(method.encode(), path.encode(), headers, payload)
         response = await self._exchange(data, timeout_s)
+        if not self._eras.observe(response.header(STORE_ERA)):
+            raise StoreUnavailable(
+                "The response is of an earlier era of the store.", "Check the store."
+            )
         if response.status == 410:
             raise HistoryGone(
                 "The store has dropped the history since this revision.",
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -25,6 +25,7 @@
 )
 from collections.abc import Callable
 from contextlib import suppress
+from copy import deepcopy
 from dataclasses import dataclass, field
 from threading import Thread
 from typing import Any
@@ -107,12 +108,14 @@
 
     If ``refusal_status`` is not 0, every answer has it. ``is_silent`` suppresses
     all answers; ``lose_answers`` closes the connection instead of answering a write.
+    ``era`` is in the header ``Store-Era`` of all answers unless it is ``None``.
     """
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, dict]] = {}
         self.events: list[tuple[str, dict]] = []
         self.revision = 1
+        self.era: int | str | None = None
         self.oldest_revision = 0
         self.refusal_status = 0
         self.is_silent = False
@@ -150,6 +153,21 @@
         self.is_silent = True
         self._muted |= self._open_writers
 
+    def make_copy(self) -> "StoreCopy":
+        """Return a copy of what the store holds now."""
+        return StoreCopy(deepcopy(self.objects), list(self.events), self.revision)
+
+    async def restore(self, copy: "StoreCopy") -> None:
+        """Come back from a copy: what was written since is lost, the era rises."""
+        for writer in list(self._open_writers):
+            writer.transport.abort()
+        self.objects = deepcopy(copy.objects)
+        self.events = list(copy.events)
+        self.revision = copy.revision
+        self.era += 1
+        self._changed.set()
+        self._changed = Event()
+
     async def compact(self) -> None:
         """Discard the event history and end all waiting watches, as with status 410."""
         self.oldest_revision = self.revision
@@ -171,8 +189,10 @@
                 writer.transport.abort()
                 return
             data = json.dumps(content).encode()
+            era = b"" if self.era is None else f"Store-Era: {self.era}\r\n".encode()
             writer.write(
-                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+                b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n"
+                % (status, era, len(data))
                 + data
             )
             await writer.drain()
@@ -205,6 +225,8 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
         after = int(query["Watch"])
+        if after > self.revision:
+            return 410, {}
         timeout_s = int(query["WaitMs"]) / 1000
         while True:
             if self.refusal_status:
@@ -224,6 +246,15 @@
                 return 200, {"events": [], "StoreRevision": self.revision}
 
 
+@dataclass
+class StoreCopy:
+    """Copy of what the stand-in store held at a moment."""
+
+    objects: dict[str, dict[str, dict]]
+    events: list[tuple[str, dict]]
+    revision: int
+
+
 @dataclass
 class ReceivedRequest:
     """A request that a server received."""
