--- a/features/entry/fault_soak.feature
+++ b/features/entry/fault_soak.feature
@@ -10,6 +10,14 @@
       | 73827595  | a starting process was ended by SIGHUP |
       | 180798800 | a connection accepted while the host stopped was served and aborted |
 
+  Scenario Outline: Hosts heed what servers report of themselves under the faults of a seed
+    Then 5 processes heed servers' reports through 6 s of the faults of seed <seed>
+
+    Examples: seeds that cover every kind of report, and restores of the store
+      | seed |
+      | 11   |
+      | 33   |
+
   Scenario: A connection that is accepted while the host stops is answered or not served
     Given a stand-in store with a configuration and 1 servers
     And an entry host that is ready
--- a/features/fault_soak/__main__.py
+++ b/features/fault_soak/__main__.py
@@ -21,6 +21,11 @@
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--reports",
+        action="store_true",
+        help="add servers' own reports, requests that end servers, and store restores",
+    )
     parser.add_argument("--keep", type=Path, help="folder in which logs are kept")
     options = parser.parse_args()
     fresh = [SystemRandom().randrange(10**9) for _ in range(options.seeds)]
@@ -32,7 +37,14 @@
                 folder = options.keep / str(seed)
                 folder.mkdir(parents=True, exist_ok=True)
             result = run(
-                run_seed(seed, folder, options.hosts, options.seconds, options.callers)
+                run_seed(
+                    seed,
+                    folder,
+                    options.hosts,
+                    options.seconds,
+                    options.callers,
+                    options.reports,
+                )
             )
         print(result, flush=True)
         failed += bool(result.problems)
--- a/features/fault_soak/fleet.py
+++ b/features/fault_soak/fleet.py
@@ -8,6 +8,7 @@
 from asyncio.subprocess import Process
 from dataclasses import dataclass, field
 from pathlib import Path
+from time import monotonic
 
 from entry_harness import (
     BOUNDS,
@@ -21,6 +22,7 @@
 
 from damasktally.standins.ports import free_port
 from fault_soak.proxy import FaultProxy
+from fault_soak.server_conduct import ServerConduct
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 ROUTES = [make_route("read", "/read/"), make_route("pay", "/pay/", "non_idempotent")]
@@ -64,13 +66,22 @@
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
     proxy: FaultProxy | None = None
+    conduct: ServerConduct = field(default_factory=ServerConduct)
+    started: int = 1
 
-    def default_answer(self, request: ReceivedRequest) -> bytes:
+    def default_answer(self, request: ReceivedRequest) -> bytes | None:
         """Run a request, or refuse it with 421 if it is meant for another server."""
         headers = request.headers
         request_id = headers["request-id"]
         if headers.get("expect-instance") != self.id:
             return make_answer(request_id, 421, extra="Not-Run: 1\r\n")
+        self.conduct.record_arrival(request_id)
+        if self.conduct.ends_under(request.line):
+            return None
+        if self.conduct.pause_s:
+            self.conduct.record_told(request_id, "pause")
+            extra = f"Not-Run: 1\r\nRetry-After: {self.conduct.pause_s}\r\n"
+            return make_answer(request_id, 503, extra=extra)
         run = Run(
             self.id,
             headers.get("tenant", ""),
@@ -78,14 +89,15 @@
             request.line.partition(" ")[0],
         )
         self.runs.setdefault(request_id, []).append(run)
-        return make_answer(request_id, body=f"{request_id}@{self.id}")
+        extra = self.conduct.report_headers(request_id)
+        return make_answer(request_id, body=f"{request_id}@{self.id}", extra=extra)
 
     def registration(
         self, state: str = "ready", cold_left: str = "0ms", started: int = 1
     ) -> dict:
         """Return the server's entry for the store, with its proxy's address."""
         return {
-            **super().registration(state, cold_left, started),
+            **super().registration(state, cold_left, max(started, self.started)),
             "Addr": f"127.0.0.1:{self.proxy.port}",
         }
 
@@ -103,6 +115,7 @@
         self.process: Process | None = None
         self.is_paused = False
         self.is_stopping = False
+        self.disturbed_at: list[float] = []
 
     async def start(
         self, folder: Path, seeds: list[str], region_by_data_centre: dict
@@ -140,6 +153,7 @@
     def signal(self, number: int) -> None:
         """Send a signal to the process, by its id, if it is running."""
         if self.is_running:
+            self.disturbed_at.append(monotonic())
             os.kill(self.process.pid, number)
             self.is_paused = number == signal.SIGSTOP or (
                 self.is_paused and number != signal.SIGCONT
@@ -203,6 +217,7 @@
     async def start_host(self, host: HostProcess) -> None:
         """Start a host, or restart it."""
         host.is_paused = False
+        host.disturbed_at.append(monotonic())
         seeds = [f"127.0.0.1:{other.ports['peers']}" for other in self.hosts[:3]]
         await host.start(self.folder, seeds, self.region_by_data_centre)
 
--- /dev/null
+++ b/features/fault_soak/report_faults.py
@@ -0,0 +1,87 @@
+"""Servers that report on themselves, requests that end servers, and store restores."""
+
+from asyncio import sleep
+from contextlib import suppress
+from random import Random
+from time import monotonic
+
+from entry_harness import send_request
+
+from fault_soak.fleet import SoakFleet, SoakServer, keys_of
+from fault_soak.server_conduct import BAD_PATH
+
+
+async def leave_in_answers(fleet: SoakFleet, rng: Random) -> None:
+    """Let a server say in its answers that it leaves, then start again."""
+    server = rng.choice(fleet.servers)
+    if server.conduct.is_leaving:
+        return
+    server.conduct.is_leaving = True
+    period = server.conduct.begin("leaving")
+    await sleep(rng.uniform(2.5, 5.0))
+    period.ended_at = monotonic()
+    server.conduct.is_leaving = False
+    await _start_again(fleet, server)
+
+
+async def name_limit(fleet: SoakFleet, rng: Random) -> None:
+    """Let a server name a limit for a while."""
+    server = rng.choice(fleet.servers)
+    if server.conduct.limit is not None:
+        return
+    server.conduct.limit = round(rng.uniform(0.3, 6.0), 1)
+    period = server.conduct.begin("limit")
+    await sleep(rng.uniform(4.0, 8.0))
+    period.ended_at = monotonic()
+    server.conduct.limit = None
+
+
+async def ask_for_pause(fleet: SoakFleet, rng: Random) -> None:
+    """Let a server refuse requests with a time for a moment."""
+    server = rng.choice(fleet.servers)
+    if server.conduct.pause_s:
+        return
+    server.conduct.pause_s = round(rng.uniform(0.8, 3.0), 2)
+    period = server.conduct.begin("pause")
+    await sleep(rng.uniform(0.2, 1.0))
+    period.ended_at = monotonic()
+    server.conduct.pause_s = 0.0
+
+
+async def send_bad_request(fleet: SoakFleet, rng: Random) -> None:
+    """Send a request that ends servers to several hosts, again and again."""
+    key = keys_of("acme")[0]
+    for number in range(rng.randint(4, 20)):
+        host = rng.choice(fleet.hosts)
+        request_id = f"bad-{host.name}-{number}-{rng.randrange(10**9)}"
+        with suppress(OSError, EOFError, AssertionError):
+            await send_request(
+                host.ports["callers"], BAD_PATH, key=key, request_id=request_id
+            )
+        await sleep(rng.uniform(0.0, 0.3))
+
+
+async def restore_store(fleet: SoakFleet, rng: Random) -> None:
+    """Bring the store back from a copy; the writers write theirs again."""
+    copy = fleet.store.make_copy()
+    await sleep(rng.uniform(0.3, 3.0))
+    await fleet.store.restore(copy)
+    await sleep(rng.uniform(0.1, 1.5))
+    await fleet.write_configuration()
+    for server in fleet.servers:
+        await fleet.store.write("servers", server.id, server.registration())
+
+
+async def _start_again(fleet: SoakFleet, server: SoakServer) -> None:
+    """Register the next process of a server."""
+    server.started += 1
+    await fleet.store.write("servers", server.id, server.registration())
+
+
+REPORT_FAULTS = (
+    leave_in_answers,
+    name_limit,
+    ask_for_pause,
+    send_bad_request,
+    restore_store,
+)
--- a/features/fault_soak/run.py
+++ b/features/fault_soak/run.py
@@ -10,6 +10,8 @@
 from fault_soak.checks import find_violations, wait_until_settled
 from fault_soak.faults import ALL_FAULTS, PLANNED_FAULTS, Fault, end_faults
 from fault_soak.fleet import SoakFleet
+from fault_soak.report_checks import find_report_violations
+from fault_soak.report_faults import REPORT_FAULTS
 
 PLANNED_ONLY_RATIO = 0.25
 """Fraction of the seeds in which only planned operations take place."""
@@ -41,19 +43,31 @@
 
 
 async def run_seed(
-    seed: int, folder: Path, host_count: int, seconds: float, caller_count: int
+    seed: int,
+    folder: Path,
+    host_count: int,
+    seconds: float,
+    caller_count: int,
+    with_reports: bool = False,
 ) -> SeedResult:
     """Run a seed and return its outcome.
 
     :param seconds: how long faults are injected.
+    :param with_reports: add servers that report on themselves, requests that end
+        servers, and a store that comes back from copies. Seeds draw other faults then.
     """
     rng = Random(seed)
-    planned_only = rng.random() < PLANNED_ONLY_RATIO
+    planned_only = not with_reports and rng.random() < PLANNED_ONLY_RATIO
+    faults = PLANNED_FAULTS if planned_only else ALL_FAULTS
+    if with_reports:
+        faults = (*REPORT_FAULTS, *REPORT_FAULTS, *ALL_FAULTS)
     fleet = SoakFleet(folder, host_count, server_count=6)
     result = SeedResult(seed)
     callers = [
         Caller(f"c{seed}-{n}", fleet, Random(rng.random())) for n in range(caller_count)
     ]
+    if with_reports:
+        fleet.store.era = 1
     try:
         await fleet.start()
         result.problems += [
@@ -61,9 +75,7 @@
         ]
         tasks = [create_task(caller.run()) for caller in callers]
         await sleep(WARM_UP_S)
-        await inject_faults(
-            fleet, rng, seconds, PLANNED_FAULTS if planned_only else ALL_FAULTS, result
-        )
+        await inject_faults(fleet, rng, seconds, faults, result)
         end_faults(fleet)
         result.problems += await wait_until_settled(fleet)
         for task in tasks:
@@ -79,6 +91,7 @@
         await fleet.close()
     requests = [request for caller in callers for request in caller.requests]
     result.problems += find_violations(fleet, requests, planned_only)
+    result.problems += find_report_violations(fleet, requests)
     result.sent = sum(request.is_written for request in requests)
     result.served = sum(request.status == 200 for request in requests)
     return result
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -31,6 +31,18 @@
     assert result.served > 0, str(result)
 
 
+@then(
+    "{hosts:d} processes heed servers' reports "
+    "through {seconds:g} s of the faults of seed {seed:d}"
+)
+def then_reports_heeded(context, hosts, seconds, seed):
+    """Run one seed with servers that report on themselves."""
+    with tempfile.TemporaryDirectory() as folder:
+        result = run(run_seed(seed, Path(folder), hosts, seconds, CALLER_COUNT, True))
+    assert not result.problems, str(result)
+    assert result.served > 0, str(result)
+
+
 @given("the host keeps a connection to every server")
 def given_connections(context):
     """Send requests until each server has received one."""
