Split the largest modules of the entry host.

Change: quota_reports, store_eras, confirmations, request_rules, outbox and restores hold what they name; no logic changed. Conclusion: one job a module again.

--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -16,8 +16,9 @@
 from damasktally.entry.message_builder import (
     OTHER_REGION_HOST_LIMIT,
     FleetMessageBuilder,
-    OwnState,
 )
+from damasktally.entry.outbox import OwnState
+from damasktally.entry.quota_reports import QuotaReports
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Customer, Member
@@ -51,7 +52,10 @@
         self.quotas = CustomerQuotas(lambda customer: 20.0)
         self.quotas.update_shares(customers, [], 0, 0.0)
         counts = HeartbeatHistory()
-        self.topology = FleetTopology(self.members, self.summaries, counts)
+        self.topology = FleetTopology(self.members, self.summaries)
+        self.quota_reports = QuotaReports(
+            self.topology, self.members, self.summaries, counts
+        )
         view = FleetView(Decoders(None, None, ""), lambda change: None)
         self.message_builder = FleetMessageBuilder(
             self.member,
@@ -120,14 +124,14 @@
         fleet_message = msgspec.msgpack.encode(
             relay.message_builder.build_fleet_summary(now)
         )
-        reports, silent_hosts, _ = relay.topology.quota_reports(now)
+        reports, silent_hosts, _ = relay.quota_reports.collect(now)
         relay.quotas.update_shares(customers, reports, silent_hosts, now, RELAYED_LAG_S)
         cpu_s["relay"] += process_time() - started_at
         started_at = process_time()
         host.summaries.apply_summary(
             msgspec.msgpack.decode(fleet_message, type=RelaySummary), now
         )
-        reports, silent_hosts, _ = host.topology.quota_reports(now)
+        reports, silent_hosts, _ = host.quota_reports.collect(now)
         host.quotas.update_shares(customers, reports, silent_hosts, now, RELAYED_LAG_S)
         cpu_s["host"] += process_time() - started_at
         sizes["heartbeat"].append(len(heartbeats[-1]))
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -17,20 +17,24 @@
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
+from damasktally.entry.confirmations import Confirmations
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.crash_reports import CrashReports
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.host_handlers import HostHandlers
-from damasktally.entry.message_builder import FleetMessageBuilder, OwnState
+from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.metrics import EntryMetrics
-from damasktally.entry.output import LogOutput
+from damasktally.entry.outbox import OwnState
+from damasktally.entry.output import LogOutput, report_dropped_lines
 from damasktally.entry.peer_reports import PeerReports
 from damasktally.entry.peers import PeerProtocol
+from damasktally.entry.quota_reports import QuotaReports
 from damasktally.entry.registration import Registration
 from damasktally.entry.requests import RequestHandler
 from damasktally.entry.server_reports import ServerReports
 from damasktally.entry.settings import EntrySettings, own_member
 from damasktally.entry.state_transfer import StateTransfer
+from damasktally.entry.store_eras import EraFollower, EraProblemLog
 from damasktally.entry.store_sync import FollowerRole, StoreSync
 from damasktally.entry.suspension import SuspensionDetector
 from damasktally.entry.topology import FleetTopology
@@ -40,11 +44,7 @@
     HOST_RESUMED,
     HOST_STARTED,
     HOST_STOPPED,
-    LOG_LINES_LEFT_OUT,
-    REGISTERED_AGAIN,
     SETTINGS_RELOADED,
-    STORE_ERA_INVALID,
-    STORE_RESTORED,
     VIEW_CHANGED,
 )
 from damasktally.fleet.members import MemberTable
@@ -55,7 +55,6 @@
     revision_in_era,
 )
 from damasktally.fleet.summaries import SummaryTable
-from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
 from damasktally.http1.inbound import CallerPort
 from damasktally.http1.response_memory import ResponseMemory
@@ -101,27 +100,29 @@
             Decoders(decode_configuration, decode_server, CONFIGURATION_NAME),
             self._log_change,
         )
-        self._confirmed_at: dict[Topic, float] = {}
         response_memory = ResponseMemory()
         self._store = StoreClient(
             split_address(settings.store.address),
             lambda purpose: self._metrics.store_calls.labels(purpose).inc(),
             response_memory,
-            self._log_era_problem,
+            EraProblemLog(self._metrics).record,
         )
         self._summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
-        self._topology = FleetTopology(
-            self._members, self._summaries, heartbeat_history
+        self._topology = FleetTopology(self._members, self._summaries)
+        self._confirmations = Confirmations(self._view, self._topology)
+        self._quota_reports = QuotaReports(
+            self._topology, self._members, self._summaries, heartbeat_history
         )
         self._quotas = CustomerQuotas(self._excess_limit)
         self._registration = Registration(
             self._store, self._members, settings.fleet.first_start, self._rng
         )
+        self._era_follower = EraFollower(self._view, self._registration)
         self._store_sync = StoreSync(
             self._store,
             self._view,
-            self._record_confirmation,
+            self._confirmations.record,
             FollowerRole(
                 lambda: self._registration.is_complete,
                 lambda: self._topology.should_follow_store(self._loop.time()),
@@ -135,7 +136,7 @@
             self._summaries,
             self._topology,
             self._view,
-            self._record_confirmation,
+            self._confirmations.record,
             self._rng,
         )
         self._candidates = ServerCandidates(
@@ -287,6 +288,7 @@
             task.cancel()
         await gather(*self._tasks, return_exceptions=True)
         await self._store_sync.stop()
+        self._era_follower.close()
         for server in self._servers:
             server.close()
         self._peer_protocol.close()
@@ -321,37 +323,12 @@
         self._peer_protocol.send_due_messages(self._settings.seeds)
         self._peer_protocol.log_liveness_changes(now)
         self._transfer.catch_up(now)
-        self._record_relay_confirmations(now)
+        self._confirmations.record_relays(now)
         self._view.remove_expired_servers(now)
         self._view.settle(now)
-        self._follow_era()
+        self._era_follower.follow()
         self._update_shares(now)
 
-    def _follow_era(self) -> None:
-        """Write this host's object again if the store came back from a copy since."""
-        newest = max(self._view.revisions.values())
-        if not newest:
-            return
-        era = era_of(newest)
-        previous, self._era = self._era, era
-        if previous is not None and era > previous:
-            emit(STORE_RESTORED, era=era, era_before=previous)
-        registered_era = max(self._registration.era, self._renewed_era)
-        if self._registration.is_complete and registered_era < era:
-            self._renewed_era = era
-            self._tasks.append(create_task(self._renew_registration()))
-
-    async def _renew_registration(self) -> None:
-        await self._registration.renew()
-        emit(REGISTERED_AGAIN, host=self._own.host, era=self._registration.era)
-
-    def _log_era_problem(self, problem: str) -> None:
-        """Log a wrong era of the store, once for each kind of problem in a row."""
-        self._metrics.store_era_problems.inc()
-        if problem != self._last_era_problem:
-            self._last_era_problem = problem
-            emit(STORE_ERA_INVALID, problem=problem)
-
     def _run_maintenance(self, now: float) -> None:
         """Do the work that can wait for a second."""
         self._members.remove_silent(now)
@@ -370,7 +347,7 @@
         cfg = self._view.configuration
         if cfg is None:
             return
-        reports, silent_count, lag_s = self._topology.quota_reports(now)
+        reports, silent_count, lag_s = self._quota_reports.collect(now)
         self._quotas.update_shares(cfg.customers, reports, silent_count, now, lag_s)
 
     def _excess_limit(self, customer: Customer) -> float:
@@ -381,20 +358,13 @@
 
     def _update_metrics(self, now: float) -> None:
         if self._output is not None:
-            self._report_dropped_lines(self._output)
+            report_dropped_lines(self._output, self._metrics)
         self._metrics.hosts_heard.set(len(self._members.live_records(now)))
         self._metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
         self._metrics.limited_servers.set(self._candidates.limits.limited_count())
-        for topic, confirmed_at in self._confirmed_at.items():
+        for topic, confirmed_at in self._confirmations.times():
             self._metrics.view_age.labels(topic.value).set(now - confirmed_at)
 
-    def _report_dropped_lines(self, output: LogOutput) -> None:
-        dropped = output.dropped_lines
-        if dropped > output.dropped_lines_reported:
-            emit(LOG_LINES_LEFT_OUT, lines=dropped - output.dropped_lines_reported)
-            output.dropped_lines_reported = dropped
-        self._metrics.log_lines_left_out.set(dropped)
-
     def _detect_suspension(self) -> None:
         suspended_s = self._suspension_detector.measure_s()
         if suspended_s > 0:
@@ -419,27 +389,6 @@
         cfg = self._view.configuration
         return cfg.limits if cfg else CallerLimits()
 
-    def _record_confirmation(self, topic: Topic) -> None:
-        self._record_confirmation_at(topic, self._loop.time())
-
-    def _record_confirmation_at(self, topic: Topic, confirmed_at: float) -> None:
-        self._confirmed_at[topic] = max(
-            confirmed_at, self._confirmed_at.get(topic, 0.0)
-        )
-        self._view.confirmed_at = max(confirmed_at, self._view.confirmed_at)
-
-    def _record_relay_confirmations(self, now: float) -> None:
-        """Record the confirmation by relays that have the same revision of a topic.
-
-        A relay confirms it as of the moment when the relay last reached the store.
-        """
-        for record in self._topology.local_relay_records(now):
-            for topic, revision in self._view.revisions.items():
-                if record.revisions.get(topic) == revision > 0:
-                    self._record_confirmation_at(
-                        topic, record.last_seen_at - record.store_age_s
-                    )
-
     def _log_change(self, change: ViewChange) -> None:
         self._peer_protocol.announce_view_change()
         emit(
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from types import MappingProxyType
 
 import msgspec
@@ -17,7 +16,7 @@
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.surges import SurgeDetector
-from damasktally.entry.delta import DeltaSelector
+from damasktally.entry.outbox import Outbox, OwnState
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, Heartbeat
 from damasktally.fleet.model import Member
@@ -40,41 +39,6 @@
 """One summary in this many lists the hosts even if the list did not change."""
 
 
-@dataclass(frozen=True, slots=True)
-class OwnState:
-    """Hold the state of this host that its heartbeats and summaries report.
-
-    :param ready: whether callers may be sent to this host.
-    :param stopped: whether the process is about to end.
-    :param store_age_s: age of this host's state of the store in seconds: since it, or
-        a host from which it gets changes, reached the store.
-    """
-
-    ready: bool
-    stopped: bool
-    store_age_s: float
-
-
-@dataclass(slots=True)
-class _Outbox:
-    """Hold what was last sent to the receivers of one kind of message.
-
-    :param demand: selects the demands that the next message carries.
-    :param admitted: selects the admitted counts that the next message carries.
-    :param sequence: number of the last message.
-    :param last_hosts: lists of hosts of the last summary.
-    """
-
-    demand: DeltaSelector
-    admitted: DeltaSelector
-    sequence: int = 0
-    last_hosts: list[DataCentreHosts] | None = None
-
-    @classmethod
-    def empty(cls) -> "_Outbox":
-        return cls(DeltaSelector(), DeltaSelector())
-
-
 class FleetMessageBuilder:
     """Build heartbeats and summaries.
 
@@ -114,9 +78,9 @@
         self._fleet_totals = CounterTotals()
         self._data_centre_surges = SurgeDetector()
         self._fleet_surges = SurgeDetector()
-        self._heartbeat_outbox = _Outbox.empty()
-        self._data_centre_outbox = _Outbox.empty()
-        self._fleet_outbox = _Outbox.empty()
+        self._heartbeat_outbox = Outbox.empty()
+        self._data_centre_outbox = Outbox.empty()
+        self._fleet_outbox = Outbox.empty()
 
     def update_totals(self, now: float) -> None:
         """Add the requests admitted since the last call to the totals to be sent.
@@ -266,7 +230,7 @@
         :returns: a complete summary of the fleet, or ``None`` if this host has none.
         """
         if self._topology.is_relay(now):
-            outbox = _Outbox.empty()
+            outbox = Outbox.empty()
             outbox.sequence = self._fleet_outbox.sequence
             return self._summarise_fleet(outbox, now)
         record = self._summaries.whole_fleet(now)
@@ -280,7 +244,7 @@
             is_complete=True,
         )
 
-    def _summarise_fleet(self, outbox: _Outbox, now: float) -> RelaySummary:
+    def _summarise_fleet(self, outbox: Outbox, now: float) -> RelaySummary:
         known = self._topology.local_records()
         live = self._topology.live_local_records(now)
         data_centre_hosts = [self._list_local_hosts(now)]
@@ -334,7 +298,7 @@
 
     def _build_summary(
         self,
-        outbox: _Outbox,
+        outbox: Outbox,
         scope: str,
         data_centre_hosts: list[DataCentreHosts],
         host_counts: tuple[int, int],
--- /dev/null
+++ b/damasktally/entry/outbox.py
@@ -0,0 +1,42 @@
+"""State of this host that messages report, and what was last sent."""
+
+from dataclasses import dataclass
+
+from damasktally.entry.delta import DeltaSelector
+from damasktally.fleet.summaries import DataCentreHosts
+
+
+@dataclass(frozen=True, slots=True)
+class OwnState:
+    """Hold the state of this host that its heartbeats and summaries report.
+
+    :param ready: whether callers may be sent to this host.
+    :param stopped: whether the process is about to end.
+    :param store_age_s: age of this host's state of the store in seconds: since it, or
+        a host from which it gets changes, reached the store.
+    """
+
+    ready: bool
+    stopped: bool
+    store_age_s: float
+
+
+@dataclass(slots=True)
+class Outbox:
+    """Hold what was last sent to the receivers of one kind of message.
+
+    :param demand: selects the demands that the next message carries.
+    :param admitted: selects the admitted counts that the next message carries.
+    :param sequence: number of the last message.
+    :param last_hosts: lists of hosts of the last summary.
+    """
+
+    demand: DeltaSelector
+    admitted: DeltaSelector
+    sequence: int = 0
+    last_hosts: list[DataCentreHosts] | None = None
+
+    @classmethod
+    def empty(cls) -> "Outbox":
+        """Return an outbox from which nothing was sent yet."""
+        return cls(DeltaSelector(), DeltaSelector())
--- a/damasktally/entry/output.py
+++ b/damasktally/entry/output.py
@@ -11,6 +11,10 @@
 from eliot import add_destinations
 from msgspec.json import Encoder
 
+from damasktally.entry.metrics import EntryMetrics
+from damasktally.events import emit
+from damasktally.events.catalogue import LOG_LINES_LEFT_OUT
+
 MAX_PENDING_BYTES = 256 * 1024
 MAX_LINES_PER_S = 150.0
 MAX_BURST_LINES = 600.0
@@ -98,3 +102,12 @@
         self._is_blocked = False
         self._loop.remove_writer(self._descriptor)
         self.flush()
+
+
+def report_dropped_lines(output: LogOutput, metrics: EntryMetrics) -> None:
+    """Log how many lines were dropped since the last call, and update the metric."""
+    dropped = output.dropped_lines
+    if dropped > output.dropped_lines_reported:
+        emit(LOG_LINES_LEFT_OUT, lines=dropped - output.dropped_lines_reported)
+        output.dropped_lines_reported = dropped
+    metrics.log_lines_left_out.set(dropped)
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -15,16 +15,20 @@
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.outcome import Attempt, AttemptOutcome, RequestTrace
 from damasktally.entry.refusals import retry_later_response, text_response
+from damasktally.entry.request_rules import (
+    allowed_regions,
+    deadline_of,
+    find_route,
+    priority_of,
+    settles_request,
+)
 from damasktally.entry.topology import FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import REQUEST_ENDED
 from damasktally.events.reasons import Reason
 from damasktally.fleet.model import (
     Bounds,
-    Configuration,
-    Customer,
     RetryPolicy,
-    Route,
     Server,
     era_of,
     revision_in_era,
@@ -35,16 +39,12 @@
 from damasktally.platform.headers import (
     AFFINITY_KEY,
     API_KEY,
-    REMAINING_MS,
     REQUEST_ID,
     SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_LOAD,
-    parse_milliseconds,
 )
 
-DEFAULT_DEADLINE_S = 30.0
-"""Seconds for a request whose caller sent no deadline."""
 MIN_REMAINING_TIME_S = 0.02
 """A request with fewer seconds than this until its deadline is not sent."""
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
@@ -118,7 +118,7 @@
                 503, trace.reason.value, self._jitter(NO_CONFIGURATION_RETRY_AFTER_S)
             )
         trace.configuration = cfg.version
-        trace.route = _find_route(cfg, req)
+        trace.route = find_route(cfg, req)
         if trace.route is None:
             trace.reason = Reason.NO_ROUTE
             return text_response(404, trace.reason.value)
@@ -146,7 +146,7 @@
         route = trace.route
         trace.service = self._round_robin.pick(route.name, route.services)
         self._retry_budget(trace.service).record_request(self._loop.time())
-        deadline = _deadline_of(req, route)
+        deadline = deadline_of(req, route)
         response = await self._forward_with_retries(req, trace, deadline)
         may_have_run = any(
             attempt.outcome
@@ -193,7 +193,7 @@
                 AttemptOutcome.NOT_SENT,
                 AttemptOutcome.ABANDONED,
             )
-            if _settles_request(attempt, at_most_once):
+            if settles_request(attempt, at_most_once):
                 return self._attempt_response(attempt, trace)
 
     def _select_server(
@@ -203,17 +203,17 @@
 
         :param tried_servers: ids of servers to which the request was sent already.
         """
-        allowed_regions = _allowed_regions(trace.route, trace.customer)
-        if allowed_regions is None:
+        home_regions = allowed_regions(trace.route, trace.customer)
+        if home_regions is None:
             trace.reason = Reason.NO_COMMON_HOME
             return None
         affinity_key = req.header(AFFINITY_KEY) if trace.route.affinity else None
         ranked = self._candidates.rank_servers(
-            trace.service, allowed_regions, affinity_key, tried_servers, now
+            trace.service, home_regions, affinity_key, tried_servers, now
         )
         if not ranked:
             trace.retry_after_s = self._candidates.pause_end_s(
-                trace.service, allowed_regions, now
+                trace.service, home_regions, now
             )
             if trace.retry_after_s is not None:
                 trace.reason = Reason.SERVERS_PAUSED
@@ -223,7 +223,7 @@
         selected = choose_server(
             ranked,
             lambda server: estimated_load(server.id, now),
-            _priority(trace.route, trace.customer),
+            priority_of(trace.route, trace.customer),
         )
         if selected is None:
             trace.inputs = {
@@ -376,59 +376,8 @@
         )
 
 
-def _find_route(cfg: Configuration, req: Request) -> Route | None:
-    """Return the route for a request's host name and path."""
-    host = (req.header(b"host") or b"").decode("latin-1").partition(":")[0]
-    path = req.target.partition(b"?")[0].decode("latin-1")
-    return cfg.find_route(host.lower(), path)
-
-
-def _deadline_of(req: Request, route: Route) -> float:
-    """Return a request's deadline on the event loop's clock, in seconds.
-
-    The time that the caller allows counts from the first byte of the request, and is
-    limited by the route's timeout.
-    """
-    remaining_s = parse_milliseconds(req.header(REMAINING_MS)) or DEFAULT_DEADLINE_S
-    if route.timeout_s > 0:
-        remaining_s = min(remaining_s, route.timeout_s)
-    return req.first_byte_at + remaining_s
-
-
-def _allowed_regions(route: Route, customer: Customer | None) -> frozenset[str] | None:
-    """Return the regions that may serve a request.
-
-    :returns: the regions that both the route and the customer allow; an empty set
-        allows all regions, and ``None`` means that they have none in common.
-    """
-    customer_regions = customer.home_regions if customer else frozenset()
-    if not route.home_regions or not customer_regions:
-        return route.home_regions or customer_regions
-    return (route.home_regions & customer_regions) or None
-
-
-def _priority(route: Route, customer: Customer | None) -> int:
-    """Return the customer's priority if it has one, else the route's."""
-    if customer is not None and customer.priority is not None:
-        return customer.priority
-    return route.priority
-
-
 def _fingerprint(req: Request, trace: RequestTrace) -> str:
     """Return the request's fingerprint, computed at its first use."""
     if not trace.fingerprint:
         trace.fingerprint = fingerprint_of(req, trace.customer)
     return trace.fingerprint
-
-
-def _settles_request(attempt: Attempt, at_most_once: bool) -> bool:
-    """Return whether no further attempt follows.
-
-    Errors of a server (5xx) and lost responses are retried, unless the request may
-    run at most once.
-    """
-    if attempt.outcome is AttemptOutcome.ANSWERED:
-        return at_most_once or attempt.response.status < 500
-    if attempt.outcome is AttemptOutcome.TIMED_OUT:
-        return True
-    return attempt.outcome is AttemptOutcome.LOST and at_most_once
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -11,7 +11,8 @@
 from damasktally.errors import DamasktallyError
 from damasktally.fleet.changes import describe_change
 from damasktally.fleet.model import Configuration, Server, era_of
-from damasktally.fleet.servers import REREGISTRATION_GRACE_S, ServerTable
+from damasktally.fleet.restores import RestoreTimes
+from damasktally.fleet.servers import ServerTable
 from damasktally.fleet.topics import Topic
 
 
@@ -60,21 +61,6 @@
     edits: tuple[Edit, ...]
 
 
-@dataclass(slots=True)
-class _Restore:
-    """Return of the store from an older copy, as far as a topic has not settled.
-
-    Times are in seconds on the event loop's clock.
-
-    :param compare_at: when what is stored is compared with what is in effect.
-    :param adopt_at: when processes that were removed count as alive if still stored.
-    """
-
-    compare_at: float
-    adopt_at: float
-    is_compared: bool = False
-
-
 class FleetView:
     """Current configuration, evacuations and servers, each with its revision.
 
@@ -103,7 +89,7 @@
             topic: deque(maxlen=MAX_KEPT_VIEW_DELTAS) for topic in Topic
         }
         self.revisions: dict[Topic, int] = dict.fromkeys(Topic, 0)
-        self._restores: dict[Topic, _Restore] = {}
+        self._restores = RestoreTimes()
         self.configuration: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.servers = ServerTable()
@@ -223,25 +209,20 @@
             self._apply_configuration(specs, source)
             self.generation += 1
             return
-        self._restores[topic] = _Restore(
-            now + REREGISTRATION_GRACE_S, now + RESTORED_PROCESS_GRACE_S
-        )
+        self._restores.begin(topic, now)
 
     def settle(self, now: float) -> None:
         """Put in effect what the store holds, a while after it came back from a copy.
 
         :param now: seconds on the event loop's clock.
         """
-        for topic, restore in list(self._restores.items()):
-            if not restore.is_compared and now >= restore.compare_at:
-                restore.is_compared = True
+        for topic in self._restores.due_for_comparison(now):
+            self._adopt_stored(topic, now)
+        for topic in self._restores.due_for_adoption(now):
+            if topic is Topic.SERVERS:
+                # The store would have removed them again if they were gone.
+                self.servers.forget_removed()
                 self._adopt_stored(topic, now)
-            if now >= restore.adopt_at:
-                del self._restores[topic]
-                if topic is Topic.SERVERS:
-                    # The store would have removed them again if they were gone.
-                    self.servers.forget_removed()
-                    self._adopt_stored(topic, now)
 
     def _adopt_stored(self, topic: Topic, now: float) -> None:
         self.generation += 1
@@ -269,11 +250,6 @@
             return False
         return not self.servers.would_regress(server)
 
-    def _is_comparing(self, topic: Topic) -> bool:
-        """Return whether a topic's stored objects are not in effect yet."""
-        restore = self._restores.get(topic)
-        return restore is not None and not restore.is_compared
-
     def _advance_revision(
         self, topic: Topic, revision: int, edits: Sequence[Edit]
     ) -> None:
@@ -354,7 +330,7 @@
         self, written: Mapping[str, Any], removed: list[str], source: str, now: float
     ) -> None:
         evacuated = frozenset(self._stored_objects[Topic.EVACUATIONS])
-        if self._is_comparing(Topic.EVACUATIONS):
+        if self._restores.is_uncompared(Topic.EVACUATIONS):
             evacuated = self.evacuated.union(written).difference(removed)
         self._set_evacuated(evacuated, source, now)
 
@@ -401,9 +377,6 @@
         self._on_change(ViewChange(topic, self.revisions[topic], source, detail))
 
 
-RESTORED_PROCESS_GRACE_S = 6.0
-"""How long after the store came back a process that was removed before, and is stored
-again, is not used: longer than the store waits for a silent server."""
 MAX_LOGGED_SERVERS = 20
 """Servers that one log line describes at most."""
 MAX_KEPT_VIEW_DELTAS = 64
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -14,7 +14,8 @@
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
-from damasktally.entry.message_builder import FleetMessageBuilder, OwnState
+from damasktally.entry.message_builder import FleetMessageBuilder
+from damasktally.entry.outbox import OwnState
 from damasktally.entry.peers import PeerProtocol
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import Heartbeat, MemberTable
@@ -83,7 +84,7 @@
         self.members = MemberTable(own)
         self.summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
-        self.topology = FleetTopology(self.members, self.summaries, heartbeat_history)
+        self.topology = FleetTopology(self.members, self.summaries)
         view = FleetView(Decoders(None, None, "main"), lambda change: None)
         quotas = CustomerQuotas(lambda customer: 0.0)
         get_own_state = lambda: OwnState(True, False, 0.1)
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -4,7 +4,6 @@
 
 from behave import given, then, when
 
-from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.relays import choose_store_followers
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import MemberTable
@@ -54,7 +53,7 @@
         own_name, 1, data_centre[0], data_centre, "10.0.0.1:80", ("10.0.0.1", 7), 9.0
     )
     summaries = SummaryTable()
-    topology = FleetTopology(MemberTable(own), summaries, HeartbeatHistory())
+    topology = FleetTopology(MemberTable(own), summaries)
     return topology, summaries
 
 
