Kept blocked requests in the store.

Change: each host that lost one of the responses creates an object when the request is blocked; hosts list these objects at their start with one stale call, and write them again when the store comes back from a copy. Losses carry Unix times, of which the future counts as now. Result: the scenario of three hosts that are killed and start again failed before (502 attempts-used: it was sent to servers) and passes twice; crash_requests.feature passes. Conclusion: a block outlives the processes.

--- a/damasktally/decisions/crash_suspects.py
+++ b/damasktally/decisions/crash_suspects.py
@@ -39,10 +39,12 @@
 
     :param crashes: its losses by server process.
     :param changed_at: when this host last learned of a loss or an exoneration.
+    :param has_own_loss: whether this host lost one of the responses.
     """
 
     crashes: dict[str, _Crash]
     changed_at: float
+    has_own_loss: bool = False
 
     def merge(self, entry: CrashEntry, now: float) -> None:
         """Merge one entry of this or another host."""
@@ -77,7 +79,14 @@
         :returns: whether the request is blocked from now on.
         """
         entry = CrashEntry(process, 0.0, False)
-        return self.merge(CrashReport(fingerprint, (entry,)), now)
+        is_blocked = self.merge(CrashReport(fingerprint, (entry,)), now)
+        self._suspects[fingerprint].has_own_loss = True
+        return is_blocked
+
+    def has_own_loss(self, fingerprint: str) -> bool:
+        """Return whether this host lost a response to a request."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and suspect.has_own_loss
 
     def record_answer(self, fingerprint: str, now: float) -> None:
         """Record that a server answered a request, which exonerates it so far."""
@@ -130,10 +139,10 @@
                 ranked.append((is_blocked, suspect.changed_at, fingerprint))
         ranked.sort(reverse=True)
         for _, _, fingerprint in ranked[:MAX_REPORTS_PER_MESSAGE]:
-            yield self._report(fingerprint, now)
+            yield self.report(fingerprint, now)
 
-    def _report(self, fingerprint: str, now: float) -> CrashReport:
-        """Return the newest losses of a request, as many as are needed to block it."""
+    def report(self, fingerprint: str, now: float) -> CrashReport:
+        """Return the newest losses of a known request, no more than would block it."""
         crashes = sorted(
             self._suspects[fingerprint].crashes.items(),
             key=lambda item: (not item[1].is_exonerated, item[1].lost_at),
--- /dev/null
+++ b/damasktally/entry/blocked_requests.py
@@ -0,0 +1,150 @@
+"""Keep blocked requests in the store, so that they stay blocked when all hosts restart.
+
+The host that finds that a request ends servers writes an object for it. Every host
+lists these objects when it starts.
+"""
+
+from asyncio import Task, create_task, get_running_loop, sleep
+from collections.abc import Coroutine
+from random import Random
+from time import time
+from typing import Any
+
+import msgspec
+
+from damasktally.decisions.crash_suspects import CRASH_LIFETIME_S
+from damasktally.entry.crash_reports import CrashReports
+from damasktally.events import emit
+from damasktally.events.catalogue import BLOCKED_REQUEST_INVALID
+from damasktally.fleet.crash_reports import CrashEntry, CrashReport
+from damasktally.platform.store import (
+    BLOCKED_REQUESTS_KIND,
+    StoreClient,
+    StoreUnavailable,
+)
+
+RETRY_DELAY_S = 0.5
+STORED_SOURCE = "store"
+"""Source, in the log, of what the store says of blocked requests."""
+
+
+class StoredBlock(msgspec.Struct, frozen=True):
+    """Object of a blocked request; its name is the request's fingerprint.
+
+    :param lost_ms: Unix time in milliseconds of the loss at each server process.
+    """
+
+    lost_ms: dict[str, int]
+
+
+class BlockedRequests:
+    """Write blocked requests to the store, and read them from it.
+
+    :param store: the platform's store.
+    :param reports: receives what the store holds.
+    :param rng: adds jitter to the pauses between attempts.
+    """
+
+    def __init__(self, store: StoreClient, reports: CrashReports, rng: Random) -> None:
+        self._store = store
+        self._reports = reports
+        self._rng = rng
+        self._written: dict[str, StoredBlock] = {}
+        self._tasks: set[Task] = set()
+        self._loop = get_running_loop()
+
+    def start(self) -> None:
+        """Begin to read the blocked requests; retry until the store responds."""
+        self._run(self._load())
+
+    def close(self) -> None:
+        """Cancel all calls."""
+        for task in self._tasks:
+            task.cancel()
+
+    def save(self, report: CrashReport) -> None:
+        """Write a request that this host found to end servers.
+
+        :param report: the losses that block it, as of now.
+        """
+        stored = encode_block(report, time())
+        self._written[report.fingerprint] = stored
+        self._run(self._write(report.fingerprint, stored))
+
+    def renew(self) -> None:
+        """Write this host's objects again, after the store came back from a copy."""
+        for fingerprint, stored in self._written.items():
+            self._run(self._write(fingerprint, stored))
+
+    def _run(self, call: Coroutine[Any, Any, None]) -> None:
+        task = create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                listing = await self._store.list_objects(
+                    BLOCKED_REQUESTS_KIND, allow_stale=True
+                )
+            except StoreUnavailable:
+                await self._sleep()
+                continue
+            self._take_in(listing.specs)
+            return
+
+    def _take_in(self, specs: dict[str, Any]) -> None:
+        for fingerprint, spec in specs.items():
+            try:
+                report = decode_block(fingerprint, spec, time())
+            except msgspec.ValidationError as exc:
+                emit(BLOCKED_REQUEST_INVALID, name=fingerprint, reason=str(exc))
+                continue
+            if report.entries:
+                self._reports.merge([report], STORED_SOURCE)
+
+    async def _write(self, fingerprint: str, stored: StoredBlock) -> None:
+        spec = msgspec.to_builtins(stored)
+        while True:
+            try:
+                await self._store.create(BLOCKED_REQUESTS_KIND, fingerprint, spec)
+            except StoreUnavailable:
+                await self._sleep()
+                continue
+            return
+
+    async def _sleep(self) -> None:
+        await sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
+
+
+def encode_block(report: CrashReport, unix_s: float) -> StoredBlock:
+    """Return the object for a report.
+
+    :param unix_s: the present Unix time in seconds.
+    """
+    return StoredBlock(
+        {
+            entry.process: int((unix_s - entry.age_s) * 1000)
+            for entry in report.entries
+            if not entry.is_exonerated
+        }
+    )
+
+
+def decode_block(fingerprint: str, spec: Any, unix_s: float) -> CrashReport:
+    """Return the report of an object, without the losses that do not count any more.
+
+    Clocks of hosts differ: a loss in the future counts as one of now.
+
+    :param unix_s: the present Unix time in seconds.
+    :raises msgspec.ValidationError: if the object is malformed.
+    """
+    stored = msgspec.convert(spec, StoredBlock)
+    entries = [
+        CrashEntry(process, max(0.0, unix_s - lost_ms / 1000), False)
+        for process, lost_ms in stored.lost_ms.items()
+    ]
+    return CrashReport(
+        fingerprint,
+        tuple(entry for entry in entries if entry.age_s < CRASH_LIFETIME_S),
+    )
--- a/damasktally/entry/crash_reports.py
+++ b/damasktally/entry/crash_reports.py
@@ -1,7 +1,7 @@
 """Take in which server processes lost their responses to a request."""
 
 from asyncio import get_running_loop
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.entry.outcome import Attempt, AttemptOutcome
@@ -17,11 +17,15 @@
 class CrashReports:
     """Record losses and answers by request, and log which requests are blocked.
 
+    ``on_blocked`` is called with the losses of a request that is blocked from then on,
+    at each host that lost one of the responses; the host sets it to keep them.
+
     :param suspects: decides which requests are blocked.
     """
 
     def __init__(self, suspects: CrashSuspects) -> None:
         self._suspects = suspects
+        self.on_blocked: Callable[[CrashReport], None] | None = None
         self._loop = get_running_loop()
 
     @property
@@ -41,7 +45,7 @@
         if attempt.outcome is AttemptOutcome.LOST:
             process = f"{server.id}/{server.started_ms}"
             if self._suspects.record_loss(fingerprint, process, now):
-                self._log_blocked(fingerprint, OWN_SOURCE)
+                self._handle_blocked(fingerprint, OWN_SOURCE)
         elif attempt.outcome is AttemptOutcome.ANSWERED:
             if attempt.response.status < 500:
                 self._suspects.record_answer(fingerprint, now)
@@ -54,12 +58,15 @@
         now = self._loop.time()
         for report in reports:
             if self._suspects.merge(report, now):
-                self._log_blocked(report.fingerprint, source)
+                self._handle_blocked(report.fingerprint, source)
 
-    def _log_blocked(self, fingerprint: str, source: str) -> None:
+    def _handle_blocked(self, fingerprint: str, source: str) -> None:
+        """Log that a request is blocked from now on, and keep it if that is due."""
         emit(
             REQUEST_BLOCKED,
             fingerprint=fingerprint,
             seconds=round(self.blocked_s(fingerprint), 1),
             source=source,
         )
+        if self.on_blocked is not None and self._suspects.has_own_loss(fingerprint):
+            self.on_blocked(self._suspects.report(fingerprint, self._loop.time()))
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -15,6 +15,7 @@
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
+from damasktally.entry.blocked_requests import BlockedRequests
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.confirmations import Confirmations
@@ -118,7 +119,9 @@
         self._registration = Registration(
             self._store, self._members, settings.fleet.first_start, self._rng
         )
-        self._era_follower = EraFollower(self._view, self._registration)
+        self._era_follower = EraFollower(
+            self._view, self._registration, lambda: self._blocked_requests.renew()
+        )
         self._store_sync = StoreSync(
             self._store,
             self._view,
@@ -150,6 +153,8 @@
         )
         self._crash_suspects = CrashSuspects()
         crash_reports = CrashReports(self._crash_suspects)
+        self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
+        crash_reports.on_blocked = self._blocked_requests.save
         message_builder = FleetMessageBuilder(
             self._own,
             self._topology,
@@ -230,6 +235,7 @@
         await self._peer_protocol.start(peer_address)
         await self._transfer.start(peer_address)
         self._store_sync.start()
+        self._blocked_requests.start()
         self._tasks = [create_task(self._register()), create_task(self._run_ticks())]
         await self._listen()
         emit(
@@ -289,6 +295,7 @@
         await gather(*self._tasks, return_exceptions=True)
         await self._store_sync.stop()
         self._era_follower.close()
+        self._blocked_requests.close()
         for server in self._servers:
             server.close()
         self._peer_protocol.close()
--- a/damasktally/entry/store_eras.py
+++ b/damasktally/entry/store_eras.py
@@ -1,6 +1,7 @@
 """Act when the store comes back from an older copy, in a new era."""
 
 from asyncio import Task, create_task
+from collections.abc import Callable
 
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.registration import Registration
@@ -19,11 +20,18 @@
 
     :param view: its revisions show the era, from the store or from another host.
     :param registration: writes this host's object.
+    :param renew_others: writes again what else this host wrote.
     """
 
-    def __init__(self, view: FleetView, registration: Registration) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        registration: Registration,
+        renew_others: Callable[[], None],
+    ) -> None:
         self._view = view
         self._registration = registration
+        self._renew_others = renew_others
         self._era: int | None = None
         self._renewed_era = 0
         self._tasks: set[Task] = set()
@@ -37,6 +45,7 @@
         previous, self._era = self._era, era
         if previous is not None and era > previous:
             emit(STORE_RESTORED, era=era, era_before=previous)
+            self._renew_others()
         registered_era = max(self._registration.era, self._renewed_era)
         if self._registration.is_complete and registered_era < era:
             self._renewed_era = era
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -184,6 +184,12 @@
     "hosts refuse it for a while. Its fingerprint is in the lines of its requests.",
     "Find the caller by the fingerprint, and correct the servers.",
 )
+BLOCKED_REQUEST_INVALID = Event(
+    518,
+    "blocked-request-invalid",
+    "The store's object of a blocked request cannot be decoded; it is ignored.",
+    "Remove the object.",
+)
 SERVER_ASKED_FOR_PAUSE = Event(
     517,
     "server-asked-for-pause",
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -30,6 +30,7 @@
 EVACUATIONS_KIND = "evacuations"
 SERVERS_KIND = "servers"
 MEMBERS_KIND = "damasktally-hosts"
+BLOCKED_REQUESTS_KIND = "damasktally-blocked-requests"
 
 ALLOW_STALE = "AllowStale=1"
 """Query parameter that lets the store respond from a replica that is seconds old."""
--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -20,6 +20,22 @@
     Then at most 3 servers receive it later than 3 s after it ended the third
     And /read/bad gets 503 with a Retry-After header from every host
 
+  # Guards against a fleet that forgets all blocked requests when all hosts restart.
+  Scenario: A request stays blocked when all hosts are killed and start again
+    Given 3 hosts in 2 data centres
+    And 6 more servers beside the first
+    When callers send /read/bad, which ends servers, 20 times a second to all hosts for 2 s
+    And all hosts are killed and start again
+    And the servers forget what they received
+    Then /read/bad gets 503 with a Retry-After header from every host
+    And no server received it
+    When the store comes back from a copy without blocked requests
+    Then within 2 s the store has the blocked request again
+
+  Scenario: Objects of blocked requests that cannot be right are ignored
+    Then a block that is stored survives a host's clock that is wrong by 5 s
+    And an expired or malformed object blocks nothing
+
   # Guards against blocking requests that were lost only because others ended servers.
   Scenario: Only a request that no server answers is blocked
     Then these losses and answers of a request block it or do not
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -4,11 +4,17 @@
 from random import Random
 
 from behave import then, when
-from entry_harness import send_request
-from entry_steps import port_of
+from entry_harness import send_request, wait_until
+from entry_steps import port_of, start_host
+from msgspec import ValidationError, to_builtins
 
 from damasktally.decisions.crash_suspects import CrashSuspects
+from damasktally.entry.blocked_requests import decode_block, encode_block
+from damasktally.entry.outcome import Attempt, AttemptOutcome
+from damasktally.fleet.crash_reports import CrashEntry, CrashReport
+from damasktally.fleet.model import Server
 
+BLOCKED_KIND = "damasktally-blocked-requests"
 RESTART_S = 1.0
 """How long a server that ended is away."""
 
@@ -166,3 +172,88 @@
     assert len(suspects) == count
     assert suspects.blocked_s("f-0", 12.0) == 0
     assert suspects.blocked_s(f"f-{count + 99}", 12.0) > 0
+
+
+@when("all hosts are killed and start again")
+def when_all_restart(context):
+    """Close all hosts at once, and start others with the same settings."""
+
+    async def restart():
+        await sleep(0.3)
+        settings = [host._settings for host in context.hosts]
+        await gather(*(host.close() for host in context.hosts))
+        context.hosts.clear()
+        for item in settings:
+            await start_host(context, item)
+        await wait_until(lambda: all(host.is_ready for host in context.hosts))
+        await sleep(0.5)
+
+    context.loop_thread.run(restart())
+
+
+@when("the servers forget what they received")
+def when_forgotten(context):
+    """Begin to count anew."""
+    context.received_at.clear()
+
+
+@then("no server received it")
+def then_none_received(context):
+    """Check that the request reached no server."""
+    assert not context.received_at, context.received_at
+
+
+@when("the store comes back from a copy without blocked requests")
+def when_blocks_lost(context):
+    """Block another request, then restore a copy that has no blocked ones."""
+
+    async def restore():
+        context.store.era = 1
+        suspects = context.hosts[0]._crash_suspects
+        reports = context.hosts[0]._blocked_requests._reports
+        for number in range(3):
+            server = Server(f"x-{number}", "svc", ("h", 1), "dc-0", 4, False, 0.0, 1)
+            reports.record_attempt("f", server, Attempt("x", AttemptOutcome.LOST, 0.1))
+        assert suspects.blocked_s("f", context.hosts[0]._loop.time()) > 0
+        await wait_until(lambda: "f" in context.store.objects[BLOCKED_KIND])
+        copy = context.store.make_copy()
+        copy.objects[BLOCKED_KIND] = {}
+        await wait_until(lambda: context.hosts[0]._store.era == 1)
+        await sleep(0.5)
+        await context.store.restore(copy)
+
+    context.loop_thread.run(restore())
+
+
+@then("within {seconds:g} s the store has the blocked request again")
+def then_block_stored(context, seconds):
+    """Wait until a host wrote it again."""
+    store = context.store
+    context.loop_thread.run(
+        wait_until(lambda: "f" in store.objects.get(BLOCKED_KIND, {}), seconds)
+    )
+
+
+@then("a block that is stored survives a host's clock that is wrong by {seconds:g} s")
+def then_survives_clock(context, seconds):
+    """Encode at one time, and decode at clocks that differ."""
+    entries = tuple(CrashEntry(f"p-{n}", 1.0, False) for n in range(3))
+    spec = to_builtins(encode_block(CrashReport("f", entries), 1000.0))
+    for difference in (-seconds, 0.0, seconds):
+        suspects = CrashSuspects()
+        suspects.merge(decode_block("f", spec, 1000.0 + difference), 50.0)
+        assert suspects.blocked_s("f", 50.0) > 0, difference
+
+
+@then("an expired or malformed object blocks nothing")
+def then_expired_ignored(context):
+    """Decode objects that must not block."""
+    entries = tuple(CrashEntry(f"p-{n}", 1.0, False) for n in range(3))
+    spec = to_builtins(encode_block(CrashReport("f", entries), 1000.0))
+    assert not decode_block("f", spec, 1600.0).entries
+    for malformed in ({}, {"lost_ms": 3}, {"lost_ms": {"p": "soon"}}, [], None):
+        try:
+            decode_block("f", malformed, 1000.0)
+        except ValidationError:
+            continue
+        raise AssertionError(malformed)
