Counted each end of a server under a request, also before its next process registers.

Cause: losses were counted once for a process as registered. Change: the end of a process is identified by the process and the 5 s in which it was seen. The soak's servers register a next process after they ended, as on the platform. Result: a new scenario with two servers that never register again fails without the time (no-server instead of ends-servers) and passes with it; the check of a refusal looks at its reason now. Conclusion: at most one end too few in 5 s for a server.

--- a/damasktally/entry/crash_reports.py
+++ b/damasktally/entry/crash_reports.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Callable, Iterable
+from time import time
 
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.entry.outcome import Attempt, AttemptOutcome
@@ -10,6 +11,8 @@
 from damasktally.fleet.crash_reports import CrashReport
 from damasktally.fleet.model import Server
 
+END_WINDOW_S = 5
+"""Losses at one process within this many seconds count as one end of it."""
 OWN_SOURCE = "self"
 """Source, in the log, of what this host's own requests showed."""
 
@@ -43,8 +46,7 @@
         """Record a lost response, or an answer by a server that ran the request."""
         now = self._loop.time()
         if attempt.outcome is AttemptOutcome.LOST:
-            process = f"{server.id}/{server.started_ms}"
-            if self._suspects.record_loss(fingerprint, process, now):
+            if self._suspects.record_loss(fingerprint, _end_of(server, time()), now):
                 self._handle_blocked(fingerprint, OWN_SOURCE)
         elif attempt.outcome is AttemptOutcome.ANSWERED:
             if attempt.response.status < 500:
@@ -70,3 +72,11 @@
         )
         if self.on_blocked is not None and self._suspects.has_own_loss(fingerprint):
             self.on_blocked(self._suspects.report(fingerprint, self._loop.time()))
+
+
+def _end_of(server: Server, unix_s: float) -> str:
+    """Identify the end of a server's process, for all hosts that see it.
+
+    The next process is known only once it registered, so the time is part of it.
+    """
+    return f"{server.id}/{server.started_ms}/{int(unix_s // END_WINDOW_S)}"
--- a/damasktally/fleet/crash_reports.py
+++ b/damasktally/fleet/crash_reports.py
@@ -6,7 +6,7 @@
 class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
     """One server process that lost its response to a request.
 
-    :param process: identifies the process of the server.
+    :param process: identifies the end of a server's process.
     :param age_s: seconds since the response was lost.
     :param is_exonerated: whether a server answered the same request later, so that the
         request did not end the process.
--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -36,6 +36,13 @@
     Then a block that is stored survives a host's clock that is wrong by 5 s
     And an expired or malformed object blocks nothing
 
+  # Guards against counting a server once that ended several times, unnoticed by the store.
+  Scenario: Servers that end again before they register again count again
+    Given 3 hosts in 2 data centres
+    And 2 more servers beside the first
+    When callers send /read/bad, which ends servers without a trace, 4 times a second to all hosts for 9 s
+    Then /read/bad gets 503 with a Retry-After header from every host
+
   # Guards against blocking requests that were lost only because others ended servers.
   Scenario: Only a request that no server answers is blocked
     Then these losses and answers of a request block it or do not
--- a/features/fault_soak/report_faults.py
+++ b/features/fault_soak/report_faults.py
@@ -62,6 +62,16 @@
                 host.ports["callers"], BAD_PATH, key=key, request_id=request_id
             )
         await sleep(rng.uniform(0.0, 0.3))
+        await restart_ended_servers(fleet, rng)
+
+
+async def restart_ended_servers(fleet: SoakFleet, rng: Random) -> None:
+    """Register the next processes of servers that ended under a request."""
+    for server in fleet.servers:
+        if len(server.conduct.ended_under_bad) > server.conduct.restart_count:
+            server.conduct.restart_count = len(server.conduct.ended_under_bad)
+            await sleep(rng.uniform(0.0, 0.2))
+            await _start_again(fleet, server)
 
 
 async def restore_store(fleet: SoakFleet, rng: Random) -> None:
--- a/features/fault_soak/server_conduct.py
+++ b/features/fault_soak/server_conduct.py
@@ -49,6 +49,7 @@
     told: list[Told] = field(default_factory=list)
     periods: list[Period] = field(default_factory=list)
     ended_under_bad: list[float] = field(default_factory=list)
+    restart_count: int = 0
     bad_arrivals: list[tuple[float, str]] = field(default_factory=list)
     _current_request_id: str = ""
 
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from behave import then, when
-from entry_harness import send_request, wait_until
+from entry_harness import make_answer, send_request, wait_until
 from entry_steps import port_of, start_host
 from msgspec import ValidationError, to_builtins
 
@@ -74,6 +74,28 @@
     context.loop_thread.run(run())
 
 
+@when(
+    "callers send {path}, which ends servers without a trace, {rate:d} times a second "
+    "to all hosts for {seconds:g} s"
+)
+def when_bad_request_unnoticed(context, path, rate, seconds):
+    """Send it to servers whose next processes do not register."""
+
+    def respond(request):
+        return None if path in request.line else make_answer("r-1")
+
+    for server in context.servers:
+        server.respond = respond
+
+    async def run():
+        for number in range(int(rate * seconds)):
+            host = context.hosts[number % len(context.hosts)]
+            await send_request(port_of(host._settings, "callers"), path)
+            await sleep(1 / rate)
+
+    context.loop_thread.run(run())
+
+
 @then(
     "at most {count:d} servers receive it later than {seconds:g} s "
     "after it ended the third"
@@ -106,6 +128,7 @@
     for answer in ask_every_host(context, path):
         assert answer.status == status, answer
         assert "retry-after" in answer.headers, answer
+        assert answer.body == b"ends-servers", answer
 
 
 @then("{path} is served by every host")
