Compressed large responses between hosts.

Cause: each change of the configuration is passed on whole. Change: a requester says that it reads compressed responses; those of 4 KB and more are compressed at the fastest level, once for all requesters of a revision, and read with the same limit of length as before. Older hosts get what they got.

--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -15,10 +15,13 @@
     start_server,
     timeout,
 )
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Any
+from zlib import compress, decompressobj
+from zlib import error as CompressionError
 
 import msgspec
 
@@ -38,6 +41,15 @@
 STORE_GRACE_S = 0.6
 """A host that follows the store waits this long for a revision that a peer has."""
 
+MIN_COMPRESSED_BYTES = 4096
+"""Shorter responses are sent as they are."""
+COMPRESSION_LEVEL = 1
+"""The fastest level: routes and customers look alike and compress well at any."""
+MAX_KEPT_FRAMES = 6
+"""Encoded responses that are kept, as many hosts request the same one."""
+
+FrameKey = tuple[Topic, int, int]
+
 TRANSFER_ERRORS = (
     OSError,
     TimeoutError,
@@ -52,10 +64,12 @@
 
     :param topic: value of a :class:`~damasktally.fleet.topics.Topic`.
     :param known: revision that the sender has, or 0 for the whole topic.
+    :param accepts_compressed: whether the sender can read a compressed response.
     """
 
     topic: str
     known: int
+    accepts_compressed: bool = False
 
 
 class StateResponse(msgspec.Struct):
@@ -65,11 +79,14 @@
     :param specs: all objects by name, or ``None`` if ``edits`` is given.
     :param edits: name and object of each change, in order; the object is ``None`` if
         it was removed.
+    :param compressed: the whole response, encoded and compressed, in place of the
+        other fields; empty if it is not compressed.
     """
 
     revision: int
     specs: dict[str, Any] | None = None
     edits: list[tuple[str, Any]] | None = None
+    compressed: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +127,7 @@
         self._loop = get_running_loop()
         self._behind_since: dict[Topic, float] = {}
         self._requested: set[Topic] = set()
+        self._frames = ResponseFrames()
         self._tasks: set = set()
         self._server = None
 
@@ -184,7 +202,8 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _request(self, topic: Topic, source: _Source) -> None:
-        request = StateRequest(topic.value, self._view.revisions[topic])
+        known = self._view.revisions[topic]
+        request = StateRequest(topic.value, known, accepts_compressed=True)
         try:
             async with timeout(TRANSFER_TIMEOUT_S):
                 response = await _send_request(source.address, request)
@@ -208,14 +227,22 @@
             async with timeout(TRANSFER_TIMEOUT_S):
                 frame = await _read_frame(reader)
                 request = msgspec.msgpack.decode(frame, type=StateRequest)
-                response = self._build_response(Topic(request.topic), request.known)
-                _write_frame(writer, msgspec.msgpack.encode(response))
+                _write_frame(writer, self._encode_response(request))
                 await writer.drain()
         except TRANSFER_ERRORS as exc:
             emit(RELAY_FAILED, peer="unknown", reason=repr(exc))
         finally:
             writer.close()
 
+    def _encode_response(self, request: StateRequest) -> bytes:
+        topic = Topic(request.topic)
+        if not request.accepts_compressed:
+            return msgspec.msgpack.encode(self._build_response(topic, request.known))
+        return self._frames.get(
+            (topic, request.known, self._view.revisions[topic]),
+            lambda: self._build_response(topic, request.known),
+        )
+
     def _build_response(self, topic: Topic, known_revision: int) -> StateResponse:
         revision, specs = self._view.snapshot(topic)
         edits = (
@@ -226,13 +253,62 @@
         return StateResponse(revision, specs=dict(specs))
 
 
+class ResponseFrames:
+    """Encode responses, compressed if they are large, once for several requests."""
+
+    def __init__(self) -> None:
+        self._frames: OrderedDict[FrameKey, bytes] = OrderedDict()
+
+    def get(self, key: FrameKey, build: Callable[[], StateResponse]) -> bytes:
+        """Return the encoded response for a key, and keep it.
+
+        :param key: topic, revision that the requester has, and revision that it gets.
+        """
+        frame = self._frames.get(key)
+        if frame is None:
+            frame = self._frames[key] = encode_response(build())
+            if len(self._frames) > MAX_KEPT_FRAMES:
+                self._frames.popitem(last=False)
+        return frame
+
+
+def encode_response(response: StateResponse) -> bytes:
+    """Encode a response, compressed if it is large."""
+    data = msgspec.msgpack.encode(response)
+    if len(data) < MIN_COMPRESSED_BYTES:
+        return data
+    compressed = compress(data, COMPRESSION_LEVEL)
+    return msgspec.msgpack.encode(
+        StateResponse(response.revision, compressed=compressed)
+    )
+
+
+def decode_response(frame: bytes) -> StateResponse:
+    """Decode a response, which may be compressed.
+
+    :raises msgspec.MsgspecError: if it is malformed.
+    :raises ValueError: if it cannot be decompressed, or is too long.
+    """
+    response = msgspec.msgpack.decode(frame, type=StateResponse)
+    if not response.compressed:
+        return response
+    decoder = decompressobj()
+    try:
+        data = decoder.decompress(response.compressed, MAX_FRAME_BYTES)
+    except CompressionError as exc:
+        raise ValueError(f"the response cannot be decompressed: {exc}") from exc
+    if not decoder.eof:
+        raise ValueError("the decompressed response is too long or incomplete")
+    return msgspec.msgpack.decode(data, type=StateResponse)
+
+
 async def _send_request(
     address: tuple[str, int], request: StateRequest
 ) -> StateResponse:
     reader, writer = await open_connection(*address)
     try:
         _write_frame(writer, msgspec.msgpack.encode(request))
-        return msgspec.msgpack.decode(await _read_frame(reader), type=StateResponse)
+        return decode_response(await _read_frame(reader))
     finally:
         writer.close()
 
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -106,3 +106,10 @@
   Scenario: Changes are transferred without the whole topic
     Then edits since a revision result in the same view as the whole topic
     And edits from before the first kept delta are not returned
+
+  # Guards against transfers that outlast their timeout on slow links, change after change.
+  Scenario: A large configuration is small on the links between hosts
+    Then a configuration of 2100 routes takes at most 20 percent of its size, and is read again
+    And a host that knows no compression gets it as before
+    And a response that is cut, corrupt or far too long when decompressed is refused
+    And a response is encoded once for all hosts of a revision
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -1,10 +1,21 @@
 """Steps for the relays that follow the store, and for those that rely on them."""
 
 from math import inf
+from random import Random
+from zlib import compress
 
+import msgspec
 from behave import given, then, when
+from entry_harness import make_configuration, make_route
 
 from damasktally.decisions.relays import choose_store_followers
+from damasktally.entry.state_transfer import (
+    ResponseFrames,
+    StateRequest,
+    StateResponse,
+    decode_response,
+    encode_response,
+)
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import Member
@@ -14,6 +25,7 @@
     RelaySummary,
     SummaryTable,
 )
+from damasktally.fleet.topics import Topic
 
 REGIONS = ("a", "b", "c")
 DATA_CENTRES_PER_REGION = 3
@@ -149,3 +161,66 @@
         later - earlier > 0.19
         for earlier, later in zip(context.ages, context.ages[1:], strict=False)
     ), context.ages
+
+
+def large_response(routes=2100):
+    """Return a response with a configuration of many routes."""
+    rng = Random(1)
+    names = [f"r-{rng.randrange(36**7):x}" for _ in range(routes)]
+    cfg = make_configuration(3, [make_route(name, f"/{name}/") for name in names])
+    return StateResponse(7, specs={"main": cfg})
+
+
+@then(
+    "a configuration of {routes:d} routes takes at most {percent:d} percent "
+    "of its size, and is read again"
+)
+def then_compressed(context, routes, percent):
+    """Encode and decode a response."""
+    response = large_response(routes)
+    frame = encode_response(response)
+    plain = msgspec.msgpack.encode(response)
+    assert len(frame) * 100 <= percent * len(plain), (len(frame), len(plain))
+    assert decode_response(frame) == response
+    small = StateResponse(7, specs={"main": 1})
+    assert encode_response(small) == msgspec.msgpack.encode(small)
+
+
+@then("a host that knows no compression gets it as before")
+def then_plain_for_older(context):
+    """Decode the request of an older host, and a response without compression."""
+    old = msgspec.msgpack.encode({"topic": "servers", "known": 4})
+    request = msgspec.msgpack.decode(old, type=StateRequest)
+    assert not request.accepts_compressed
+    response = large_response()
+    assert decode_response(msgspec.msgpack.encode(response)) == response
+
+
+@then("a response that is cut, corrupt or far too long when decompressed is refused")
+def then_bad_refused(context):
+    """Decode responses whose compressed part is damaged or expands without end."""
+    good = msgspec.msgpack.decode(encode_response(large_response()), type=StateResponse)
+    bomb = compress(bytes(20 * 1024 * 1024))
+    for compressed in (good.compressed[:-20], b"junk" + good.compressed, bomb):
+        frame = msgspec.msgpack.encode(StateResponse(7, compressed=compressed))
+        try:
+            decode_response(frame)
+        except ValueError:
+            continue
+        raise AssertionError(compressed[:20])
+
+
+@then("a response is encoded once for all hosts of a revision")
+def then_encoded_once(context):
+    """Count how often a response is built."""
+    frames = ResponseFrames()
+    built = []
+
+    def build():
+        built.append(1)
+        return large_response(10)
+
+    for _ in range(14):
+        frames.get((Topic.CONFIGURATION, 3, 7), build)
+    frames.get((Topic.CONFIGURATION, 3, 8), build)
+    assert len(built) == 2, built
