Blamed no request for responses that were lost because the caller left.

Cause: once any request had lost a response, the loss at a caller's own disconnection was recorded, too; three callers of one object who gave up could have blocked it for 600 s. Change: such a loss shows nothing, whatever else is known. Result: the new scenario failed before (the request stood among the suspects with two losses) and passes.

--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -251,7 +251,9 @@
 
         A response that was lost because the caller left shows nothing.
         """
-        is_lost = attempt.outcome is AttemptOutcome.LOST and not req.is_disconnected
+        is_lost = attempt.outcome is AttemptOutcome.LOST
+        if is_lost and req.is_disconnected:
+            return
         if is_lost or not self._crash_reports.is_empty:
             self._crash_reports.record_attempt(
                 _fingerprint(req, trace), server, attempt
--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -56,3 +56,13 @@
     And a request that was blocked is admitted 600 s after its first loss
     And hosts agree whatever order and repetition their reports have
     And a host remembers no more than 1000 requests, and forgets the oldest first
+
+  # Guards against blocking what callers gave up, once any request had lost a response.
+  Scenario: A request whose callers left is not blamed
+    Given a stand-in store with a configuration and 4 servers
+    And an entry host that is ready
+    And another request has lost a response
+    And every server takes 0.4 s
+    When 6 callers of /read/slow disconnect after 0.1 s
+    And another 0.5 s pass
+    Then no request is suspected but that one
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, gather, sleep
 from random import Random
 
-from behave import then, when
+from behave import given, then, when
 from entry_harness import make_answer, send_request, wait_until
 from entry_steps import port_of, start_host
 from msgspec import ValidationError, to_builtins
@@ -280,3 +280,17 @@
         except ValidationError:
             continue
         raise AssertionError(malformed)
+
+
+@given("another request has lost a response")
+def given_other_loss(context):
+    """Record the loss of a response to a request that nobody sends."""
+    context.host._crash_suspects.record_loss("other", "p", context.host._loop.time())
+
+
+@then("no request is suspected but that one")
+def then_none_suspected(context):
+    """Check what the host remembers."""
+    assert len(context.host._crash_suspects) == 1, (
+        context.host._crash_suspects._suspects
+    )
