Kept pauses and limits of servers whose registration is missing for a while.

Cause: a pause or a limit was forgotten as soon as the server's entry was missing, which happens to live servers around an outage or a return of the store. Change: a pause is kept until its end, a limit for 30 s after its last report.

--- a/damasktally/decisions/server_limits.py
+++ b/damasktally/decisions/server_limits.py
@@ -26,8 +26,9 @@
 
 The value is for the first hosts; the others wait up to twice as long.
 """
-ENDED_LIMIT_LIFETIME_S = 30.0
-"""How long it is remembered that a server names no limit any more."""
+UNNEEDED_LIMIT_LIFETIME_S = 30.0
+"""How long a server is remembered that names no limit any more, or is not
+registered."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,11 +174,14 @@
         return sum(limit.rate is not None for limit in self._limits.values())
 
     def keep_only(self, servers: set[str], now: float) -> None:
-        """Remove all servers except the given ones, and limits that ended long ago."""
+        """Remove what is old of servers that name no limit, or are not given.
+
+        A server that is not registered for a while may come back as the same process.
+        """
         for name, limit in list(self._limits.items()):
-            has_ended = limit.rate is None
-            is_old = now - limit.reported_at > ENDED_LIMIT_LIFETIME_S
-            if name not in servers or (has_ended and is_old):
+            is_needed = limit.rate is not None and name in servers
+            is_old = now - limit.reported_at > UNNEEDED_LIMIT_LIFETIME_S
+            if is_old and not is_needed:
                 del self._limits[name]
                 self._sent_at.pop(name, None)
                 self._choices.pop(name, None)
--- a/damasktally/decisions/server_pauses.py
+++ b/damasktally/decisions/server_pauses.py
@@ -73,7 +73,11 @@
             return None
         return min(remaining)
 
-    def keep_only(self, servers: set[str]) -> None:
-        """Remove all servers except the given ones."""
-        for server in [name for name in self._pauses if name not in servers]:
-            del self._pauses[server]
+    def keep_only(self, servers: set[str], now: float) -> None:
+        """Remove the servers whose pause is over, except the given ones.
+
+        A server that is not registered for a while may come back as the same process.
+        """
+        for name, pause in list(self._pauses.items()):
+            if name not in servers and pause.until <= now:
+                del self._pauses[name]
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -105,6 +105,7 @@
 
     def keep_only(self, servers: set[str]) -> None:
         """Remove what is known of all but the given servers."""
-        self._limits.keep_only(servers, self._loop.time())
-        self._pauses.keep_only(servers)
+        now = self._loop.time()
+        self._limits.keep_only(servers, now)
+        self._pauses.keep_only(servers, now)
         self._unreadable = {item for item in self._unreadable if item[0] in servers}
--- a/features/entry/server_pauses.feature
+++ b/features/entry/server_pauses.feature
@@ -74,3 +74,8 @@
       | 10    | 100    |
       | 50    | 100    |
       | 100   | 95     |
+
+  # Guards against a pause or a limit that ends because the store lost the registration.
+  Scenario: Pauses and limits outlast a registration that is missing for a while
+    Then a pause of 5 s holds when the server's entry is missing after 1 s and back after 3 s
+    And a limit holds when the server's entry is missing after 1 s and back after 3 s
--- a/features/steps/server_pause_steps.py
+++ b/features/steps/server_pause_steps.py
@@ -5,8 +5,10 @@
 from behave import given, then, when
 from leaving_server_steps import answer_with
 
+from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
 from damasktally.fleet.model import Server
+from damasktally.fleet.server_limits import ReportScope, ServerLimitReport
 from damasktally.http1.messages import Response
 from damasktally.platform.headers import decode_server_report
 
@@ -126,3 +128,31 @@
     for now, wait_s in context.refusals:
         ends = [began + context.pause_s for began in context.pauses.values()]
         assert any(abs(now + wait_s - end) < 0.001 for end in ends), (now, wait_s)
+
+
+@then(
+    "a pause of {seconds:g} s holds when the server's entry is missing "
+    "after {missing:g} s and back after {back:g} s"
+)
+def then_pause_outlasts(context, seconds, missing, back):
+    """Forget what is not registered, then look again."""
+    pauses = ServerPauses()
+    pauses.record("s", 1, seconds, 0.0)
+    pauses.keep_only(set(), missing)
+    assert pauses.is_paused(make_server("s"), back)
+    pauses.keep_only(set(), seconds + 1)
+    assert not pauses._pauses
+
+
+@then(
+    "a limit holds when the server's entry is missing "
+    "after {missing:g} s and back after {back:g} s"
+)
+def then_limit_outlasts(context, missing, back):
+    """Forget what is not registered, then look again."""
+    limits = ServerLimits("h-1")
+    limits.record(ServerLimitReport("s", 1, 0.5, 0.0), ReportScope.OWN, 0.0)
+    limits.keep_only(set(), missing)
+    assert limits.is_limited(make_server("s")), back
+    limits.keep_only(set(), 100.0)
+    assert limits.limited_count() == 0
