Waited between lists when a peer knows a later era than the store names.

Cause: a host whose view is of a later era than its own responses of the store (a header missing, or a peer that is ahead) listed and watched in turns without any pause: 13,888 calls in 2 s. Change: when the history is gone again right after a list, the next list waits, up to the longest retry delay.

--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -227,25 +227,36 @@
                 self.reconnect()
 
     async def _follow(self, topic: Topic) -> None:
-        """List a topic, then watch it; list it again when its history is compacted."""
+        """List a topic, then watch it; list it again when its history is gone.
+
+        If the history is gone again right after a list, the store names an earlier era
+        than another host knows, and the next list waits.
+        """
         retry_delay_s = MIN_RETRY_DELAY_S
         is_listed = self._view.revisions[topic] > 0
+        has_watched = True
         while True:
             try:
                 if is_listed:
                     await self._watch(topic)
+                    has_watched = True
                 else:
                     await self._list(topic)
                     is_listed = True
             except HistoryGone:
                 is_listed = False
+                if not has_watched:
+                    await sleep(retry_delay_s * self._rng.uniform(0.5, 1.5))
+                    retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * retry_delay_s)
+                has_watched = False
                 continue
             except StoreUnavailable as exc:
                 self._log_store_lost(topic, exc)
                 await sleep(retry_delay_s * self._rng.uniform(0.5, 1.5))
                 retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * retry_delay_s)
                 continue
-            retry_delay_s = MIN_RETRY_DELAY_S
+            if has_watched:
+                retry_delay_s = MIN_RETRY_DELAY_S
             self._store_reached_at = self._loop.time()
             self._log_store_regained(topic)
             self._on_confirmed(topic)
--- a/features/entry/store_restores.feature
+++ b/features/entry/store_restores.feature
@@ -67,3 +67,8 @@
       | missing | 200    |
       | soon    | 200    |
       | 1       | 404    |
+
+  # Guards against lists without pause when a peer knows a later era than the store names.
+  Scenario: A host that hears of a later era from a peer does not flood the store
+    When a peer sends a configuration of the next era
+    Then the host makes at most 40 calls to the store in 2 s
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -264,3 +264,28 @@
     assert not view.apply(
         Topic.CONFIGURATION, compose_revision(3, 1), [("main", cfg)], "h-2", 0.0
     )
+
+
+@when("a peer sends a configuration of the next era")
+def when_peer_is_ahead(context):
+    """Put the state of a later era into the view, as a transfer would."""
+    host = context.host
+    revision = compose_revision(FIRST_ERA + 1, 3)
+    specs = {"main": make_configuration(7, DEFAULT_ROUTES)}
+
+    async def put():
+        for topic in Topic:
+            objects = dict(host._view.snapshot(topic)[1])
+            objects.update(specs if topic is Topic.CONFIGURATION else {})
+            host._view.replace(topic, revision, objects, "h-2", host._loop.time())
+        host._store_sync.reconnect()
+        context.store.calls.clear()
+
+    context.loop_thread.run(put())
+
+
+@then("the host makes at most {count:d} calls to the store in {seconds:g} s")
+def then_few_store_calls(context, count, seconds):
+    """Count the calls."""
+    context.loop_thread.run(sleep(seconds))
+    assert len(context.store.calls) <= count, len(context.store.calls)
