Blamed no request for losses at servers that are alive.

Change: an answer of the process to any request between 0.25 and 1.2 s after the loss exonerates the request, at whichever host it arrives; a loss counts once it is 0.6 s old. Blocks are found by the host's tick, logged and kept then. The stand-in servers of the scenarios and the soak really end now: they refuse connections and reset open ones for 1.4 s or more, where they only closed one connection before. Conclusion: a bystander is told from the cause by what its server does next.

--- a/damasktally/decisions/crash_suspects.py
+++ b/damasktally/decisions/crash_suspects.py
@@ -1,18 +1,26 @@
 """Find requests that end the servers that run them, and block them.
 
 A request that loses its response at several server processes, and is answered by none,
-is taken to end them. It is recognised by its fingerprint, at whichever host it
-arrives. Hosts merge each other's entries: of an entry the earlier time and an
-exoneration are kept, so that the order and the number of messages do not matter.
+is taken to end them, unless a process answers another request shortly after: it is
+alive. A request is recognised by its fingerprint, at whichever host it arrives. Hosts
+merge each other's entries: of an entry the earlier time and an exoneration are kept, so
+that the order and the number of messages do not matter.
 """
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from math import inf
 
 from damasktally.fleet.crash_reports import CrashEntry, CrashReport
 
 CRASHES_TO_BLOCK = 3
 """Server processes that a request may end before it is blocked."""
+CONFIRMATION_S = 0.6
+"""A loss counts once it is this old, so that its process may have shown to be alive."""
+MIN_ALIVE_DELAY_S = 0.25
+"""An answer that arrives sooner after a loss may have been sent before it."""
+MAX_ALIVE_DELAY_S = 1.2
+"""An answer that arrives later after a loss may be from the next process."""
 CRASH_LIFETIME_S = 600.0
 """How long a loss counts, and so the longest time for which a request is blocked."""
 MAX_REPORT_AGE_S = 10.0
@@ -22,6 +30,10 @@
 """Requests that are remembered; beyond, the one with the oldest loss is forgotten."""
 
 
+_CrashKey = tuple[str, int]
+"""Process and window of a loss."""
+
+
 @dataclass(slots=True)
 class _Crash:
     """Loss of a response.
@@ -40,18 +52,23 @@
     :param crashes: its losses by server process.
     :param changed_at: when this host last learned of a loss or an exoneration.
     :param has_own_loss: whether this host lost one of the responses.
+    :param newest_loss_at: when a response was lost last.
     """
 
-    crashes: dict[str, _Crash]
+    crashes: dict[_CrashKey, _Crash]
     changed_at: float
     has_own_loss: bool = False
 
+    newest_loss_at: float = -inf
+
     def merge(self, entry: CrashEntry, now: float) -> None:
         """Merge one entry of this or another host."""
         lost_at = now - entry.age_s
-        known = self.crashes.get(entry.process)
+        self.newest_loss_at = max(self.newest_loss_at, lost_at)
+        key = (entry.process, entry.window)
+        known = self.crashes.get(key)
         if known is None:
-            self.crashes[entry.process] = _Crash(lost_at, entry.is_exonerated)
+            self.crashes[key] = _Crash(lost_at, entry.is_exonerated)
             self.changed_at = now
             return
         known.lost_at = min(known.lost_at, lost_at)
@@ -68,20 +85,24 @@
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
+        self._answered_at: dict[str, float] = {}
+        self._known_blocked: set[str] = set()
+        self._newest_loss_at = -inf
 
     def __len__(self) -> int:
         return len(self._suspects)
 
-    def record_loss(self, fingerprint: str, process: str, now: float) -> bool:
+    def record_loss(
+        self, fingerprint: str, process: str, window: int, now: float
+    ) -> None:
         """Record that a server process lost its response to a request.
 
         :param process: identifies the process of the server.
-        :returns: whether the request is blocked from now on.
+        :param window: number of the time in which it was lost.
         """
-        entry = CrashEntry(process, 0.0, False)
-        is_blocked = self.merge(CrashReport(fingerprint, (entry,)), now)
+        entry = CrashEntry(process, window, 0.0, False)
+        self.merge(CrashReport(fingerprint, (entry,)), now)
         self._suspects[fingerprint].has_own_loss = True
-        return is_blocked
 
     def has_own_loss(self, fingerprint: str) -> bool:
         """Return whether this host lost a response to a request."""
@@ -93,21 +114,42 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
-        for process in suspect.crashes:
-            suspect.merge(CrashEntry(process, 0.0, True), now)
-
-    def merge(self, report: CrashReport, now: float) -> bool:
-        """Merge the losses that this host or another one learned of.
+        for process, window in suspect.crashes:
+            suspect.merge(CrashEntry(process, window, 0.0, True), now)
 
-        :returns: whether the request is blocked from now on.
-        """
-        was_blocked = self.blocked_s(report.fingerprint, now) > 0
+    def record_alive(self, process: str, now: float) -> None:
+        """Record that a server process answered some request."""
+        self._answered_at[process] = now
+        if now - self._newest_loss_at > MAX_ALIVE_DELAY_S:
+            return
+        for suspect in self._suspects.values():
+            if now - suspect.newest_loss_at <= MAX_ALIVE_DELAY_S:
+                self._exonerate_alive(suspect, now)
+
+    def _exonerate_alive(self, suspect: _Suspect, now: float) -> None:
+        """Exonerate the losses whose process answered a request shortly after."""
+        for (process, window), crash in suspect.crashes.items():
+            delay_s = self._answered_at.get(process, crash.lost_at) - crash.lost_at
+            is_alive = MIN_ALIVE_DELAY_S <= delay_s <= MAX_ALIVE_DELAY_S
+            if is_alive and not crash.is_exonerated:
+                suspect.merge(CrashEntry(process, window, 0.0, True), now)
+
+    def merge(self, report: CrashReport, now: float) -> None:
+        """Merge the losses that this host or another one learned of."""
         suspect = self._suspects.setdefault(report.fingerprint, _Suspect({}, now))
         for entry in report.entries:
             suspect.merge(entry, now)
+        self._newest_loss_at = max(self._newest_loss_at, suspect.newest_loss_at)
+        self._exonerate_alive(suspect, now)
         if len(self._suspects) > MAX_SUSPECTS:
             del self._suspects[min(self._suspects, key=self._changed_at)]
-        return not was_blocked and self.blocked_s(report.fingerprint, now) > 0
+
+    def take_newly_blocked(self, now: float) -> list[str]:
+        """Return the requests that are blocked and were not at the previous call."""
+        blocked = {name for name in self._suspects if self.blocked_s(name, now) > 0}
+        found = blocked - self._known_blocked
+        self._known_blocked = blocked
+        return sorted(found)
 
     def _changed_at(self, fingerprint: str) -> float:
         return self._suspects[fingerprint].changed_at
@@ -120,7 +162,7 @@
         ends = sorted(
             crash.lost_at + CRASH_LIFETIME_S - now
             for crash in suspect.crashes.values()
-            if not crash.is_exonerated
+            if not crash.is_exonerated and now - crash.lost_at >= CONFIRMATION_S
         )
         if len(ends) < CRASHES_TO_BLOCK:
             return 0.0
@@ -151,16 +193,21 @@
         return CrashReport(
             fingerprint,
             tuple(
-                CrashEntry(process, round(now - crash.lost_at, 2), crash.is_exonerated)
-                for process, crash in crashes[:CRASHES_TO_BLOCK]
+                CrashEntry(
+                    process, window, round(now - crash.lost_at, 2), crash.is_exonerated
+                )
+                for (process, window), crash in crashes[:CRASHES_TO_BLOCK]
             ),
         )
 
     def remove_expired(self, now: float) -> None:
-        """Remove the losses that do not count any more."""
+        """Remove the losses and the answers that do not count any more."""
+        for process, answered_at in list(self._answered_at.items()):
+            if now - answered_at > MAX_ALIVE_DELAY_S:
+                del self._answered_at[process]
         for fingerprint, suspect in list(self._suspects.items()):
-            for process, crash in list(suspect.crashes.items()):
+            for key, crash in list(suspect.crashes.items()):
                 if now - crash.lost_at > CRASH_LIFETIME_S:
-                    del suspect.crashes[process]
+                    del suspect.crashes[key]
             if not suspect.crashes:
                 del self._suspects[fingerprint]
--- a/damasktally/entry/blocked_requests.py
+++ b/damasktally/entry/blocked_requests.py
@@ -24,14 +24,13 @@
 )
 
 RETRY_DELAY_S = 0.5
-STORED_SOURCE = "store"
-"""Source, in the log, of what the store says of blocked requests."""
 
 
 class StoredBlock(msgspec.Struct, frozen=True):
     """Object of a blocked request; its name is the request's fingerprint.
 
-    :param lost_ms: Unix time in milliseconds of the loss at each server process.
+    :param lost_ms: Unix time in milliseconds of the loss at each server process, whose
+        window follows its name after a slash.
     """
 
     lost_ms: dict[str, int]
@@ -101,7 +100,7 @@
                 emit(BLOCKED_REQUEST_INVALID, name=fingerprint, reason=str(exc))
                 continue
             if report.entries:
-                self._reports.merge([report], STORED_SOURCE)
+                self._reports.merge([report])
 
     async def _write(self, fingerprint: str, stored: StoredBlock) -> None:
         spec = msgspec.to_builtins(stored)
@@ -124,7 +123,7 @@
     """
     return StoredBlock(
         {
-            entry.process: int((unix_s - entry.age_s) * 1000)
+            f"{entry.process}/{entry.window}": int((unix_s - entry.age_s) * 1000)
             for entry in report.entries
             if not entry.is_exonerated
         }
@@ -140,10 +139,13 @@
     :raises msgspec.ValidationError: if the object is malformed.
     """
     stored = msgspec.convert(spec, StoredBlock)
-    entries = [
-        CrashEntry(process, max(0.0, unix_s - lost_ms / 1000), False)
-        for process, lost_ms in stored.lost_ms.items()
-    ]
+    entries = []
+    for name, lost_ms in stored.lost_ms.items():
+        process, _, window = name.rpartition("/")
+        if not window.isdigit():
+            raise msgspec.ValidationError(f"{name!r} has no window")
+        age_s = max(0.0, unix_s - lost_ms / 1000)
+        entries.append(CrashEntry(process, int(window), age_s, False))
     return CrashReport(
         fingerprint,
         tuple(entry for entry in entries if entry.age_s < CRASH_LIFETIME_S),
--- a/damasktally/entry/crash_reports.py
+++ b/damasktally/entry/crash_reports.py
@@ -12,9 +12,8 @@
 from damasktally.fleet.model import Server
 
 END_WINDOW_S = 5
-"""Losses at one process within this many seconds count as one end of it."""
-OWN_SOURCE = "self"
-"""Source, in the log, of what this host's own requests showed."""
+"""Losses at one process within this many seconds count as one end of it: its next
+process is known as such only once it registered."""
 
 
 class CrashReports:
@@ -46,37 +45,36 @@
         """Record a lost response, or an answer by a server that ran the request."""
         now = self._loop.time()
         if attempt.outcome is AttemptOutcome.LOST:
-            if self._suspects.record_loss(fingerprint, _end_of(server, time()), now):
-                self._handle_blocked(fingerprint, OWN_SOURCE)
+            window = int(time() // END_WINDOW_S)
+            self._suspects.record_loss(fingerprint, _process_of(server), window, now)
         elif attempt.outcome is AttemptOutcome.ANSWERED:
             if attempt.response.status < 500:
                 self._suspects.record_answer(fingerprint, now)
 
-    def merge(self, reports: Iterable[CrashReport], source: str) -> None:
-        """Merge what another host reported.
+    def record_alive(self, server: Server) -> None:
+        """Record that a server answered some request."""
+        self._suspects.record_alive(_process_of(server), self._loop.time())
 
-        :param source: name of the host that sent the reports, for the log.
-        """
+    def merge(self, reports: Iterable[CrashReport]) -> None:
+        """Merge what another host or the store reported."""
         now = self._loop.time()
         for report in reports:
-            if self._suspects.merge(report, now):
-                self._handle_blocked(report.fingerprint, source)
+            self._suspects.merge(report, now)
 
-    def _handle_blocked(self, fingerprint: str, source: str) -> None:
-        """Log that a request is blocked from now on, and keep it if that is due."""
-        emit(
-            REQUEST_BLOCKED,
-            fingerprint=fingerprint,
-            seconds=round(self.blocked_s(fingerprint), 1),
-            source=source,
-        )
-        if self.on_blocked is not None and self._suspects.has_own_loss(fingerprint):
-            self.on_blocked(self._suspects.report(fingerprint, self._loop.time()))
-
-
-def _end_of(server: Server, unix_s: float) -> str:
-    """Identify the end of a server's process, for all hosts that see it.
-
-    The next process is known only once it registered, so the time is part of it.
-    """
-    return f"{server.id}/{server.started_ms}/{int(unix_s // END_WINDOW_S)}"
+    def handle_newly_blocked(self) -> None:
+        """Log which requests are blocked from now on, and keep those if it is due."""
+        now = self._loop.time()
+        for fingerprint in self._suspects.take_newly_blocked(now):
+            is_own = self._suspects.has_own_loss(fingerprint)
+            emit(
+                REQUEST_BLOCKED,
+                fingerprint=fingerprint,
+                seconds=round(self.blocked_s(fingerprint), 1),
+                own_loss=is_own,
+            )
+            if is_own and self.on_blocked is not None:
+                self.on_blocked(self._suspects.report(fingerprint, now))
+
+
+def _process_of(server: Server) -> str:
+    return f"{server.id}/{server.started_ms}"
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -152,7 +152,7 @@
             self._candidates.pauses,
         )
         self._crash_suspects = CrashSuspects()
-        crash_reports = CrashReports(self._crash_suspects)
+        crash_reports = self._crash_reports = CrashReports(self._crash_suspects)
         self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
         crash_reports.on_blocked = self._blocked_requests.save
         message_builder = FleetMessageBuilder(
@@ -334,6 +334,7 @@
         self._view.remove_expired_servers(now)
         self._view.settle(now)
         self._era_follower.follow()
+        self._crash_reports.handle_newly_blocked()
         self._update_shares(now)
 
     def _run_maintenance(self, now: float) -> None:
--- a/damasktally/entry/peer_reports.py
+++ b/damasktally/entry/peer_reports.py
@@ -26,7 +26,7 @@
             heartbeat.server_limits, ReportScope.DATA_CENTRE, heartbeat.host
         )
         self._server_reports.record_leaving(heartbeat.leaving_servers, heartbeat.host)
-        self._crash_reports.merge(heartbeat.crash_reports, heartbeat.host)
+        self._crash_reports.merge(heartbeat.crash_reports)
 
     def record_summary(self, summary: RelaySummary, is_relay: bool) -> None:
         """Record the reports in a summary.
@@ -39,4 +39,4 @@
                 summary.server_limits, ReportScope.FLEET, summary.relay
             )
         self._server_reports.record_leaving(summary.leaving_servers, summary.relay)
-        self._crash_reports.merge(summary.crash_reports, summary.relay)
+        self._crash_reports.merge(summary.crash_reports)
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -247,10 +247,12 @@
     def _record_possible_crash(
         self, req: Request, trace: RequestTrace, server: Server, attempt: Attempt
     ) -> None:
-        """Record a lost response, or an answer to a request that lost one before.
+        """Record a lost response, or an answer, which shows that the server is alive.
 
         A response that was lost because the caller left shows nothing.
         """
+        if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.NOT_RUN):
+            self._crash_reports.record_alive(server)
         is_lost = attempt.outcome is AttemptOutcome.LOST
         if is_lost and req.is_disconnected:
             return
--- a/damasktally/fleet/crash_reports.py
+++ b/damasktally/fleet/crash_reports.py
@@ -6,13 +6,16 @@
 class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
     """One server process that lost its response to a request.
 
-    :param process: identifies the end of a server's process.
+    :param process: identifies the process of the server.
+    :param window: number of the time in which it was lost, since the next process of a
+        server may not be known as such yet.
     :param age_s: seconds since the response was lost.
-    :param is_exonerated: whether a server answered the same request later, so that the
-        request did not end the process.
+    :param is_exonerated: whether the request did not end the process: a server answered
+        the same request later, or the process answered another one.
     """
 
     process: str
+    window: int
     age_s: float
     is_exonerated: bool
 
--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -40,7 +40,7 @@
   Scenario: Servers that end again before they register again count again
     Given 3 hosts in 2 data centres
     And 2 more servers beside the first
-    When callers send /read/bad, which ends servers without a trace, 4 times a second to all hosts for 9 s
+    When callers send /read/bad, which ends servers without a trace, 4 times a second to all hosts for 14 s
     Then /read/bad gets 503 with a Retry-After header from every host
 
   # Guards against blocking requests that were lost only because others ended servers.
@@ -53,10 +53,20 @@
       | loss a, loss b, answer, loss c | no     |
       | loss a, answer, loss b, loss c, loss d | yes |
       | loss a, loss b, 600 s, loss c | no      |
+      | loss a, alive a, loss b, loss c | no |
+      | loss a, 1 s, alive a, loss b, loss c | yes |
+      | alive a, loss a, loss b, loss c | yes |
     And a request that was blocked is admitted 600 s after its first loss
     And hosts agree whatever order and repetition their reports have
     And a host remembers no more than 1000 requests, and forgets the oldest first
 
+  # Guards against blocking what live servers lose the answers of, as on trouble-1.
+  Scenario: A request that loses its answers at servers that stay alive is not blocked
+    Given 12 hosts in 2 data centres
+    And 6 more servers beside the first
+    When the servers lose all answers to /read/lost, and serve others, for 5 s
+    Then /read/lost is not blocked at any host
+
   # Guards against blocking what callers gave up, once any request had lost a response.
   Scenario: A request whose callers left is not blamed
     Given a stand-in store with a configuration and 4 servers
--- a/features/fault_soak/report_faults.py
+++ b/features/fault_soak/report_faults.py
@@ -1,6 +1,6 @@
 """Servers that report on themselves, requests that end servers, and store restores."""
 
-from asyncio import sleep
+from asyncio import create_task, sleep
 from contextlib import suppress
 from random import Random
 from time import monotonic
@@ -62,16 +62,24 @@
                 host.ports["callers"], BAD_PATH, key=key, request_id=request_id
             )
         await sleep(rng.uniform(0.0, 0.3))
-        await restart_ended_servers(fleet, rng)
+        restart_ended_servers(fleet, rng)
 
 
-async def restart_ended_servers(fleet: SoakFleet, rng: Random) -> None:
-    """Register the next processes of servers that ended under a request."""
+def restart_ended_servers(fleet: SoakFleet, rng: Random) -> None:
+    """End servers that ran a request which ends them, and start them again later."""
     for server in fleet.servers:
         if len(server.conduct.ended_under_bad) > server.conduct.restart_count:
             server.conduct.restart_count = len(server.conduct.ended_under_bad)
-            await sleep(rng.uniform(0.0, 0.2))
-            await _start_again(fleet, server)
+            create_task(_end_and_start_again(fleet, server, rng))
+
+
+async def _end_and_start_again(
+    fleet: SoakFleet, server: SoakServer, rng: Random
+) -> None:
+    server.end()
+    await sleep(rng.uniform(1.4, 2.5))
+    await server.start(server.port)
+    await _start_again(fleet, server)
 
 
 async def restore_store(fleet: SoakFleet, rng: Random) -> None:
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -278,7 +278,7 @@
         "store_age_s": 4.0,
         "fleet_size": 7,
         "server_limits": (ServerLimitReport("s-1", 1, 2.0, 0.5),),
-        "crash_reports": (CrashReport("f-1", (CrashEntry("s-1/1", 0.5, False),)),),
+        "crash_reports": (CrashReport("f-1", (CrashEntry("s-1/1", 9, 0.5, False),)),),
         "leaving_servers": (("s-2", 5),),
     }
     values = msgspec.msgpack.decode(
