Forgot requests that were exonerated, once that was passed on.

Change: an exonerated request is forgotten 10 s after the last change; a request with fewer losses than block it is not looked at further. Conclusion: the table is as large as what is open.

--- a/damasktally/decisions/crash_suspects.py
+++ b/damasktally/decisions/crash_suspects.py
@@ -58,7 +58,6 @@
     crashes: dict[_CrashKey, _Crash]
     changed_at: float
     has_own_loss: bool = False
-
     newest_loss_at: float = -inf
 
     def merge(self, entry: CrashEntry, now: float) -> None:
@@ -72,8 +71,14 @@
             self.changed_at = now
             return
         known.lost_at = min(known.lost_at, lost_at)
-        if entry.is_exonerated and not known.is_exonerated:
-            known.is_exonerated = True
+        if entry.is_exonerated:
+            self.exonerate(key, now)
+
+    def exonerate(self, key: _CrashKey, now: float) -> None:
+        """Record that the request did not end a process."""
+        crash = self.crashes[key]
+        if not crash.is_exonerated:
+            crash.is_exonerated = True
             self.changed_at = now
 
 
@@ -114,8 +119,8 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
-        for process, window in suspect.crashes:
-            suspect.merge(CrashEntry(process, window, 0.0, True), now)
+        for key in suspect.crashes:
+            suspect.exonerate(key, now)
 
     def record_alive(self, process: str, now: float) -> None:
         """Record that a server process answered some request."""
@@ -128,11 +133,11 @@
 
     def _exonerate_alive(self, suspect: _Suspect, now: float) -> None:
         """Exonerate the losses whose process answered a request shortly after."""
-        for (process, window), crash in suspect.crashes.items():
+        for key, crash in suspect.crashes.items():
+            process, _ = key
             delay_s = self._answered_at.get(process, crash.lost_at) - crash.lost_at
-            is_alive = MIN_ALIVE_DELAY_S <= delay_s <= MAX_ALIVE_DELAY_S
-            if is_alive and not crash.is_exonerated:
-                suspect.merge(CrashEntry(process, window, 0.0, True), now)
+            if MIN_ALIVE_DELAY_S <= delay_s <= MAX_ALIVE_DELAY_S:
+                suspect.exonerate(key, now)
 
     def merge(self, report: CrashReport, now: float) -> None:
         """Merge the losses that this host or another one learned of."""
@@ -157,7 +162,7 @@
     def blocked_s(self, fingerprint: str, now: float) -> float:
         """Return for how many seconds a request stays blocked; 0 if it is not."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is None:
+        if suspect is None or len(suspect.crashes) < CRASHES_TO_BLOCK:
             return 0.0
         ends = sorted(
             crash.lost_at + CRASH_LIFETIME_S - now
@@ -209,5 +214,8 @@
             for key, crash in list(suspect.crashes.items()):
                 if now - crash.lost_at > CRASH_LIFETIME_S:
                     del suspect.crashes[key]
-            if not suspect.crashes:
+            is_passed_on = now - suspect.changed_at > MAX_REPORT_AGE_S
+            if is_passed_on and all(
+                crash.is_exonerated for crash in suspect.crashes.values()
+            ):
                 del self._suspects[fingerprint]
