Passed the end of a server's limit on for half a minute only.

Cause: after a limit had ended, each response of the server renewed the report of its end, so that heartbeats and summaries carried it for as long as the server answered. Change: the end is forgotten 30 s after it was learned first. Conclusion: messages carry only limits that hold or ended lately.

--- a/damasktally/decisions/server_limits.py
+++ b/damasktally/decisions/server_limits.py
@@ -40,12 +40,14 @@
     :param reported_at: when that response arrived, in seconds on the event loop's
         clock.
     :param scope: how this host learned of it.
+    :param changed_at: when this host learned of this rate first.
     """
 
     started_ms: int
     rate: float | None
     reported_at: float
     scope: ReportScope
+    changed_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +102,12 @@
             previous.reported_at,
         ):
             return False
+        is_changed = previous is None or previous.rate != report.rate
+        changed_at = now if is_changed else previous.changed_at
         self._limits[report.server] = ServerLimit(
-            report.started_ms, report.rate, reported_at, scope
+            report.started_ms, report.rate, reported_at, scope, changed_at
         )
-        return previous is None or previous.rate != report.rate
+        return is_changed
 
     def is_limited(self, server: Server) -> bool:
         """Return whether a server names a limit.
@@ -179,9 +183,12 @@
         A server that is not registered for a while may come back as the same process.
         """
         for name, limit in list(self._limits.items()):
-            is_needed = limit.rate is not None and name in servers
-            is_old = now - limit.reported_at > UNNEEDED_LIMIT_LIFETIME_S
-            if is_old and not is_needed:
+            unneeded_since = limit.reported_at
+            if limit.rate is None:
+                unneeded_since = limit.changed_at
+            elif name in servers:
+                continue
+            if now - unneeded_since > UNNEEDED_LIMIT_LIFETIME_S:
                 del self._limits[name]
                 self._sent_at.pop(name, None)
                 self._choices.pop(name, None)
--- a/features/entry/server_limits.feature
+++ b/features/entry/server_limits.feature
@@ -36,6 +36,7 @@
     Then a limit that an earlier process of a server named does not hold for the next
     And of two reports the newer holds, in whatever order they arrive
     And reports are passed on outwards only, and not when they are old
+    And the end of a limit is passed on for about 30 s, however often it is reported
 
   Scenario: A limit that cannot be read changes nothing
     Then Server-Limit is decoded as by these cases
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -237,6 +237,24 @@
     assert not list(limits.reports(ReportScope.FLEET, 16.0))
 
 
+@then(
+    "the end of a limit is passed on for about {seconds:g} s, "
+    "however often it is reported"
+)
+def then_end_forgotten(context, seconds):
+    """Report the end of a limit every second, as responses do."""
+    limits = ServerLimits("h-1")
+    limits.record(ServerLimitReport("s", 1, 0.5, 0.0), ReportScope.OWN, 0.0)
+    passed_on = []
+    for now in range(1, int(seconds) + 30):
+        limits.record(ServerLimitReport("s", 1, None, 0.0), ReportScope.OWN, now)
+        limits.keep_only({"s"}, now)
+        if list(limits.reports(ReportScope.OWN, now)):
+            passed_on.append(now)
+    assert abs(passed_on[-1] - seconds) <= 2, passed_on
+    assert not limits._limits
+
+
 @then("{header} is decoded as by these cases")
 def then_limit_decoded(context, header):
     """Decode each value in a response."""
