Added a failing test of answers that other hosts' servers gave.

Reports carry three losses, so an answer at another host exonerates three of the five that a host may know, and it is forgotten after 10 s. Change: a scenario in the deciding module, without network. Result: fails at its first step on.

--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -60,6 +60,12 @@
     And hosts agree whatever order and repetition their reports have
     And a host remembers no more than 1000 requests, and forgets the oldest first
 
+  # Guards against seed 11 of the fault soak: hosts refused for 600 s what others served.
+  Scenario: A request that any host's server answered is not blocked at the others
+    Then 5 losses that one host knows are exonerated by an answer at another that knows 2
+    And a host that was cut off for 60 s learns of the exoneration on its return
+    And hosts agree that a request is blocked that ended servers after an answer
+
   # Guards against blocking what live servers lose the answers of, as on trouble-1.
   Scenario: A request that loses its answers at servers that stay alive is not blocked
     Given 12 hosts in 2 data centres
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -205,6 +205,69 @@
         assert not any(host.blocked_s("good", 7.0) for host in hosts), seed
 
 
+def exchange_reports(hosts, now):
+    """Pass the reports of each host on to all others, twice."""
+    for _ in range(2):
+        for sender in hosts:
+            reports = list(sender.reports(now))
+            for receiver in hosts:
+                for report in reports:
+                    receiver.merge(report, now)
+
+
+@then(
+    "{many:d} losses that one host knows are exonerated by an answer "
+    "at another that knows {few:d}"
+)
+def then_answer_exonerates_all(context, many, few):
+    """Let two hosts lose responses of a request, one of which then gets an answer."""
+    first, second = CrashSuspects(), CrashSuspects()
+    for number in range(many):
+        first.record_loss("f", f"p-{number}", 0, number * 0.1)
+    for number in range(few):
+        second.record_loss("f", f"p-{number}", 0, number * 0.1)
+    assert first.blocked_s("f", 2.0) > 0
+    second.record_answer("f", 2.0)
+    exchange_reports([first, second], 2.1)
+    assert first.blocked_s("f", 2.2) == 0
+    assert second.blocked_s("f", 2.2) == 0
+
+
+@then("a host that was cut off for {seconds:g} s learns of the exoneration on its return")
+def then_late_host_learns(context, seconds):
+    """Exonerate a request while a host that blocks it is cut off."""
+    cut_off, other, third = CrashSuspects(), CrashSuspects(), CrashSuspects()
+    for number in range(3):
+        cut_off.record_loss("f", f"p-{number}", 0, 0.0)
+    exchange_reports([cut_off, other, third], 1.0)
+    other.record_answer("f", 1.1)
+    exchange_reports([other, third], 1.2)
+    now = 1.2
+    while now < seconds:
+        now += 1.0
+        other.remove_expired(now)
+        third.remove_expired(now)
+    assert cut_off.blocked_s("f", now) > 0
+    exchange_reports([cut_off, other, third], now)
+    for host in (cut_off, other, third):
+        assert host.blocked_s("f", now) == 0
+
+
+@then("hosts agree that a request is blocked that ended servers after an answer")
+def then_later_losses_count(context):
+    """Let a request be answered, and lose its responses at three servers later."""
+    hosts = [CrashSuspects(), CrashSuspects()]
+    hosts[0].record_loss("f", "p-0", 0, 0.0)
+    exchange_reports(hosts, 0.1)
+    hosts[1].record_answer("f", 0.5)
+    exchange_reports(hosts, 0.6)
+    for number in range(3):
+        hosts[number % 2].record_loss("f", f"q-{number}", 0, 5.0 + number * 0.1)
+    exchange_reports(hosts, 5.4)
+    for host in hosts:
+        assert host.blocked_s("f", 7.0) > 0
+
+
 @then("a host remembers no more than {count:d} requests, and forgets the oldest first")
 def then_bounded(context, count):
     """Record losses of more requests than are remembered."""
