Removed the stored object of a blocked request when its block ends.

Cause: the object of a blocked request stayed in the store although a server had answered the request since, and after the block had expired. Each host that started within 600 s blocked the request again and told the others; nobody ever removed the object. Change: the host that wrote the object removes it when the block ends, retries while the store does not respond, and removes it again after a return of the store from a copy that has it. Event 519 request-unblocked. The stand-in of the store answers DELETE. The test of take_newly_blocked asks take_block_changes, for both begins and ends. Not covered: the object stays if all hosts that wrote it are gone.

--- a/damasktally/decisions/crash_suspects.py
+++ b/damasktally/decisions/crash_suspects.py
@@ -98,6 +98,17 @@
             crash.changed_at = self.changed_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class BlockChanges:
+    """Fingerprints of the requests whose block began or ended.
+
+    :param ended: an answer exonerated them, or the block expired.
+    """
+
+    begun: list[str]
+    ended: list[str]
+
+
 class CrashSuspects:
     """Losses of responses by request and server process.
 
@@ -163,12 +174,15 @@
         if len(self._suspects) > MAX_SUSPECTS:
             del self._suspects[min(self._suspects, key=self._changed_at)]
 
-    def take_newly_blocked(self, now: float) -> list[str]:
-        """Return the requests that are blocked and were not at the previous call."""
+    def take_block_changes(self, now: float) -> BlockChanges:
+        """Return the requests whose block began or ended since the previous call."""
         blocked = {name for name in self._suspects if self.blocked_s(name, now) > 0}
-        found = blocked - self._known_blocked
+        changes = BlockChanges(
+            begun=sorted(blocked - self._known_blocked),
+            ended=sorted(self._known_blocked - blocked),
+        )
         self._known_blocked = blocked
-        return sorted(found)
+        return changes
 
     def _changed_at(self, fingerprint: str) -> float:
         return self._suspects[fingerprint].changed_at
--- a/damasktally/entry/blocked_requests.py
+++ b/damasktally/entry/blocked_requests.py
@@ -1,7 +1,7 @@
 """Keep blocked requests in the store, so that they stay blocked when all hosts restart.
 
-The host that finds that a request ends servers writes an object for it. Every host
-lists these objects when it starts.
+The host that finds that a request ends servers writes an object for it, and removes the
+object when the block ends. Every host lists these objects when it starts.
 """
 
 from asyncio import Task, create_task, sleep
@@ -24,6 +24,8 @@
 )
 
 RETRY_DELAY_S = 0.5
+MAX_REMEMBERED_OBJECTS = 1_000
+"""Objects that are written or removed again after a return of the store."""
 
 
 class StoredBlock(msgspec.Struct, frozen=True):
@@ -48,7 +50,7 @@
         self._store = store
         self._reports = reports
         self._rng = rng
-        self._written: dict[str, StoredBlock] = {}
+        self._wanted: dict[str, StoredBlock | None] = {}
         self._tasks: set[Task] = set()
 
     def start(self) -> None:
@@ -65,14 +67,27 @@
 
         :param report: the losses that block it, as of now.
         """
-        stored = encode_block(report, time())
-        self._written[report.fingerprint] = stored
-        self._run(self._write(report.fingerprint, stored))
+        self._want(report.fingerprint, encode_block(report, time()))
+
+    def remove(self, fingerprint: str) -> None:
+        """Remove the object of a request that is not blocked any more.
+
+        Only a host that wrote it does so; it is gone already if another one did.
+        """
+        if fingerprint in self._wanted:
+            self._want(fingerprint, None)
 
     def renew(self) -> None:
-        """Write this host's objects again, after the store came back from a copy."""
-        for fingerprint, stored in self._written.items():
-            self._run(self._write(fingerprint, stored))
+        """Write or remove objects again, after the store came back from a copy."""
+        for fingerprint in self._wanted:
+            self._run(self._settle(fingerprint))
+
+    def _want(self, fingerprint: str, stored: StoredBlock | None) -> None:
+        self._wanted.pop(fingerprint, None)
+        self._wanted[fingerprint] = stored
+        if len(self._wanted) > MAX_REMEMBERED_OBJECTS:
+            del self._wanted[next(iter(self._wanted))]
+        self._run(self._settle(fingerprint))
 
     def _run(self, call: Coroutine[Any, Any, None]) -> None:
         task = create_task(call)
@@ -101,15 +116,24 @@
             if report.entries:
                 self._reports.merge([report])
 
-    async def _write(self, fingerprint: str, stored: StoredBlock) -> None:
-        spec = msgspec.to_builtins(stored)
-        while True:
+    async def _settle(self, fingerprint: str) -> None:
+        """Write or remove an object until the store has what is wanted."""
+        while fingerprint in self._wanted:
+            stored = self._wanted[fingerprint]
             try:
-                await self._store.create(BLOCKED_REQUESTS_KIND, fingerprint, spec)
+                await self._apply(fingerprint, stored)
             except StoreUnavailable:
                 await self._sleep()
                 continue
+            if self._wanted.get(fingerprint) is stored:
+                return
+
+    async def _apply(self, fingerprint: str, stored: StoredBlock | None) -> None:
+        if stored is None:
+            await self._store.delete(BLOCKED_REQUESTS_KIND, fingerprint)
             return
+        spec = msgspec.to_builtins(stored)
+        await self._store.create(BLOCKED_REQUESTS_KIND, fingerprint, spec)
 
     async def _sleep(self) -> None:
         await sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
--- a/damasktally/entry/crash_reports.py
+++ b/damasktally/entry/crash_reports.py
@@ -7,7 +7,7 @@
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.entry.outcome import Attempt, AttemptOutcome
 from damasktally.events import emit
-from damasktally.events.catalogue import REQUEST_BLOCKED
+from damasktally.events.catalogue import REQUEST_BLOCKED, REQUEST_UNBLOCKED
 from damasktally.fleet.crash_reports import CrashReport
 from damasktally.fleet.model import Server
 
@@ -20,7 +20,8 @@
     """Record losses and answers by request, and log which requests are blocked.
 
     ``on_blocked`` is called with the losses of a request that is blocked from then on,
-    at each host that lost one of the responses; the host sets it to keep them.
+    at each host that lost one of the responses; ``on_unblocked`` with the fingerprint
+    of one that is not blocked any more. The host sets both to store what is blocked.
 
     :param suspects: decides which requests are blocked.
     """
@@ -28,6 +29,7 @@
     def __init__(self, suspects: CrashSuspects) -> None:
         self._suspects = suspects
         self.on_blocked: Callable[[CrashReport], None] | None = None
+        self.on_unblocked: Callable[[str], None] | None = None
         self._loop = get_running_loop()
 
     @property
@@ -61,10 +63,15 @@
         for report in reports:
             self._suspects.merge(report, now)
 
-    def handle_newly_blocked(self) -> None:
-        """Log which requests are blocked from now on, and keep those if it is due."""
+    def handle_block_changes(self) -> None:
+        """Log which requests are blocked from now on, or not any more, and store it."""
         now = self._loop.time()
-        for fingerprint in self._suspects.take_newly_blocked(now):
+        changes = self._suspects.take_block_changes(now)
+        for fingerprint in changes.ended:
+            emit(REQUEST_UNBLOCKED, fingerprint=fingerprint)
+            if self.on_unblocked is not None:
+                self.on_unblocked(fingerprint)
+        for fingerprint in changes.begun:
             is_own = self._suspects.has_own_loss(fingerprint)
             emit(
                 REQUEST_BLOCKED,
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -155,6 +155,7 @@
         crash_reports = self._crash_reports = CrashReports(self._crash_suspects)
         self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
         crash_reports.on_blocked = self._blocked_requests.save
+        crash_reports.on_unblocked = self._blocked_requests.remove
         message_builder = FleetMessageBuilder(
             self._own,
             self._topology,
@@ -331,7 +332,7 @@
         self._view.remove_expired_servers(now)
         self._view.settle(now)
         self._era_follower.follow()
-        self._crash_reports.handle_newly_blocked()
+        self._crash_reports.handle_block_changes()
         self._update_shares(now)
 
     def _run_maintenance(self, now: float) -> None:
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -184,6 +184,13 @@
     "hosts refuse it for a while. Its fingerprint is in the lines of its requests.",
     "Find the caller by the fingerprint, and correct the servers.",
 )
+REQUEST_UNBLOCKED = Event(
+    519,
+    "request-unblocked",
+    "A request is not refused any more: a server answered it at some host, or the "
+    "block expired.",
+    "None.",
+)
 BLOCKED_REQUEST_INVALID = Event(
     518,
     "blocked-request-invalid",
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -238,6 +238,14 @@
         path = f"/objects/{kind}/{quote(name, safe='')}"
         await self._call("PUT", path, body, "replace", CALL_TIMEOUT_S)
 
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object, regardless of its revision, if it exists.
+
+        :raises StoreUnavailable: if the store does not respond, or reports an error.
+        """
+        path = f"/objects/{kind}/{quote(name, safe='')}"
+        await self._call("DELETE", path, None, "delete", CALL_TIMEOUT_S, (200, 404))
+
     async def _call(
         self,
         method: str,
--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -32,6 +32,23 @@
     When the store comes back from a copy without blocked requests
     Then within 2 s the store has the blocked request again
 
+  # Guards against hosts that start later and block what a server answered since.
+  Scenario: The object of a blocked request is removed once a server answers it
+    Given a stand-in store with a configuration and 1 servers
+    And an entry host that is ready
+    And three servers lost their responses to a request, which is stored
+    When a server answers the request
+    Then within 2 s the store has no blocked request
+    When the store comes back from the copy that has the blocked request, twice
+    Then within 2 s the store has no blocked request
+
+  Scenario: The object of a blocked request is removed after a silence of the store
+    Given a stand-in store with a configuration and 1 servers
+    And an entry host that is ready
+    And three servers lost their responses to a request, which is stored
+    When the store refuses calls for 1.5 s, and a server answers the request meanwhile
+    Then within 2 s the store has no blocked request
+
   Scenario: Objects of blocked requests that cannot be right are ignored
     Then a block that is stored survives a host's clock that is wrong by 5 s
     And an expired or malformed object blocks nothing
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -8,7 +8,7 @@
 from entry_steps import port_of, start_host
 from msgspec import ValidationError, to_builtins
 
-from damasktally.decisions.crash_suspects import CrashSuspects
+from damasktally.decisions.crash_suspects import BlockChanges, CrashSuspects
 from damasktally.entry.blocked_requests import decode_block, encode_block
 from damasktally.entry.outcome import Attempt, AttemptOutcome
 from damasktally.fleet.crash_reports import CrashEntry, CrashReport
@@ -179,9 +179,10 @@
         suspects.record_loss("f", f"p-{number}", 0, float(number))
     assert suspects.blocked_s("f", 2.0) == 0
     assert suspects.blocked_s("f", 3.0) == seconds - 3.0
-    assert suspects.take_newly_blocked(3.0) == ["f"]
-    assert suspects.take_newly_blocked(3.2) == []
+    assert suspects.take_block_changes(3.0) == BlockChanges(["f"], [])
+    assert suspects.take_block_changes(3.2) == BlockChanges([], [])
     assert suspects.blocked_s("f", seconds + 0.1) == 0
+    assert suspects.take_block_changes(seconds + 0.1) == BlockChanges([], ["f"])
     suspects.remove_expired(2 * seconds)
     assert len(suspects) == 0
 
@@ -344,6 +345,65 @@
     )
 
 
+@given("three servers lost their responses to a request, which is stored")
+def given_stored_block(context):
+    """Let the host block a request, and copy the store with its object."""
+
+    async def block():
+        suspects = context.host._crash_suspects
+        for number in range(3):
+            suspects.record_loss("f", f"p-{number}", 0, context.host._loop.time())
+        await wait_until(lambda: "f" in context.store.objects.get(BLOCKED_KIND, {}))
+        context.store_copy = context.store.make_copy()
+
+    context.loop_thread.run(block())
+
+
+@when("a server answers the request")
+def when_answered(context):
+    """Record an answer, as if it had been sent before the block was known."""
+    context.host._crash_suspects.record_answer("f", context.host._loop.time())
+
+
+@when(
+    "the store refuses calls for {seconds:g} s, and a server answers the request "
+    "meanwhile"
+)
+def when_answered_in_silence(context, seconds):
+    """Let the store refuse calls before and after the answer."""
+
+    async def refuse():
+        context.store.refusal_status = 503
+        context.host._crash_suspects.record_answer("f", context.host._loop.time())
+        await sleep(seconds)
+        context.store.refusal_status = 0
+
+    context.loop_thread.run(refuse())
+
+
+@when("the store comes back from the copy that has the blocked request, twice")
+def when_block_restored(context):
+    """Restore the copy; the host learns of each new era."""
+
+    async def restore():
+        context.store.era = 1
+        await wait_until(lambda: context.host._store.era == 1)
+        for _ in range(2):
+            await context.store.restore(context.store_copy)
+            await sleep(1.0)
+
+    context.loop_thread.run(restore())
+
+
+@then("within {seconds:g} s the store has no blocked request")
+def then_no_block_stored(context, seconds):
+    """Wait until the host removed it."""
+    store = context.store
+    context.loop_thread.run(
+        wait_until(lambda: not store.objects.get(BLOCKED_KIND), seconds)
+    )
+
+
 @then("a block that is stored survives a host's clock that is wrong by {seconds:g} s")
 def then_survives_clock(context, seconds):
     """Encode at one time, and decode at clocks that differ."""
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -211,6 +211,11 @@
         if method == "PUT":
             await self.write(parts[0], parts[1], json.loads(body)["Spec"])
             return 200, objects[parts[1]]
+        if method == "DELETE":
+            if parts[1] not in objects:
+                return 404, {}
+            await self.write(parts[0], parts[1], None)
+            return 200, {}
         if "Watch" in query:
             return await self._watch(parts[0], query)
         items = [objects[name] for name in sorted(objects)]
