Tried blocked requests again that lost responses together.

Cause: when one request ends all servers of a service within a second, requests beside it lose their responses at the same servers and are blocked as well. Once every host blocks them no server can answer them any more, so that innocent requests stay refused for 600 s. Change: a request that is blocked together with another one that lost a response at the same process is tried by a host that lost one itself, once, at one server, 5 to 20 s after the newest loss; a loss then confirms the block. Conclusion: mended; not covered: a lone request that is blocked in error, and hosts that know a block from the store only.

--- a/damasktally/decisions/crash_suspects.py
+++ b/damasktally/decisions/crash_suspects.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from math import inf
 
+from damasktally.decisions.affinity import uniform_score
 from damasktally.fleet.crash_reports import CrashEntry, CrashReport
 
 CRASHES_TO_BLOCK = 3
@@ -23,6 +24,10 @@
 """An answer that arrives later after a loss may be from the next process."""
 CRASH_LIFETIME_S = 600.0
 """How long a loss counts, and so the longest time for which a request is blocked."""
+MIN_TRIAL_DELAY_S = 5.0
+MAX_TRIAL_DELAY_S = 20.0
+"""A blocked request is tried this long after its newest loss, at a time that differs
+between hosts, so that the outcome of a trial is known before another one."""
 MAX_REPORT_AGE_S = 10.0
 """Losses of requests that are not blocked are passed on for this long."""
 MAX_REPORTS_PER_MESSAGE = 16
@@ -60,6 +65,7 @@
     :param has_own_loss: whether this host lost one of the responses.
     :param newest_loss_at: when a response was lost last.
     :param answered_at: when a server answered it to this host last.
+    :param tried_at: when this host tried it last although it was blocked.
     """
 
     crashes: dict[_CrashKey, _Crash]
@@ -67,6 +73,13 @@
     has_own_loss: bool = False
     newest_loss_at: float = -inf
     answered_at: float = -inf
+    tried_at: float = -inf
+
+    def counting_times(self) -> list[float]:
+        """Return when the losses that count took place, in order."""
+        return sorted(
+            crash.lost_at for crash in self.crashes.values() if not crash.is_exonerated
+        )
 
     def merge(self, entry: CrashEntry, now: float) -> None:
         """Merge one entry of this or another host."""
@@ -113,9 +126,12 @@
     """Losses of responses by request and server process.
 
     Times called ``now`` are in seconds on the event loop's clock.
+
+    :param own_host: name of this host.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, own_host: str) -> None:
+        self._own_host = own_host
         self._suspects: dict[str, _Suspect] = {}
         self._answered_at: dict[str, float] = {}
         self._known_blocked: set[str] = set()
@@ -201,6 +217,38 @@
             return 0.0
         return max(0.0, ends[-CRASHES_TO_BLOCK])
 
+    def take_trial(self, fingerprint: str, now: float) -> bool:
+        """Return whether a blocked request may be tried at one server, and count that.
+
+        Of requests that lost responses at the same processes, most may have ended none.
+        Hosts that lost a response themselves try such requests, each at its own time,
+        until an answer exonerates the request or a later loss confirms the block.
+        """
+        suspect = self._suspects[fingerprint]
+        if not suspect.has_own_loss or not self._is_ambiguous(fingerprint, now):
+            return False
+        lost_at = suspect.counting_times()
+        is_confirmed = (
+            len(lost_at) > CRASHES_TO_BLOCK
+            and lost_at[-1] - lost_at[-2] >= MIN_TRIAL_DELAY_S - CONFIRMATION_S
+        )
+        share = uniform_score(self._own_host, fingerprint.encode())
+        delay_s = MIN_TRIAL_DELAY_S + share * (MAX_TRIAL_DELAY_S - MIN_TRIAL_DELAY_S)
+        if is_confirmed or now - max(lost_at[-1], suspect.tried_at) < delay_s:
+            return False
+        suspect.tried_at = now
+        return True
+
+    def _is_ambiguous(self, fingerprint: str, now: float) -> bool:
+        """Return whether another blocked request lost a response at its processes."""
+        own = self._suspects[fingerprint].crashes.keys()
+        return any(
+            name != fingerprint
+            and not own.isdisjoint(suspect.crashes)
+            and self.blocked_s(name, now) > 0
+            for name, suspect in self._suspects.items()
+        )
+
     def blocked_count(self, now: float) -> int:
         """Return the number of requests that are blocked."""
         return sum(self.blocked_s(name, now) > 0 for name in self._suspects)
--- a/damasktally/entry/crash_reports.py
+++ b/damasktally/entry/crash_reports.py
@@ -41,6 +41,10 @@
         """Return for how many seconds a request stays blocked; 0 if it is not."""
         return self._suspects.blocked_s(fingerprint, self._loop.time())
 
+    def take_trial(self, fingerprint: str) -> bool:
+        """Return whether a blocked request may be tried at one server, and count it."""
+        return self._suspects.take_trial(fingerprint, self._loop.time())
+
     def record_attempt(
         self, fingerprint: str, server: Server, attempt: Attempt
     ) -> None:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -151,7 +151,7 @@
             self._candidates.limits,
             self._candidates.pauses,
         )
-        self._crash_suspects = CrashSuspects()
+        self._crash_suspects = CrashSuspects(self._own.host)
         crash_reports = self._crash_reports = CrashReports(self._crash_suspects)
         self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
         crash_reports.on_blocked = self._blocked_requests.save
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -239,6 +239,9 @@
         blocked_s = self._crash_reports.blocked_s(_fingerprint(req, trace))
         if blocked_s <= 0:
             return False
+        if self._crash_reports.take_trial(trace.fingerprint):
+            trace.inputs = {"tried though blocked for s": round(blocked_s, 1)}
+            return False
         trace.reason = Reason.ENDS_SERVERS
         trace.retry_after_s = blocked_s
         trace.inputs = {"blocked for s": round(blocked_s, 1)}
--- a/features/entry/crash_requests.feature
+++ b/features/entry/crash_requests.feature
@@ -32,6 +32,24 @@
     When the store comes back from a copy without blocked requests
     Then within 2 s the store has the blocked request again
 
+  # Guards against refusing for 600 s what was lost beside the request that ended servers.
+  Scenario: Of requests that lost responses together, those that end no server are served again
+    Given 6 hosts that block 2 requests, lost at the same servers, 1 of which ends servers
+    When callers send both requests to every host 2 times a second for 40 s
+    Then within 30 s every host serves the one that ends no server
+    And the other one ends at most 3 more servers, in each of 50 fleets
+    Given 6 hosts that block 1 requests, lost at the same servers, 1 of which ends servers
+    When callers send both requests to every host 2 times a second for 40 s
+    Then the other one ends at most 0 more servers, in each of 50 fleets
+
+  Scenario: A host tries a blocked request at one server only
+    Given a stand-in store with a configuration and 4 servers
+    And an entry host that is ready
+    And the host blocked /read/1 and /read/bad, which ends servers, 30 s ago
+    When each of them is sent 3 times, the latter first
+    Then /read/1 was answered each time
+    And /read/bad was sent to 1 server and refused each other time
+
   # Guards against hosts that start later and block what a server answered since.
   Scenario: The object of a blocked request is removed once a server answers it
     Given a stand-in store with a configuration and 1 servers
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -96,7 +96,7 @@
             quotas,
             heartbeat_history,
             ServerLimits(own.host),
-            CrashSuspects(),
+            CrashSuspects("h"),
             get_own_state,
         )
         transfer = SimpleNamespace(handle_peer_revisions=lambda revisions: None)
--- a/features/steps/crash_request_steps.py
+++ b/features/steps/crash_request_steps.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task, gather, sleep
 from random import Random
+from types import SimpleNamespace
 
 from behave import given, then, when
 from entry_harness import make_answer, send_request, wait_until
@@ -10,9 +11,11 @@
 
 from damasktally.decisions.crash_suspects import BlockChanges, CrashSuspects
 from damasktally.entry.blocked_requests import decode_block, encode_block
+from damasktally.entry.fingerprint import fingerprint_of
 from damasktally.entry.outcome import Attempt, AttemptOutcome
 from damasktally.fleet.crash_reports import CrashEntry, CrashReport
 from damasktally.fleet.model import Server
+from damasktally.http1.messages import Request
 
 BLOCKED_KIND = "damasktally-blocked-requests"
 RESTART_S = 1.5
@@ -156,7 +159,7 @@
 def then_blocked_by_cases(context):
     """Play the events of each row, a second apart unless it says otherwise."""
     for row in context.table:
-        suspects = CrashSuspects()
+        suspects = CrashSuspects("h")
         now = 0.0
         for event in row["events"].split(", "):
             now += float(event[:-2]) if event.endswith(" s") else 1.0
@@ -174,7 +177,7 @@
 @then("a request that was blocked is admitted {seconds:g} s after its first loss")
 def then_block_ends(context, seconds):
     """Block a request at 2 s, whose losses count for a limited time each."""
-    suspects = CrashSuspects()
+    suspects = CrashSuspects("h")
     for number in range(3):
         suspects.record_loss("f", f"p-{number}", 0, float(number))
     assert suspects.blocked_s("f", 2.0) == 0
@@ -192,7 +195,7 @@
     """Exchange the reports of three hosts at random until nothing changes."""
     for seed in range(50):
         rng = Random(seed)
-        hosts = [CrashSuspects() for _ in range(3)]
+        hosts = [CrashSuspects("h") for _ in range(3)]
         for number in range(3):
             hosts[number].record_loss("bad", f"p-{number}", 0, number * 0.1)
             hosts[0].record_loss("good", f"q-{number}", 0, number * 0.1)
@@ -206,9 +209,9 @@
         assert not any(host.blocked_s("good", 7.0) for host in hosts), seed
 
 
-def exchange_reports(hosts, now):
-    """Pass the reports of each host on to all others, twice."""
-    for _ in range(2):
+def exchange_reports(hosts, now, rounds=2):
+    """Pass the reports of each host on to all others."""
+    for _ in range(rounds):
         for sender in hosts:
             reports = list(sender.reports(now))
             for receiver in hosts:
@@ -222,7 +225,7 @@
 )
 def then_answer_exonerates_all(context, many, few):
     """Let two hosts lose responses of a request, one of which then gets an answer."""
-    first, second = CrashSuspects(), CrashSuspects()
+    first, second = CrashSuspects("h"), CrashSuspects("h")
     for number in range(many):
         first.record_loss("f", f"p-{number}", 0, number * 0.01)
     for number in range(few):
@@ -240,7 +243,7 @@
 )
 def then_late_host_learns(context, seconds):
     """Exonerate a request while a host that blocks it is cut off."""
-    cut_off, other, third = CrashSuspects(), CrashSuspects(), CrashSuspects()
+    cut_off, other, third = CrashSuspects("h"), CrashSuspects("h"), CrashSuspects("h")
     for number in range(3):
         cut_off.record_loss("f", f"p-{number}", 0, 0.0)
     exchange_reports([cut_off, other, third], 1.0)
@@ -260,7 +263,7 @@
 @then("hosts agree that a request is blocked that ended servers after an answer")
 def then_later_losses_count(context):
     """Let a request be answered, and lose its responses at three servers later."""
-    hosts = [CrashSuspects(), CrashSuspects()]
+    hosts = [CrashSuspects("h"), CrashSuspects("h")]
     hosts[0].record_loss("f", "p-0", 0, 0.0)
     exchange_reports(hosts, 0.1)
     hosts[1].record_answer("f", 0.5)
@@ -275,7 +278,7 @@
 @then("a host remembers no more than {count:d} requests, and forgets the oldest first")
 def then_bounded(context, count):
     """Record losses of more requests than are remembered."""
-    suspects = CrashSuspects()
+    suspects = CrashSuspects("h")
     for number in range(count + 100):
         for process in range(3):
             suspects.record_loss(f"f-{number}", f"p-{process}", 0, float(number) / 100)
@@ -345,6 +348,134 @@
     )
 
 
+class SimulatedCrashes:
+    """A fleet that blocks requests which lost responses at the same servers.
+
+    The first request ends each server that it reaches.
+
+    :param seed: names the hosts.
+    """
+
+    def __init__(self, seed, host_count, request_count):
+        self.hosts = [CrashSuspects(f"h-{seed}-{n}") for n in range(host_count)]
+        self.names = [f"f-{seed}-{n}" for n in range(request_count)]
+        self.ended = 0
+        for number, host in enumerate(self.hosts[:3]):
+            for name in self.names:
+                host.record_loss(name, f"p-{number}", 0, number * 0.1)
+        exchange_reports(self.hosts, 0.4)
+        self.served_at = {name: 0.0 for name in self.names[1:]}
+
+    def run(self, rate, seconds):
+        """Send each request to each host, and pass reports on twice a second."""
+        steps = int(seconds * rate)
+        for step in range(steps):
+            now = 1.0 + step / rate
+            for host in self.hosts:
+                for name in self.names:
+                    self._send(host, name, now)
+            exchange_reports(self.hosts, now + 0.3, rounds=1)
+
+    def _send(self, host, name, now):
+        if host.blocked_s(name, now) > 0 and not host.take_trial(name, now):
+            self.served_at.pop(name, None)
+            return
+        if name == self.names[0]:
+            self.ended += 1
+            host.record_loss(name, f"q-{self.ended}", 1, now)
+            return
+        host.record_answer(name, now)
+        self.served_at.setdefault(name, now)
+
+
+@given(
+    "{hosts:d} hosts that block {requests:d} requests, lost at the same servers, "
+    "1 of which ends servers"
+)
+def given_blocked_together(context, hosts, requests):
+    """Simulate 50 fleets without network."""
+    context.fleets = [SimulatedCrashes(seed, hosts, requests) for seed in range(50)]
+
+
+@when(
+    "callers send both requests to every host {rate:d} times a second for {seconds:g} s"
+)
+def when_sent_to_simulated(context, rate, seconds):
+    """Let each fleet run."""
+    for fleet in context.fleets:
+        fleet.run(rate, seconds)
+
+
+@then("within {seconds:g} s every host serves the one that ends no server")
+def then_served_again(context, seconds):
+    """Check since when no host refused it."""
+    for fleet in context.fleets:
+        served_at = fleet.served_at.get(fleet.names[1])
+        assert served_at is not None and served_at <= seconds, fleet.served_at
+
+
+@then("the other one ends at most {count:d} more servers, in each of {fleets:d} fleets")
+def then_few_more_ended(context, count, fleets):
+    """Count the servers that trials ended."""
+    ended = [fleet.ended for fleet in context.fleets]
+    assert len(ended) == fleets and max(ended) <= count, ended
+
+
+@given("the host blocked {good} and {bad}, which ends servers, {seconds:g} s ago")
+def given_blocked_earlier(context, good, bad, seconds):
+    """Record the losses of both, as of requests without a customer."""
+    suspects = context.host._crash_suspects
+    context.received = []
+
+    def install(server):
+        def respond(request):
+            context.received.append(request.line.split(" ")[1])
+            return None if bad in request.line else server.default_answer(request)
+
+        server.respond = respond
+
+    async def block():
+        now = context.host._loop.time() - seconds
+        for path in (good, bad):
+            headers = [(b"host", b"shop.example")]
+            request = Request(b"GET", path.encode(), headers, b"", 0.0, 0.0, True)
+            fingerprint = fingerprint_of(request, SimpleNamespace(name="acme"))
+            for number in range(3):
+                suspects.record_loss(fingerprint, f"p-{number}", 0, now)
+            assert suspects.blocked_s(fingerprint, now + seconds) > 0
+
+    for server in context.servers:
+        install(server)
+    context.loop_thread.run(block())
+
+
+@when("each of them is sent {count:d} times, the latter first")
+def when_both_sent(context, count):
+    """Send them in turn, and keep the statuses by path."""
+    context.statuses = {"/read/bad": [], "/read/1": []}
+
+    async def run():
+        for _ in range(count):
+            for path, statuses in context.statuses.items():
+                answer = await send_request(context.port, path)
+                statuses.append(answer.status)
+
+    context.loop_thread.run(run())
+
+
+@then("{path} was answered each time")
+def then_answered_each_time(context, path):
+    """Check the statuses."""
+    assert set(context.statuses[path]) == {200}, context.statuses
+
+
+@then("{path} was sent to 1 server and refused each other time")
+def then_tried_once(context, path):
+    """Check that the trial was not repeated at another server."""
+    assert context.received.count(path) == 1, context.received
+    assert sorted(context.statuses[path]) == [502, 503, 503], context.statuses
+
+
 @given("three servers lost their responses to a request, which is stored")
 def given_stored_block(context):
     """Let the host block a request, and copy the store with its object."""
@@ -410,7 +541,7 @@
     entries = tuple(CrashEntry(f"p-{n}", 0, 1.0, False) for n in range(3))
     spec = to_builtins(encode_block(CrashReport("f", entries), 1000.0))
     for difference in (-seconds, 0.0, seconds):
-        suspects = CrashSuspects()
+        suspects = CrashSuspects("h")
         suspects.merge(decode_block("f", spec, 1000.0 + difference), 50.0)
         assert suspects.blocked_s("f", 51.0) > 0, difference
 
