Added scenarios of returns of the store that overlap other troubles.

A fifth one holds down what the relay scenario found: a configuration that gets the revision number which the one before the return had.

--- a/features/entry/leaving_servers.feature
+++ b/features/entry/leaving_servers.feature
@@ -35,6 +35,13 @@
     And 5 callers ask one after the other
     Then the preferred server received 6 requests
 
+  Scenario: Another server that takes over the address is used
+    When the preferred server answers 200 and says that it leaves
+    And a caller asks for /read/1
+    And another server takes over the address of the preferred server
+    And 40 callers ask for different objects
+    Then requests reached that address again
+
   Scenario: When all servers leave, callers are refused at once
     When every server answers 200 and says that it leaves
     And 2 callers ask one after the other
--- a/features/entry/store_restores.feature
+++ b/features/entry/store_restores.feature
@@ -21,6 +21,32 @@
     When the operator and the servers write their entries again
     Then for 1 s key k-1 gets 401, and only the third server gets requests
 
+  Scenario: Nothing comes back when the store refuses calls around its return
+    Given the store is copied
+    When the operator writes version 2 without key k-1 and with route /new/
+    And the preferred server starts to drain
+    And the entry of the second server is removed
+    And the host knows all that was written
+    And the store refuses all calls
+    And the store comes back from the copy
+    And the store refuses no calls after 1 s
+    Then for 2 s key k-1 gets 401, and only the third server gets requests
+    When the operator and the servers write their entries again
+    Then for 1 s key k-1 gets 401, and only the third server gets requests
+
+  Scenario: The store comes back while servers are replaced one after the other
+    Given the store is copied
+    When a fourth server registers
+    And the preferred server starts to drain
+    And the entry of the second server is removed
+    And the host knows all that was written
+    And the store comes back from the copy
+    Then after 1 s the fourth server is usable
+    When the entry of the preferred server is removed
+    And the fourth server registers again
+    Then after 1 s the fourth server is usable
+    And the first two servers are not usable
+
   # Guards against a host that waits for a revision which the store gives out later.
   Scenario: What is written after the return is in force at once
     Given the store is copied
@@ -34,6 +60,16 @@
     And 5 callers ask one after the other
     Then the preferred server received 1 request
 
+  # Guards against a watch that waits without end for a revision of the era before, while
+  # the other topics know of the new era.
+  Scenario: A version that gets the revision of the one before the return is in force at once
+    Given the store is copied
+    When the operator writes version 2 without key k-1 and with route /new/
+    And the host knows all that was written
+    And the store comes back from the copy, and responds late to calls of other kinds
+    And the operator writes version 3 without key k-1 and with route /newest/
+    Then within 3 s a caller with key k-2 gets 200 for /newest/1
+
   Scenario: A server of which the copy knows nothing is used until it should be back
     Given the store is copied
     When a fourth server registers
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -108,6 +108,7 @@
 
     If ``refusal_status`` is not 0, every answer has it. ``is_silent`` suppresses
     all answers; ``lose_answers`` closes the connection instead of answering a write.
+    ``delay_by_kind`` delays answers to calls of some kinds, in seconds.
     ``era`` is in the header ``Store-Era`` of all answers unless it is ``None``.
     """
 
@@ -120,6 +121,7 @@
         self.refusal_status = 0
         self.is_silent = False
         self.lose_answers = False
+        self.delay_by_kind: dict[str, float] = {}
         self._open_writers: set[StreamWriter] = set()
         self._muted: set[StreamWriter] = set()
         self.calls: list[str] = []
@@ -205,6 +207,7 @@
         url = urlsplit(target)
         parts = [unquote(part) for part in url.path.split("/")[2:]]
         query = {key: value[0] for key, value in parse_qs(url.query).items()}
+        await sleep(self.delay_by_kind.get(parts[0], 0.0))
         objects = self.objects.setdefault(parts[0], {})
         if method == "POST":
             return await self._create(parts[0], json.loads(body))
--- a/features/steps/leaving_server_steps.py
+++ b/features/steps/leaving_server_steps.py
@@ -59,6 +59,41 @@
     context.loop_thread.run(register(context, server, started=2))
 
 
+@when("another server takes over the address of the preferred server")
+def when_address_taken_over(context):
+    """Remove the server's entry, and write one of another id with its address."""
+
+    async def take_over():
+        server = context.first
+        await context.store.write("servers", server.id, None)
+        server.id = "s-next"
+        server.respond = None
+        server.received.clear()
+        await register(context, server, started=5)
+
+    context.loop_thread.run(take_over())
+
+
+@when("{count:d} callers ask for different objects")
+def when_objects_asked(context, count):
+    """Send the requests one after the other."""
+
+    async def ask():
+        for number in range(count):
+            answer = await send_request(
+                context.port, "/read/1", object_key=f"{number * 7}"
+            )
+            assert answer.status == 200, answer
+
+    context.loop_thread.run(ask())
+
+
+@then("requests reached that address again")
+def then_address_used(context):
+    """Check that the other server got some."""
+    assert context.first.received
+
+
 async def register(context, server, **fields):
     """Write a server's entry and wait until the host has it."""
     entry = server.registration(**fields)
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -335,11 +335,30 @@
     context.loop_thread.run(context.store.write("config", "main", cfg))
 
 
-@then("within {seconds:g} s all hosts have it, most of them from a relay")
+@then("within {seconds:g} s all hosts have it")
 def then_all_have(context, seconds):
-    """Wait until all hosts have the version; less than half follow the store."""
+    """Wait until all hosts have the version."""
     have = lambda host: host._view.configuration.version == context.version
-    context.loop_thread.run(wait_until(lambda: all(map(have, context.hosts)), seconds))
+    try:
+        context.loop_thread.run(
+            wait_until(lambda: all(map(have, context.hosts)), seconds)
+        )
+    except AssertionError as exc:
+        lacking = {
+            host._own.host: (host._view.configuration.version, host._view.revisions)
+            for host in context.hosts
+            if not have(host)
+        }
+        raise AssertionError(
+            f"{lacking} lack version {context.version}; "
+            f"{sorted(store_followers(context))} follow the store"
+        ) from exc
+
+
+@then("within {seconds:g} s all hosts have it, most of them from a relay")
+def then_most_have_from_relay(context, seconds):
+    """Wait until all hosts have the version; less than half follow the store."""
+    then_all_have(context, seconds)
     assert len(store_followers(context)) < len(context.hosts) / 2, store_followers(
         context
     )
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -1,6 +1,6 @@
 """Steps for a store that comes back from an older copy."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 
 from behave import given, then, when
 from boundary_steps import make_view
@@ -11,10 +11,10 @@
     send_request,
     wait_until,
 )
-from entry_steps import poll_status, servers_by_preference
+from entry_steps import poll_status, servers_by_preference, start_host
 from leaving_server_steps import register
 
-from damasktally.fleet.model import compose_revision
+from damasktally.fleet.model import compose_revision, era_of
 from damasktally.fleet.topics import Topic
 
 FIRST_ERA = 5
@@ -60,6 +60,97 @@
     context.loop_thread.run(context.store.restore(context.copy))
 
 
+@when("the store refuses all calls")
+def when_store_refuses(context):
+    """Answer all calls with 503."""
+    context.store.refusal_status = 503
+
+
+@when("the store refuses no calls after {seconds:g} s")
+def when_store_serves(context, seconds):
+    """Wait, then answer calls again."""
+    context.loop_thread.run(sleep(seconds))
+    context.store.refusal_status = 0
+
+
+@when("the entry of the preferred server is removed")
+def when_preferred_removed(context):
+    """Remove the entry that the copy brought back."""
+    context.loop_thread.run(context.store.write("servers", context.first.id, None))
+
+
+@then("the first two servers are not usable")
+def then_two_not_usable(context):
+    """Check the servers that left."""
+    assert not is_usable(context, context.first)
+    assert not is_usable(context, context.second)
+
+
+@given("all hosts know the era of the store")
+@then("all hosts know the era of the store")
+def then_era_known(context):
+    """Check that each host's newest state is of the store's era."""
+
+    def is_known():
+        return all(
+            era_of(max(host._view.revisions.values())) == context.store.era
+            for host in context.hosts
+        )
+
+    context.loop_thread.run(wait_until(is_known))
+
+
+@when("a relay of a data centre loses the store")
+def when_relay_disconnected(context):
+    """Let all calls of one relay to the store fail."""
+
+    async def cut():
+        relay = next(
+            host for host in context.hosts if host._topology.is_relay(host._loop.time())
+        )
+        relay._store._address = ("127.0.0.1", 9)
+        relay._store_sync.reconnect()
+
+    context.loop_thread.run(cut())
+
+
+@when(
+    "all hosts are killed and start again, "
+    "and the store comes back from the copy meanwhile"
+)
+def when_restart_during_restore(context):
+    """Close all hosts, restore the copy, and start others with the same settings."""
+
+    async def restart():
+        settings = [host._settings for host in context.hosts]
+        await gather(*(host.close() for host in context.hosts))
+        context.hosts.clear()
+        starts = gather(*(start_host(context, item) for item in settings))
+        await context.store.restore(context.copy)
+        await starts
+        await wait_until(lambda: all(host.is_ready for host in context.hosts))
+
+    context.loop_thread.run(restart())
+
+
+@then("within {seconds:g} s all hosts are registered again")
+def then_registered(context, seconds):
+    """Wait for the entries."""
+    wait_for_entries(context, seconds)
+
+
+@when("the store comes back from the copy, and responds late to calls of other kinds")
+def when_restored_with_delay(context):
+    """Let the host learn of the new era only after it watches the configuration."""
+
+    async def restore():
+        for kind in ("servers", "evacuations"):
+            context.store.delay_by_kind[kind] = 0.6
+        await context.store.restore(context.copy)
+
+    context.loop_thread.run(restore())
+
+
 @when("the operator and the servers write their entries again")
 def when_rewritten(context):
     """Write the newest configuration and the entries of servers that live."""
