Renewed all watches when one of them showed a later era of the store.

Cause: a watch of the configuration that was sent before the host knew of the store's return waits for changes after a revision of the era before. If the operator's next version gets just this number, the store has nothing to report for 20 s. The probe compared the store's era with the newest of the three topics only, which the other two watches had advanced, so nothing renewed the third. Ruled out: transfers between hosts, as the followers themselves lacked it. Change: once a response names a later era, all watches are renewed if a topic is of an earlier one, once for each era. Such a configuration was in force up to 20 s late at every host.

--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -107,6 +107,7 @@
         self._watch_tasks: list[Task] = []
         self._background_tasks: list[Task] = []
         self._last_needed_at = -inf
+        self._watched_era = 0
         self._store_reached_at = -inf
 
     def start(self) -> None:
@@ -166,6 +167,8 @@
             ):
                 self._log_following_started(should_follow)
                 self._start_following()
+            elif self._watch_tasks and self._store.era > self._watched_era:
+                self._renew_earlier_watches()
             elif (
                 self._watch_tasks
                 and now - self._last_needed_at > STOP_FOLLOWING_DELAY_S
@@ -174,6 +177,19 @@
                 self._stop_following()
             await sleep(ROLE_POLL_INTERVAL_S)
 
+    def _renew_earlier_watches(self) -> None:
+        """Renew all watches when the first of them showed a later era.
+
+        A watch from the era before may wait without end for a revision that the store
+        gave out again.
+        """
+        self._watched_era = self._store.era
+        if any(
+            0 < era_of(revision) < self._watched_era
+            for revision in self._view.revisions.values()
+        ):
+            self.reconnect()
+
     def _is_role_known(self) -> bool:
         """Return whether a starting host can decide whether it has to follow."""
         role = self._role
