Added a failing test of objects whose preferred servers all pause.

Change: a scenario with an entry host, 20 servers and 200 objects. Conclusion: an object is ranked over three servers a region; if all of them pause, it finds none.

--- a/features/entry/server_pauses.feature
+++ b/features/entry/server_pauses.feature
@@ -75,6 +75,18 @@
       | 50    | 100    |
       | 100   | 95     |
 
+  # Guards against refusing objects of which all preferred servers pause, although others
+  # of the service have room.
+  Scenario: While half of the servers pause, all objects are served, the others' as before
+    Given a stand-in store with a configuration and 20 servers
+    And an entry host that is ready
+    And each of 200 objects was asked for once
+    And 10 of the servers ask for 8 s
+    And each of 200 objects was asked for once
+    When each of 200 objects is asked for again
+    Then all are served, none by a server that pauses
+    And those of other servers are served by the same one as at first
+
   # Guards against a pause or a limit that ends because the store lost the registration.
   Scenario: Pauses and limits outlast a registration that is missing for a while
     Then a pause of 5 s holds when the server's entry is missing after 1 s and back after 3 s
--- a/features/steps/server_pause_steps.py
+++ b/features/steps/server_pause_steps.py
@@ -1,8 +1,10 @@
 """Steps for servers that ask hosts for a pause."""
 
+from collections import Counter
 from random import Random
 
 from behave import given, then, when
+from entry_harness import send_request
 from leaving_server_steps import answer_with
 
 from damasktally.decisions.server_limits import ServerLimits
@@ -102,6 +104,46 @@
             context.refusals.append((now, pauses.earliest_end_s(order, now)))
 
 
+@given("each of {count:d} objects was asked for once")
+@when("each of {count:d} objects is asked for again")
+def when_objects_asked(context, count):
+    """Ask for one object after the other; keep the answers of each round."""
+    context.rounds = getattr(context, "rounds", [])
+
+    async def ask():
+        return [
+            await send_request(context.port, "/read/1", object_key=f"object-{number}")
+            for number in range(count)
+        ]
+
+    context.rounds.append(context.loop_thread.run(ask()))
+
+
+@given("{count:d} of the servers ask for {seconds:g} s")
+def given_pausing(context, count, seconds):
+    """Let some servers refuse all requests with a time."""
+    context.pausing = {server.id for server in context.servers[:count]}
+    for server in context.servers[:count]:
+        answer_with(server, 503, f"Not-Run: 1 and Retry-After: {seconds}")
+
+
+@then("all are served, none by a server that pauses")
+def then_all_served(context):
+    """Check the answers of the last round."""
+    statuses = Counter(answer.status for answer in context.rounds[-1])
+    assert set(statuses) == {200}, statuses
+    found = {answer.body.decode() for answer in context.rounds[-1]}
+    assert not found & context.pausing, found
+
+
+@then("those of other servers are served by the same one as at first")
+def then_same_servers(context):
+    """Compare the servers of the first and the last round."""
+    for first, last in zip(context.rounds[0], context.rounds[-1], strict=True):
+        if first.body.decode() not in context.pausing:
+            assert first.body == last.body, (first, last)
+
+
 @then("no server gets more than {count:d} requests within a pause")
 def then_few_in_pause(context, count):
     """Count the requests from half a second after the refusal to the pause's end."""
