Ranked more servers for objects whose preferred servers take no requests.

Cause: an object is ranked over three servers a region. If fewer than two of them take requests, because they asked for a pause, failed too often, named a limit or warm up, the object was refused with no-room while other servers had room. Change: then the next servers in the object's own order follow, up to 16 a region, the same at all hosts; three of them are kept, so that load spills as little as before. The order of the others' objects does not change. Result: the scenario of 200 objects with half of 20 servers pausing: 18 refused before, none after; those of other servers are served by the same ones. Ranking alone, 2,000 objects with 20 of 30 servers pausing: each has two servers, none is the first of over three times the mean. 107 scenarios of features/entry passed.

--- a/damasktally/decisions/affinity.py
+++ b/damasktally/decisions/affinity.py
@@ -23,6 +23,8 @@
 SCORE_RANGE = 1 << (8 * SCORE_BYTES)
 MAX_CACHED_OBJECTS = 20_000
 MAX_SERVERS_PER_REGION = 3
+MAX_EXTENDED_SERVERS_PER_REGION = 16
+"""Servers that are ranked for objects whose preferred servers take no requests."""
 MIN_SPARE_RATIO = 0.02
 """Lower bound on the spare slots of a region in its weight, as a ratio of an equal
 share of all slots."""
@@ -44,6 +46,7 @@
     home_region: str,
     servers_by_region: Mapping[str, Sequence[Server]],
     region_count: int,
+    max_per_region: int = MAX_SERVERS_PER_REGION,
 ) -> tuple[str, ...]:
     """Return the ids of the servers that an object prefers, the best first.
 
@@ -51,13 +54,15 @@
     :param home_region: the region of the host that asks.
     :param servers_by_region: the servers of each region.
     :param region_count: how many regions send requests.
+    :param max_per_region: how many servers of each region are ranked.
     """
     slots = {
         name: sum(s.slots for s in group) for name, group in servers_by_region.items()
     }
     equal_share = sum(slots.values()) / max(1, region_count)
     ranked = {
-        name: _rank_in_region(group, key) for name, group in servers_by_region.items()
+        name: _rank_in_region(group, key)[:max_per_region]
+        for name, group in servers_by_region.items()
     }
     other_regions = sorted(
         (name for name in servers_by_region if name != home_region),
@@ -76,7 +81,7 @@
     )
     return tuple(
         ranked[name][rank]
-        for rank in range(MAX_SERVERS_PER_REGION)
+        for rank in range(max_per_region)
         for name in region_order
         if rank < len(ranked.get(name, ()))
     )
@@ -85,7 +90,7 @@
 def _rank_in_region(servers: Sequence[Server], key: bytes) -> list[str]:
     ids = [server.id for server in servers]
     ids.sort(key=lambda name: rendezvous_score(name, key), reverse=True)
-    return ids[:MAX_SERVERS_PER_REGION]
+    return ids
 
 
 def _weighted_cost(
@@ -108,10 +113,16 @@
         self._region_of = region_of
         self._region_count = len(set(region_of.values()))
         self._groups: dict[str, tuple[Sequence[Server], dict[str, list[Server]]]] = {}
-        self._rankings: OrderedDict[tuple[str, bytes], tuple[str, ...]] = OrderedDict()
+        self._rankings: OrderedDict[tuple[str, bytes, int], tuple[str, ...]] = (
+            OrderedDict()
+        )
 
     def rank(
-        self, group: str, servers: Sequence[Server], key: bytes
+        self,
+        group: str,
+        servers: Sequence[Server],
+        key: bytes,
+        max_per_region: int = MAX_SERVERS_PER_REGION,
     ) -> tuple[str, ...]:
         """Return the ids of the servers that an object prefers, the best first.
 
@@ -119,18 +130,19 @@
         :param servers: the set; it has to be the same list object as long as it is
             unchanged, and another object once it has changed.
         :param key: identifies the object.
+        :param max_per_region: how many servers of each region are ranked.
         """
         cached = self._groups.get(group)
         if cached is None or cached[0] is not servers:
             cached = (servers, self._group_by_region(servers))
             self._groups[group] = cached
             self._drop_rankings(group)
-        ranking = self._rankings.get((group, key))
+        ranking = self._rankings.get((group, key, max_per_region))
         if ranking is None:
             ranking = rank_servers(
-                key, self._home_region, cached[1], self._region_count
+                key, self._home_region, cached[1], self._region_count, max_per_region
             )
-            self._rankings[group, key] = ranking
+            self._rankings[group, key, max_per_region] = ranking
             if len(self._rankings) > MAX_CACHED_OBJECTS:
                 self._rankings.popitem(last=False)
         return ranking
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 
-from damasktally.decisions.affinity import AffinityRanking
+from damasktally.decisions.affinity import (
+    MAX_EXTENDED_SERVERS_PER_REGION,
+    MAX_SERVERS_PER_REGION,
+    AffinityRanking,
+)
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.outlier_detection import OutlierDetector
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
+from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS
 from damasktally.decisions.warmup_limiter import WarmupLimiter, warmup_tokens
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.model import Member, Server
@@ -105,7 +111,8 @@
     ) -> list[Server]:
         """Return the usable servers for a request, the preferred one first.
 
-        Without an affinity key, servers are ranked by their estimated load.
+        Without an affinity key, servers are ranked by their estimated load. If too few
+        of the servers that an object prefers take requests, the next ones follow.
 
         :param home_regions: regions that may serve; empty allows all.
         :param affinity_key: names the object of the request, or ``None``.
@@ -118,12 +125,16 @@
             order = sorted(by_id, key=lambda name: self.loads.estimate(name, now))
         else:
             group_key = f"{service}|{','.join(sorted(home_regions))}"
-            order = self._affinity_ranking.rank(group_key, group.servers, affinity_key)
-        return [
-            by_id[name]
-            for name in order
-            if name not in tried and self._is_usable(by_id[name], now)
-        ]
+            rank = partial(
+                self._affinity_ranking.rank, group_key, group.servers, affinity_key
+            )
+            order = rank()
+        usable = [name for name in order if self._is_usable(by_id[name], now)]
+        if len(usable) < MAX_CANDIDATE_SERVERS and len(order) < len(by_id):
+            order = rank(MAX_EXTENDED_SERVERS_PER_REGION)
+            usable = [name for name in order if self._is_usable(by_id[name], now)]
+            usable = usable[:MAX_SERVERS_PER_REGION]
+        return [by_id[name] for name in usable if name not in tried]
 
     def pause_end_s(
         self, service: str, home_regions: frozenset[str], now: float
--- a/features/entry/server_pauses.feature
+++ b/features/entry/server_pauses.feature
@@ -87,6 +87,12 @@
     Then all are served, none by a server that pauses
     And those of other servers are served by the same one as at first
 
+  Scenario: The load of pausing servers is spread over all others, object by object
+    Given 30 servers in 2 regions, and 2000 objects
+    When the first 20 of them pause
+    Then each object has 2 servers that do not, the first of its preferred ones before others
+    And no server that does not pause is the first choice of more than 3 times the mean
+
   # Guards against a pause or a limit that ends because the store lost the registration.
   Scenario: Pauses and limits outlast a registration that is missing for a while
     Then a pause of 5 s holds when the server's entry is missing after 1 s and back after 3 s
--- a/features/steps/server_pause_steps.py
+++ b/features/steps/server_pause_steps.py
@@ -7,6 +7,10 @@
 from entry_harness import send_request
 from leaving_server_steps import answer_with
 
+from damasktally.decisions.affinity import (
+    MAX_EXTENDED_SERVERS_PER_REGION,
+    rank_servers,
+)
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
 from damasktally.fleet.model import Server
@@ -144,6 +148,54 @@
             assert first.body == last.body, (first, last)
 
 
+@given("{count:d} servers in 2 regions, and {objects:d} objects")
+def given_ranked_objects(context, count, objects):
+    """Divide the servers among the regions."""
+    names = [f"s-{number}" for number in range(count)]
+    context.names = names
+    context.by_region = {
+        "north": [make_server(name) for name in names[::2]],
+        "south": [make_server(name) for name in names[1::2]],
+    }
+    context.keys = [f"object-{number}".encode() for number in range(objects)]
+
+
+@when("the first {count:d} of them pause")
+def when_first_pause(context, count):
+    """Leave out the servers that pause from each object's extended ranking."""
+    pausing = set(context.names[:count])
+    context.preferred, context.usable = [], []
+    for key in context.keys:
+        short = rank_servers(key, "north", context.by_region, 2)
+        extended = rank_servers(
+            key, "north", context.by_region, 2, MAX_EXTENDED_SERVERS_PER_REGION
+        )
+        context.preferred.append([name for name in short if name not in pausing])
+        context.usable.append([name for name in extended if name not in pausing])
+
+
+@then(
+    "each object has {count:d} servers that do not, "
+    "the first of its preferred ones before others"
+)
+def then_enough(context, count):
+    """Compare the extended rankings with the short ones."""
+    for preferred, usable in zip(context.preferred, context.usable, strict=True):
+        assert len(usable) >= count, usable
+        assert usable[: len(preferred)] == preferred, (preferred, usable)
+
+
+@then(
+    "no server that does not pause is the first choice "
+    "of more than {factor:d} times the mean"
+)
+def then_spread(context, factor):
+    """Count the objects by their first server."""
+    counts = Counter(usable[0] for usable in context.usable)
+    mean = len(context.usable) / 10
+    assert len(counts) == 10 and max(counts.values()) <= factor * mean, counts
+
+
 @then("no server gets more than {count:d} requests within a pause")
 def then_few_in_pause(context, count):
     """Count the requests from half a second after the refusal to the pause's end."""
