Let the next relays follow the store as soon as they are relays.

Cause: a host whose relays are silent for 1.2 s waits 1.5 to 2.25 s before it follows the store itself. A host that became a relay meanwhile, 2 s after the kill, slept on, so that all hosts of the data centre began together; besides, a new follower reported that it reaches the store only after its first probe, up to 1.2 s later. Change: the wait ends when the host becomes a relay; a follower probes the store at once. The change of relays takes about 2 s in place of about 3 s.

--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -7,6 +7,7 @@
 
 from asyncio import Task, create_task, gather, get_running_loop, sleep
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from math import inf
 from random import Random
@@ -167,6 +168,7 @@
             ):
                 self._log_following_started(should_follow)
                 self._start_following()
+                self._watch_tasks.append(create_task(self._confirm_reach()))
             elif self._watch_tasks and self._store.era > self._watched_era:
                 self._renew_earlier_watches()
             elif (
@@ -201,18 +203,27 @@
         """Return whether the store answers and no relay has recent state of it.
 
         Many hosts may lose their relays at once, so none of them lists topics first,
-        and those that are no relay wait for the relays. If the store does not answer,
-        wait for a while.
+        and those that are no relay wait for the relays, unless they become one. If the
+        store does not answer, wait for a while.
         """
         try:
             await self._store.probe()
         except StoreUnavailable:
             await sleep(MAX_RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
             return False
-        if not self._role.is_relay():
-            await sleep(TAKEOVER_DELAY_S * self._rng.uniform(1.0, 1.5))
+        delay_s = TAKEOVER_DELAY_S * self._rng.uniform(1.0, 1.5)
+        deadline = self._loop.time() + delay_s
+        while not self._role.is_relay() and self._loop.time() < deadline:
+            await sleep(ROLE_POLL_INTERVAL_S)
         return not self._role.has_store_following_relay()
 
+    async def _confirm_reach(self) -> None:
+        """Find out at once whether the store answers, which other hosts wait for."""
+        # The watches log that the store is lost.
+        with suppress(StoreUnavailable):
+            await self._store.probe()
+            self._store_reached_at = self._loop.time()
+
     async def _run_probes(self) -> None:
         """Renew stale watches, which the store dropped and would never respond to."""
         while True:
