--- a/features/entry/fault_soak.feature
+++ b/features/entry/fault_soak.feature
@@ -18,6 +18,10 @@
       | 11   |
       | 33   |
 
+  # Guards against two test runs that choose the same port before either listens on it.
+  Scenario: Processes that choose ports at the same time choose different ones
+    Then 12 processes that choose 400 ports each choose none twice
+
   Scenario: A connection that is accepted while the host stops is answered or not served
     Given a stand-in store with a configuration and 1 servers
     And an entry host that is ready
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -1,10 +1,13 @@
 """Steps that run seeds of the soak test, and faults that it once found."""
 
+import sys
 import tempfile
 from asyncio import gather, run, sleep
+from collections import Counter
 from pathlib import Path
 from signal import SIGHUP
 from socket import socketpair
+from subprocess import PIPE, Popen
 
 from behave import given, then, when
 from entry_harness import send_request, wait_until
@@ -43,6 +46,35 @@
     assert result.served > 0, str(result)
 
 
+CHOOSE_PORTS = """
+import sys
+from damasktally.standins.ports import free_port
+print(*(free_port() for _ in range(int(sys.argv[1]))), flush=True)
+sys.stdin.read()
+"""
+
+
+@then("{processes:d} processes that choose {count:d} ports each choose none twice")
+def then_ports_differ(context, processes, count):
+    """Let processes choose at the same time; all live until the last has chosen."""
+    children = [
+        Popen(
+            [sys.executable, "-c", CHOOSE_PORTS, str(count)],
+            stdin=PIPE,
+            stdout=PIPE,
+            text=True,
+        )
+        for _ in range(processes)
+    ]
+    chosen = Counter(
+        port for child in children for port in child.stdout.readline().split()
+    )
+    for child in children:
+        child.communicate()
+    assert chosen.total() == processes * count
+    assert chosen.most_common(1)[0][1] == 1, chosen.most_common(3)
+
+
 @given("the host keeps a connection to every server")
 def given_connections(context):
     """Send requests until each server has received one."""
