Added a failing test of a host whose relays change.

Cause: 11 of 14 hosts of a data centre followed the store within 0.2 s of the next relays' first messages (loop of the listed scenario, samples every 0.05 s). Result: fails: the host counts 4 hosts of 30, and takes itself for a relay for as long as the next relay's list is short.

--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -79,6 +79,16 @@
     When the operator writes a new configuration
     Then within 1 s all hosts have it, most of them from a relay
 
+  # Guards against hosts that take themselves for relays, and the fleet for small, when the
+  # first summary of the next relay knows few hosts.
+  Scenario: Hosts keep the fleet's size and its list of hosts when the relays change
+    Given a host that knows 30 hosts in 2 data centres by the summary of a relay
+    When both relays of its data centre are silent, and the next relay knows few hosts yet
+    Then for 5 s the host counts at least 30 hosts and is no relay
+    And it agrees with the other hosts on the next relays
+    When the summaries of the next relay list 20 hosts from then on
+    Then after 7 s the host counts 20 hosts
+
   # Guards against a data centre all of whose hosts follow the store until its next
   # relays have shown that they reach it.
   Scenario: The hosts of a data centre leave it to the next relays to follow the store
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -13,6 +13,7 @@
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas
+from damasktally.decisions.relays import RelayCandidate, choose_relays
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.outbox import OwnState
@@ -128,6 +129,102 @@
         self.peer_protocol.datagram_received(data, ("10.9.9.9", 7))
 
 
+@given("a host that knows {count:d} hosts in 2 data centres by the summary of a relay")
+def given_host_with_relay(context, count):
+    """Let a host that is none of the preferred relays get a summary at 0 s."""
+    listings = [listed_hosts("near"), listed_hosts("far")]
+    names = [host.host for host in listings[0].hosts]
+    context.order = rank_relays("near", names)
+    own = member(context.order[-1], "near", 99)
+    members, context.summaries = MemberTable(own), SummaryTable()
+    context.topology = FleetTopology(members, context.summaries)
+    first = msgspec.structs.replace(
+        whole_fleet_summary(listings), relay=context.order[0]
+    )
+    assert first.live_host_count == count
+    context.summaries.apply_summary(first, 0.0)
+    for name in context.order[:2]:
+        members.apply_relay_summary(member(name, "near", 1), {}, 0.1, 0.0)
+    context.members = members
+    context.listings = listings
+    relays = context.topology.relays(0.1)
+    assert [item.host for item in relays] == context.order[:2]
+    members.expect_replies(relays, 0.1)
+
+
+def rank_relays(data_centre, names):
+    """Return all hosts of a data centre in the order in which they become relays."""
+    names, ranked = list(names), []
+    while names:
+        candidates = [RelayCandidate(name, 1.0) for name in names]
+        ranked.append(choose_relays(data_centre, candidates)[0])
+        names.remove(ranked[-1])
+    return ranked
+
+
+def receive_from_next_relay(context, sequence, listing, count, now):
+    """Let a summary of the next relay arrive."""
+    relay = context.order[2]
+    summary = msgspec.structs.replace(
+        whole_fleet_summary(listing),
+        relay=relay,
+        sequence=sequence,
+        live_host_count=count,
+    )
+    context.summaries.apply_summary(summary, now)
+    context.members.apply_relay_summary(member(relay, "near", 3), {}, 0.1, now)
+    context.topology.invalidate()
+
+
+@when(
+    "both relays of its data centre are silent, and the next relay knows few hosts yet"
+)
+def when_relays_change(context):
+    """Let the next relay list itself only, from 2.3 s on."""
+    listing = [msgspec.structs.replace(context.listings[0], hosts=[])]
+    context.samples = []
+    for step in range(20):
+        now = 2.3 + step * 0.25
+        receive_from_next_relay(context, step + 1, listing, 1, now)
+        topology = context.topology
+        context.samples.append(
+            (
+                topology.fleet_size(now),
+                topology.is_relay(now),
+                [item.host for item in topology.relays(now)],
+            )
+        )
+
+
+@then("for 5 s the host counts at least {count:d} hosts and is no relay")
+def then_size_kept(context, count):
+    """Check the samples of 5 s."""
+    assert all(size >= count for size, _, _ in context.samples), context.samples
+    assert not any(is_relay for _, is_relay, _ in context.samples), context.samples
+
+
+@then("it agrees with the other hosts on the next relays")
+def then_next_relays(context):
+    """Check whom it takes for relays at last."""
+    assert context.samples[0][2] == context.order[2:4], context.samples[0]
+
+
+@when("the summaries of the next relay list {count:d} hosts from then on")
+def when_fewer_hosts(context, count):
+    """Go on with a fleet that has become smaller."""
+    listing = [context.listings[0]]
+    for step in range(32):
+        receive_from_next_relay(context, 100 + step, listing, count, 7.5 + step * 0.25)
+
+
+@then("after {seconds:g} s the host counts {count:d} hosts")
+def then_fewer_counted(context, seconds, count):
+    """Check that the earlier size is forgotten."""
+    now = 7.5 + seconds + 0.5
+    context.topology.invalidate()
+    assert context.topology.fleet_size(now) == count
+
+
 @given("a host that received a summary of 30 hosts in 2 data centres")
 def given_seed_with_summary(context):
     context.data_centre_hosts = [listed_hosts("near"), listed_hosts("far")]
