Left new relays time before other hosts follow the store.

Cause: hosts give silent relays 1.5 to 2.25 s after 1.2 s of silence, 2.7 s at the least after a kill. The next relays are chosen after 2 s, and the others hear of their state up to two rounds later: 3.2 s. Change: a host also waits until the relays have been the same for 1.5 s, 3 s in all at most. The scenario of killed relays asks that no host counts a smaller fleet meanwhile.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -131,6 +131,7 @@
                 lambda: self._topology.should_follow_store(self._loop.time()),
                 lambda: self._topology.has_store_following_relay(self._loop.time()),
                 lambda: self._topology.is_relay(self._loop.time()),
+                lambda: self._topology.relays_age_s(self._loop.time()),
             ),
             self._rng,
         )
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -56,6 +56,9 @@
 TAKEOVER_DELAY_S = 1.5
 """A host that is no relay leaves the relays this long to reach a store that answers
 again, before it follows the store itself."""
+MIN_RELAY_AGE_S = 1.5
+MAX_TAKEOVER_DELAY_S = 3.0
+"""It leaves new relays some time, too, but waits no longer than this in all."""
 STOP_FOLLOWING_DELAY_S = 3.0
 """A host continues to follow the store for this long after it last had to."""
 
@@ -71,12 +74,14 @@
     :param has_store_following_relay: returns whether a relay that has recent state of
         the store is alive.
     :param is_relay: returns whether this host is a relay.
+    :param relays_age_s: returns for how many seconds the relays are the same.
     """
 
     is_fleet_known: Callable[[], bool]
     should_follow_store: Callable[[], bool]
     has_store_following_relay: Callable[[], bool]
     is_relay: Callable[[], bool]
+    relays_age_s: Callable[[], float]
 
 
 class StoreSync:
@@ -211,12 +216,19 @@
         except StoreUnavailable:
             await sleep(MAX_RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
             return False
+        began_at = self._loop.time()
         delay_s = TAKEOVER_DELAY_S * self._rng.uniform(1.0, 1.5)
-        deadline = self._loop.time() + delay_s
-        while not self._role.is_relay() and self._loop.time() < deadline:
+        while self._leaves_store_to_relays(self._loop.time() - began_at, delay_s):
             await sleep(ROLE_POLL_INTERVAL_S)
         return not self._role.has_store_following_relay()
 
+    def _leaves_store_to_relays(self, waited_s: float, delay_s: float) -> bool:
+        """Return whether this host waits on for the relays to follow the store."""
+        role = self._role
+        if role.is_relay() or waited_s >= MAX_TAKEOVER_DELAY_S:
+            return False
+        return waited_s < delay_s or role.relays_age_s() < MIN_RELAY_AGE_S
+
     async def _confirm_reach(self) -> None:
         """Find out at once whether the store answers, which other hosts wait for."""
         # The watches log that the store is lost.
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -79,11 +79,16 @@
         self._summaries = summaries
         self._own = members.own
         self._cached: _Snapshot | None = None
+        self._relays: tuple[Member, ...] = ()
+        self._relays_changed_at = -inf
 
     def _get_snapshot(self, now: float) -> _Snapshot:
         cached = self._cached
         if cached is None or not 0 <= now - cached.computed_at < CACHE_LIFETIME_S:
             cached = self._cached = self._compute(now)
+            if cached.relays != self._relays:
+                self._relays = cached.relays
+                self._relays_changed_at = now
         return cached
 
     def _compute(self, now: float) -> _Snapshot:
@@ -219,6 +224,11 @@
         """Return the relays of this data centre, the primary first."""
         return self._get_snapshot(now).relays
 
+    def relays_age_s(self, now: float) -> float:
+        """Return for how many seconds the relays of this data centre are the same."""
+        self._get_snapshot(now)
+        return now - self._relays_changed_at
+
     def is_relay(self, now: float) -> bool:
         """Return whether this host is a relay of its data centre."""
         return self._own in self.relays(now)
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -96,6 +96,7 @@
     Then within 6 s only the relays follow the store, and every host knows its region
     When both relays of a data centre are killed
     Then in the next 6 s at most 6 hosts follow the store at any time, and 4 at last
+    And no host counted fewer than 28 hosts meanwhile
 
   Scenario: No host falls behind when both relays lose the store
     Given 30 hosts in 2 data centres
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -395,18 +395,28 @@
     "and {last:d} at last"
 )
 def then_no_rush(context, seconds, count, last):
-    """Sample which hosts follow the store."""
+    """Sample which hosts follow the store, and how many hosts each one counts."""
     samples = []
+    context.smallest_fleet_sizes = []
 
     async def sample():
         for _ in range(int(seconds / 0.05)):
             samples.append(len(store_followers(context)))
+            context.smallest_fleet_sizes.append(
+                min(h._topology.fleet_size(h._loop.time()) for h in context.hosts)
+            )
             await sleep(0.05)
 
     context.loop_thread.run(sample())
     assert max(samples) <= count and samples[-1] == last, samples
 
 
+@then("no host counted fewer than {count:d} hosts meanwhile")
+def then_size_kept(context, count):
+    """Check the samples."""
+    assert min(context.smallest_fleet_sizes) >= count, context.smallest_fleet_sizes
+
+
 @then("look-ups return none of the killed hosts within {seconds:g} s")
 def then_not_named(context, seconds):
     """Wait until no host lists them."""
