Kept the fleet's size and its list of hosts when relays change.

Cause: when both relays of a data centre die, the next relay's first summary lists itself and the few hosts that it has heard of. Hosts dropped the list of the relay before for it, took themselves for relays, and counted a handful of hosts; a fleet of up to 24 counts as a full mesh, so that all of them followed the store and sent heartbeats to all. Change: hosts that any relay listed within 8 s count as hosts of the data centre unless they do not reply; the size of the fleet is the largest of the last 8 s (decisions/recent_maximum.py). A step of the tests took a host without configuration for an error; it counts as one that lacks the version. Open: the totals of demand that a new relay passes on lack the other data centres' for up to a second.

--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from math import inf
 
+from damasktally.decisions.recent_maximum import RecentMaximum
 from damasktally.decisions.relays import (
     MAX_RELAY_STORE_AGE_S,
     RelayCandidate,
@@ -28,9 +29,11 @@
     SummaryRecord,
     SummaryTable,
     listed_members,
-    members_in_data_centre,
 )
 
+FLEET_SIZE_MEMORY_S = 8.0
+"""The fleet counts as large as it was in this time: a new relay knows few hosts yet,
+and a fleet that counts as small changes its messages and who follows the store."""
 CACHE_LIFETIME_S = 0.2
 """The topology is computed again once the cached one is this old."""
 
@@ -79,6 +82,8 @@
         self._summaries = summaries
         self._own = members.own
         self._cached: _Snapshot | None = None
+        self._recent_fleet_size = RecentMaximum(FLEET_SIZE_MEMORY_S)
+        self._recent_known_size = RecentMaximum(FLEET_SIZE_MEMORY_S)
         self._relays: tuple[Member, ...] = ()
         self._relays_changed_at = -inf
 
@@ -114,8 +119,8 @@
         remote_relays = tuple(self._remote_relays(now)) if self._own in relays else ()
         return _Snapshot(
             now,
-            fleet_size,
-            known_fleet_size,
+            self._recent_fleet_size.record(fleet_size, now),
+            self._recent_known_size.record(known_fleet_size, now),
             relays,
             remote_relays,
             self._is_chosen_follower(relays, remote_relays),
@@ -162,12 +167,7 @@
             for host, record in records.items()
             if record.is_assumed_alive(now)
         }
-        fleet = self._summaries.whole_fleet(now)
-        listed = (
-            members_in_data_centre(fleet, self._own.data_centre)
-            if fleet is not None
-            else []
-        )
+        listed = self._summaries.recently_listed_hosts(self._own.data_centre, now)
         for member in listed:
             record = records.get(member.host)
             if record is None or not record.is_unresponsive(now):
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -88,6 +88,8 @@
     leaving_servers: tuple[tuple[str, int], ...] = ()
 
 
+LISTING_LIFETIME_S = 8.0
+"""A list of hosts counts for this long after the last summary of its relay."""
 WHOLE_FLEET = ""
 """Scope of a summary of all hosts, its receiver included."""
 
@@ -200,6 +202,22 @@
         """
         return self.primary(WHOLE_FLEET, now)
 
+    def recently_listed_hosts(self, data_centre: str, now: float) -> list[Member]:
+        """Return the hosts of a data centre that any relay listed lately.
+
+        A relay that has just become one lists few hosts in its first summaries.
+
+        :param now: seconds on the event loop's clock.
+        """
+        found: dict[str, Member] = {}
+        for record in self._records.get(WHOLE_FLEET, {}).values():
+            if now - record.received_at <= LISTING_LIFETIME_S:
+                for item in members_in_data_centre(record, data_centre):
+                    known = found.setdefault(item.host, item)
+                    if known.started_ms < item.started_ms:
+                        found[item.host] = item
+        return list(found.values())
+
     def live_records(self, now: float) -> list[SummaryRecord]:
         """Return the records of all scopes whose last summary is recent enough.
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -338,14 +338,19 @@
 @then("within {seconds:g} s all hosts have it")
 def then_all_have(context, seconds):
     """Wait until all hosts have the version."""
-    have = lambda host: host._view.configuration.version == context.version
+
+    def version_of(host):
+        cfg = host._view.configuration
+        return cfg.version if cfg is not None else None
+
+    have = lambda host: version_of(host) == context.version
     try:
         context.loop_thread.run(
             wait_until(lambda: all(map(have, context.hosts)), seconds)
         )
     except AssertionError as exc:
         lacking = {
-            host._own.host: (host._view.configuration.version, host._view.revisions)
+            host._own.host: (version_of(host), host._view.revisions)
             for host in context.hosts
             if not have(host)
         }
