--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -89,6 +89,14 @@
     When the summaries of the next relay list 20 hosts from then on
     Then after 7 s the host counts 20 hosts
 
+  # Guards against shares that grow, and look-ups that find no host of other data centres,
+  # until the next relay has heard of them.
+  Scenario: The next relay passes on what the relay before it knew of other data centres
+    Given a host that knew of 30 hosts in 2 data centres by its relay, and becomes the relay
+    Then its first summary counts 30 hosts, lists those of both, and has the whole demand
+    And a summary of the other data centre takes the place of what the relay before knew
+    And 9 s after the last summary of the relay before nothing is left of it
+
   # Guards against a data centre all of whose hosts follow the store until its next
   # relays have shown that they reach it.
   Scenario: The hosts of a data centre leave it to the next relays to follow the store
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -152,6 +152,79 @@
     members.expect_replies(relays, 0.1)
 
 
+@given(
+    "a host that knew of {count:d} hosts in 2 data centres by its relay, "
+    "and becomes the relay"
+)
+def given_next_relay(context, count):
+    """Let a host get the summary of its relay, which lists it."""
+    context.listings = [listed_hosts("near"), listed_hosts("far")]
+    context.fleet_summary = whole_fleet_summary(context.listings)
+
+
+def build_as_next_relay(context, age_s, far_summary=None):
+    """Return the first summary of the fleet that the next relay builds.
+
+    :param age_s: how long ago the summary of the relay before arrived.
+    :param far_summary: summary of the other data centre that arrived since.
+    """
+
+    async def build():
+        now = get_running_loop().time()
+        host = SimulatedHost(member("near-2", "near", 2))
+        host.summaries.apply_summary(context.fleet_summary, now - age_s)
+        if far_summary is not None:
+            host.summaries.apply_summary(far_summary, now)
+        return host.message_builder.build_fleet_summary(now)
+
+    return run(build())
+
+
+@then(
+    "its first summary counts {count:d} hosts, lists those of both, "
+    "and has the whole demand"
+)
+def then_summary_complete(context, count):
+    """Build the summary 2 s after the last one of the relay before."""
+    summary = build_as_next_relay(context, 2.0)
+    assert summary.live_host_count + summary.silent_host_count >= count, summary
+    listed = {item.data_centre: len(item.hosts) for item in summary.data_centre_hosts}
+    assert listed["far"] == HOSTS_PER_DATA_CENTRE, listed
+    assert summary.demand["acme"] >= 2.0, summary.demand
+
+
+@then(
+    "a summary of the other data centre takes the place of what the relay before knew"
+)
+def then_replaced(context):
+    """Let the other data centre have fewer hosts and another demand."""
+    far = msgspec.structs.replace(
+        context.fleet_summary,
+        relay="far-0",
+        scope="far",
+        data_centre_hosts=[
+            msgspec.structs.replace(
+                context.listings[1], hosts=context.listings[1].hosts[:4]
+            )
+        ],
+        live_host_count=4,
+        demand={"acme": 0.5},
+    )
+    summary = build_as_next_relay(context, 2.0, far)
+    assert summary.live_host_count + summary.silent_host_count <= 5, summary
+    listed = {item.data_centre: len(item.hosts) for item in summary.data_centre_hosts}
+    assert listed["far"] == 4, listed
+    assert summary.demand["acme"] == 0.5, summary.demand
+
+
+@then("{seconds:d} s after the last summary of the relay before nothing is left of it")
+def then_forgotten(context, seconds):
+    """Build the summary later."""
+    summary = build_as_next_relay(context, float(seconds))
+    assert summary.live_host_count + summary.silent_host_count == 1, summary
+    assert not summary.demand, summary.demand
+
+
 def rank_relays(data_centre, names):
     """Return all hosts of a data centre in the order in which they become relays."""
     names, ranked = list(names), []
