Let a new relay pass on what the relay before it knew of other data centres.

Cause: a new relay has no summary of other data centres until their relays hear of it. Until then its summaries counted its own hosts alone: receivers took larger shares of rates, and their directories listed no host elsewhere.

--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -17,6 +17,7 @@
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.surges import SurgeDetector
 from damasktally.entry.outbox import Outbox, OwnState
+from damasktally.entry.relay_takeover import RelayTakeover
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, Heartbeat
 from damasktally.fleet.model import Member
@@ -81,6 +82,7 @@
         self._heartbeat_outbox = Outbox.empty()
         self._data_centre_outbox = Outbox.empty()
         self._fleet_outbox = Outbox.empty()
+        self._takeover = RelayTakeover(own.data_centre, summaries)
 
     def update_totals(self, now: float) -> None:
         """Add the requests admitted since the last call to the totals to be sent.
@@ -253,9 +255,7 @@
         for data_centre in self._other_data_centres():
             relayed = self._summaries.primary(data_centre, now)
             if now - relayed.received_at > HEARTBEAT_TIMEOUT_S:
-                silent_count += (
-                    relayed.summary.live_host_count + relayed.summary.silent_host_count
-                )
+                silent_count += relayed.host_count
                 continue
             live_count += relayed.summary.live_host_count
             silent_count += relayed.summary.silent_host_count
@@ -263,12 +263,20 @@
             data_centre_hosts += [
                 self._truncate(hosts) for hosts in relayed.data_centre_hosts
             ]
+        demand = _sum_by_customer(demands)
+        self._takeover.record_summary(now)
+        earlier = self._takeover.earlier_record(now)
+        if earlier is not None:
+            data_centre_hosts += self._takeover.unheard_of(earlier)
+            earlier_live_count = earlier.summary.live_host_count
+            live_count = max(live_count, earlier_live_count - silent_count)
+            demand = _largest_by_customer(demand, earlier.demand)
         return self._build_summary(
             outbox,
             WHOLE_FLEET,
             data_centre_hosts,
             (live_count, silent_count),
-            (_sum_by_customer(demands), self._fleet_totals.totals),
+            (demand, self._fleet_totals.totals),
             ReportScope.FLEET,
             now,
             {record.member.host: record.sequence for record in live},
@@ -359,6 +367,15 @@
     )
 
 
+def _largest_by_customer(
+    first: Mapping[str, float], second: Mapping[str, float]
+) -> dict[str, float]:
+    return {
+        name: max(first.get(name, 0.0), second.get(name, 0.0))
+        for name in {**first, **second}
+    }
+
+
 def _sum_by_customer(tables: list[Mapping[str, float]]) -> dict[str, float]:
     totals: dict[str, float] = {}
     for table in tables:
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -104,10 +104,7 @@
         )
         records = self._members.records()
         relayed = self._relayed_records(relays, now)
-        reported_size = sum(
-            record.summary.live_host_count + record.summary.silent_host_count
-            for record in relayed
-        )
+        reported_size = sum(record.host_count for record in relayed)
         if self._own in relays:
             reported_size += 1 + len(self.local_records())
         fleet_size = known_fleet_size = max(reported_size, 1 + len(records))
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -119,6 +119,11 @@
         """Return the relay's name and start time, which identify its process."""
         return self.summary.relay, self.summary.started_ms
 
+    @property
+    def host_count(self) -> int:
+        """Return the number of hosts that it counts, silent ones included."""
+        return self.summary.live_host_count + self.summary.silent_host_count
+
     @property
     def address(self) -> tuple[str, int]:
         """Return the host and port at which other hosts reach the relay."""
@@ -202,6 +207,17 @@
         """
         return self.primary(WHOLE_FLEET, now)
 
+    def latest_fleet_record(self, now: float) -> SummaryRecord | None:
+        """Return the newest record of the whole fleet, or None if all are old.
+
+        :param now: seconds on the event loop's clock.
+        """
+        records = self._records.get(WHOLE_FLEET, {}).values()
+        newest = max(records, key=lambda item: item.received_at, default=None)
+        if newest is None or now - newest.received_at > LISTING_LIFETIME_S:
+            return None
+        return newest
+
     def recently_listed_hosts(self, data_centre: str, now: float) -> list[Member]:
         """Return the hosts of a data centre that any relay listed lately.
 
