Showed what hosts hold when the scenario of a whole burst fails.

Cause: the listed scenario 'A customer gets its whole burst at any one host' fails now and then. It went on once the hosts' views had the lower rate, not their limits, and not the longer wait: in one failed run a host still had the old rate. Change: it waits for both at every host, and its message says what each host held before and after. Hypothesis, not proved: a request for a loan that is lost leaves the hints lowered, so that the waiting callers are refused at once.

--- a/features/steps/loan_steps.py
+++ b/features/steps/loan_steps.py
@@ -76,17 +76,39 @@
     )
     for host in fleet.hosts:
         host.admission.max_wait_s = wait
-        wait_until(lambda host=host: host.view().customers[name].rate == rate)
+    wait_until(
+        lambda: (
+            len(found := find_held(context)) == len(fleet.hosts)
+            and all(report.fleet_rate == rate for report in found.values())
+            and all(
+                host.view().policy("default").max_wait_ms == longer["max_wait_ms"]
+                for host in fleet.hosts
+            )
+        ),
+        what="the lower rate and the longer wait at every host",
+    )
 
 
 @when("it sends {count:d} requests to host {number:d} at once")
 def send_burst(context, count, number):
     callers = [make_caller(context, context.credentials, number) for _ in range(count)]
+    context.held_before = find_held(context)
     with ThreadPoolExecutor(count) as pool:
         context.answers = list(pool.map(lambda c: c.send("GET", REQUEST_PATH), callers))
     context.number = number
 
 
+def find_held(context):
+    """Return what each host reports of the customer's limit."""
+    name = f"customer:{context.credentials.customer}"
+    return {
+        number: report
+        for number, host in enumerate(context.fleet.hosts)
+        for report in host.limit_table.limit_reports()
+        if report.limit == name
+    }
+
+
 @then("a fifth is refused as over its rate")
 def check_fifth(context):
     answer = make_caller(context, context.credentials, context.number).send(
@@ -98,7 +120,8 @@
 @then("all {count:d} are served")
 def check_all_served(context, count):
     found = [(a.status, a.reason) for a in context.answers]
-    assert found == [(200, "")] * count, found
+    held = find_held(context)
+    assert found == [(200, "")] * count, (found, context.held_before, held)
 
 
 @given("a customer with a rate of {rate:g} and a burst of {burst:g}, with a key")
