Shortened the host's module, and put two reasons back with their constants.

Change: a follower's role is made from the topology in store_sync.py; the view's log line has a module. No behaviour changes.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -39,6 +39,7 @@
 from damasktally.entry.store_sync import FollowerRole, StoreSync
 from damasktally.entry.suspension import SuspensionDetector
 from damasktally.entry.topology import FleetTopology
+from damasktally.entry.view_log import log_view_change
 from damasktally.events import emit
 from damasktally.events.catalogue import (
     HOST_LEAVING,
@@ -46,14 +47,11 @@
     HOST_STARTED,
     HOST_STOPPED,
     SETTINGS_RELOADED,
-    VIEW_CHANGED,
 )
 from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import (
     CallerLimits,
     Customer,
-    era_of,
-    revision_in_era,
 )
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
@@ -126,12 +124,8 @@
             self._store,
             self._view,
             self._confirmations.record,
-            FollowerRole(
-                lambda: self._registration.is_complete,
-                lambda: self._topology.should_follow_store(self._loop.time()),
-                lambda: self._topology.has_store_following_relay(self._loop.time()),
-                lambda: self._topology.is_relay(self._loop.time()),
-                lambda: self._topology.relays_age_s(self._loop.time()),
+            FollowerRole.from_topology(
+                self._topology, lambda: self._registration.is_complete
             ),
             self._rng,
         )
@@ -366,11 +360,12 @@
     def _update_metrics(self, now: float) -> None:
         if self._output is not None:
             report_dropped_lines(self._output, self._metrics)
-        self._metrics.hosts_heard.set(len(self._members.live_records(now)))
-        self._metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
-        self._metrics.limited_servers.set(self._candidates.limits.limited_count())
+        metrics = self._metrics
+        metrics.hosts_heard.set(len(self._members.live_records(now)))
+        metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
+        metrics.limited_servers.set(self._candidates.limits.limited_count())
         for topic, confirmed_at in self._confirmations.times():
-            self._metrics.view_age.labels(topic.value).set(now - confirmed_at)
+            metrics.view_age.labels(topic.value).set(now - confirmed_at)
 
     def _detect_suspension(self) -> None:
         suspended_s = self._suspension_detector.measure_s()
@@ -398,11 +393,4 @@
 
     def _log_change(self, change: ViewChange) -> None:
         self._peer_protocol.announce_view_change()
-        emit(
-            VIEW_CHANGED,
-            topic=change.topic.value,
-            revision=revision_in_era(change.revision),
-            era=era_of(change.revision),
-            source=change.source,
-            detail=change.detail,
-        )
+        log_view_change(change)
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from damasktally.decisions.stale_watches import StaleWatchDetector
+from damasktally.entry.topology import FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import (
     FOLLOWING_ENDED,
@@ -39,9 +40,9 @@
     Topic.SERVERS: SERVERS_KIND,
 }
 WATCH_WAIT_S = 20.0
+"""Time after which the store ends a watch that has no changes."""
 RECOVERY_WATCH_WAIT_S = 0.2
 """Wait of the first watch after an outage, whose response shows the store's era."""
-"""Time after which the store ends a watch that has no changes."""
 BURST_DELAY_S = 0.3
 """Pause after a change. Changes come in bursts, and one call then brings the rest."""
 PROBE_INTERVAL_S = 1.0
@@ -83,6 +84,20 @@
     is_relay: Callable[[], bool]
     relays_age_s: Callable[[], float]
 
+    @classmethod
+    def from_topology(
+        cls, topology: FleetTopology, is_fleet_known: Callable[[], bool]
+    ) -> "FollowerRole":
+        """Return the role of a host by its topology at the time of each call."""
+        now = get_running_loop().time
+        return cls(
+            is_fleet_known,
+            lambda: topology.should_follow_store(now()),
+            lambda: topology.has_store_following_relay(now()),
+            lambda: topology.is_relay(now()),
+            lambda: topology.relays_age_s(now()),
+        )
+
 
 class StoreSync:
     """Keep a view up to date from the store.
