Built the members that a relay lists once for each list.

Cause: the topology is computed five times a second, and since relays' lists count together each time built the hosts of every list anew. Change: the hosts of a list are kept as long as the relay sends no other one.

--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -140,6 +140,9 @@
     def __init__(self) -> None:
         self._records: dict[str, dict[str, SummaryRecord]] = {}
         self._primary_relays: dict[str, str] = {}
+        self._listed_members: dict[
+            tuple[str, str], tuple[list[DataCentreHosts], list[Member]]
+        ] = {}
 
     def apply_summary(self, summary: RelaySummary, now: float) -> bool:
         """Store a summary, unless a newer one of the same relay was stored before.
@@ -228,12 +231,23 @@
         found: dict[str, Member] = {}
         for record in self._records.get(WHOLE_FLEET, {}).values():
             if now - record.received_at <= LISTING_LIFETIME_S:
-                for item in members_in_data_centre(record, data_centre):
+                for item in self._members_listed_by(record, data_centre):
                     known = found.setdefault(item.host, item)
                     if known.started_ms < item.started_ms:
                         found[item.host] = item
         return list(found.values())
 
+    def _members_listed_by(
+        self, record: SummaryRecord, data_centre: str
+    ) -> list[Member]:
+        """Return the hosts of a data centre in a record, built once for each list."""
+        key = (record.summary.relay, data_centre)
+        cached = self._listed_members.get(key)
+        if cached is None or cached[0] is not record.data_centre_hosts:
+            members = members_in_data_centre(record, data_centre)
+            cached = self._listed_members[key] = (record.data_centre_hosts, members)
+        return cached[1]
+
     def live_records(self, now: float) -> list[SummaryRecord]:
         """Return the records of all scopes whose last summary is recent enough.
 
@@ -269,9 +283,14 @@
                 n for n, r in relays.items() if now - r.received_at > REMOVAL_TIMEOUT_S
             ]:
                 del relays[name]
+                self._forget_members(name)
             if not relays:
                 del self._records[scope]
 
+    def _forget_members(self, relay: str) -> None:
+        for key in [key for key in self._listed_members if key[0] == relay]:
+            del self._listed_members[key]
+
 
 def _is_newer(summary: RelaySummary, previous: RelaySummary) -> bool:
     return (summary.started_ms, summary.sequence) > (
