--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -267,7 +267,7 @@
         self._takeover.record_summary(now)
         earlier = self._takeover.earlier_record(now)
         if earlier is not None:
-            data_centre_hosts += self._takeover.unheard_of(earlier)
+            data_centre_hosts += self._takeover.missing_data_centres(earlier)
             earlier_live_count = earlier.summary.live_host_count
             live_count = max(live_count, earlier_live_count - silent_count)
             demand = _largest_by_customer(demand, earlier.demand)
--- a/damasktally/entry/relay_takeover.py
+++ b/damasktally/entry/relay_takeover.py
@@ -47,15 +47,15 @@
         if now - self._began_at > NEW_RELAY_TIME_S:
             return None
         earlier = self._summaries.latest_fleet_record(now)
-        if earlier is None or not self.unheard_of(earlier):
+        if earlier is None or not self.missing_data_centres(earlier):
             return None
         return earlier
 
-    def unheard_of(self, earlier: SummaryRecord) -> list[DataCentreHosts]:
+    def missing_data_centres(self, earlier: SummaryRecord) -> list[DataCentreHosts]:
         """Return the data centres of a record that sent this host no summary."""
-        heard_of = {self._own_data_centre, *self._summaries.data_centres()}
+        known = {self._own_data_centre, *self._summaries.data_centres()}
         return [
             listing
             for listing in earlier.data_centre_hosts
-            if listing.data_centre not in heard_of
+            if listing.data_centre not in known
         ]
