Replaced relays that stop at once.

Cause: a relay that stops says so, and its record is removed, but its own last list still names it, so that hosts took it for alive and sent it their heartbeats until no reply had come for 1.8 s. Change: a process that said that it stops does not count by any list; its next process does. Conclusion: mended; a planned restart of a relay leaves no gap in messages.

--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -166,6 +166,8 @@
         }
         listed = self._summaries.recently_listed_hosts(self._own.data_centre, now)
         for member in listed:
+            if self._members.has_stopped(member):
+                continue
             record = records.get(member.host)
             if record is None or not record.is_unresponsive(now):
                 alive.setdefault(member.host, member)
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -145,6 +145,7 @@
     def __init__(self, own: Member) -> None:
         self.own = own
         self._records: dict[str, MemberRecord] = {}
+        self._stopped_at: dict[tuple[str, int], float] = {}
 
     def add(self, member: Member, now: float) -> bool:
         """Add a host that has sent nothing yet, such as one from the store's list.
@@ -179,6 +180,7 @@
                 return False
         if heartbeat.stopped:
             self._records.pop(heartbeat.host, None)
+            self._stopped_at[heartbeat.host, heartbeat.started_ms] = now
             return False
         is_new = record is None or is_newer_incarnation
         demand, admitted = heartbeat.demand, heartbeat.admitted
@@ -206,6 +208,10 @@
         )
         return is_new
 
+    def has_stopped(self, member: Member) -> bool:
+        """Return whether a host said lately that this process of it stops."""
+        return (member.host, member.started_ms) in self._stopped_at
+
     def expect_replies(self, hosts: Iterable[Member], now: float) -> None:
         """Record which hosts currently get messages that require a reply.
 
@@ -261,6 +267,9 @@
         ]
         for name in silent:
             del self._records[name]
+        for identity, stopped_at in list(self._stopped_at.items()):
+            if now - stopped_at > REMOVAL_TIMEOUT_S:
+                del self._stopped_at[identity]
         return silent
 
     def get(self, host: str) -> MemberRecord | None:
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -89,6 +89,14 @@
     When the summaries of the next relay list 20 hosts from then on
     Then after 7 s the host counts 20 hosts
 
+  # Guards against messages to a relay that stopped, which its own last list names.
+  Scenario: A relay that stops is replaced at once, and its next process may be one again
+    Given a host that knows 30 hosts in 2 data centres by the summary of a relay
+    When its first relay says that it stops
+    Then the host's relays are the second and the third of the data centre
+    When the next process of that relay sends a heartbeat
+    Then the host's relays are the first and the second of the data centre
+
   # Guards against shares that grow, and look-ups that find no host of other data centres,
   # until the next relay has heard of them.
   Scenario: The next relay passes on what the relay before it knew of other data centres
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -282,6 +282,49 @@
     assert context.samples[0][2] == context.order[2:4], context.samples[0]
 
 
+def receive_heartbeat(context, started_ms, stopped):
+    """Let a heartbeat of the first relay arrive."""
+    relay = member(context.order[0], "near", 1)
+    heartbeat = Heartbeat(
+        host=relay.host,
+        started_ms=started_ms,
+        region=relay.region,
+        data_centre=relay.data_centre,
+        caller_address=relay.caller_address,
+        peer_host="10.0.1.1",
+        peer_port=7,
+        sequence=99,
+        ready=not stopped,
+        stopped=stopped,
+        revisions=(1, 1, 1),
+        demand={},
+        admitted={},
+    )
+    context.members.apply_heartbeat(heartbeat, 0.2)
+    context.topology.invalidate()
+
+
+@when("its first relay says that it stops")
+def when_relay_stops(context):
+    """Let its last heartbeat arrive."""
+    receive_heartbeat(context, 1, stopped=True)
+
+
+@when("the next process of that relay sends a heartbeat")
+def when_relay_starts(context):
+    """Let the first heartbeat of the next process arrive."""
+    receive_heartbeat(context, 2, stopped=False)
+
+
+@then("the host's relays are the {first} and the {second} of the data centre")
+def then_relays_are(context, first, second):
+    """Compare with the order in which hosts become relays."""
+    places = {"first": 0, "second": 1, "third": 2}
+    expected = [context.order[places[first]], context.order[places[second]]]
+    found = [item.host for item in context.topology.relays(0.25)]
+    assert found == expected, (found, expected)
+
+
 @when("the summaries of the next relay list {count:d} hosts from then on")
 def when_fewer_hosts(context, count):
     """Go on with a fleet that has become smaller."""
