Corrected three doc comments of the module of crash suspects.

The module's text did not mention trials, one constant said that the oldest loss decides what is forgotten, where the oldest change does, and another gave no reason for being larger than the number that blocks. Change: doc comments only; the syntax tree without them is the same as before. The whole script was not run again.

--- a/damasktally/decisions/crash_suspects.py
+++ b/damasktally/decisions/crash_suspects.py
@@ -5,6 +5,9 @@
 alive. A request is recognised by its fingerprint, at whichever host it arrives. Hosts
 merge each other's entries: of an entry the earlier time and an exoneration are kept, so
 that the order and the number of messages do not matter.
+
+Requests that are blocked together are tried again, since most of them may have lost
+their responses only because another one ended the servers.
 """
 
 from collections.abc import Iterator
@@ -33,9 +36,12 @@
 MAX_REPORTS_PER_MESSAGE = 16
 MAX_RECENT_REPORTS_PER_MESSAGE = 8
 MAX_COUNTING_PER_REPORT = 5
+"""Losses in a report that are not exonerated; more than block a request, as hosts may
+know of different ones."""
 MAX_EXONERATED_PER_REPORT = 10
 MAX_SUSPECTS = 1_000
-"""Requests that are remembered; beyond, the one with the oldest loss is forgotten."""
+"""Requests that are remembered; beyond, the one whose losses are unchanged for longest
+is forgotten."""
 
 
 _CrashKey = tuple[str, int]
