Logged when a host reaches no server of a service, and when it does again.

The logs could not tell a host's own cut from failing servers: it had to be put together from about 50 server-paused lines, and nothing showed it on the metrics address. Events 520 and 521 and the gauge damasktally_entry_unreachable_services say it now. The conclusion is drawn from the results of requests; where they leave doubt, or show nothing as on silent connections, the host opens connections without a request, which are kept in the pool.

--- a/damasktally/entry/connection_pool.py
+++ b/damasktally/entry/connection_pool.py
@@ -1,6 +1,7 @@
 """Pool idle connections to backend servers for reuse."""
 
 from asyncio import get_running_loop
+from collections.abc import Awaitable, Callable
 
 from damasktally.http1.outbound import ServerConnection, connect
 from damasktally.http1.response_memory import ResponseMemory
@@ -14,6 +15,11 @@
 """
 MAX_IDLE_PER_SERVER = 16
 
+Connector = Callable[
+    [tuple[str, int], float, ResponseMemory], Awaitable[ServerConnection]
+]
+"""Opens a connection, as :func:`~damasktally.http1.outbound.connect` does."""
+
 
 class ConnectionPool:
     """A pool of idle connections, by server.
@@ -23,10 +29,12 @@
     connections.
 
     :param memory: limits the bytes of all responses that are being received.
+    :param connector: opens new connections.
     """
 
-    def __init__(self, memory: ResponseMemory) -> None:
+    def __init__(self, memory: ResponseMemory, connector: Connector = connect) -> None:
         self._memory = memory
+        self._connector = connector
         self._idle: dict[str, list[ServerConnection]] = {}
         self._loop = get_running_loop()
 
@@ -50,7 +58,18 @@
             if conn.can_send and now - conn.idle_since <= limit:
                 return conn
             conn.close()
-        return await connect(address, timeout_s, self._memory)
+        return await self._connector(address, timeout_s, self._memory)
+
+    async def add(
+        self, server: str, address: tuple[str, int], timeout_s: float
+    ) -> None:
+        """Open a connection that is idle until a request uses it.
+
+        :param address: host and port of the server.
+        :param timeout_s: seconds that the connection may take.
+        :raises ConnectFailed: if it is not established in time.
+        """
+        self.release(server, await self._connector(address, timeout_s, self._memory))
 
     def release(self, server: str, conn: ServerConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/damasktally/entry/forwarder.py
+++ b/damasktally/entry/forwarder.py
@@ -5,6 +5,7 @@
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.outcome import Attempt, AttemptOutcome
+from damasktally.entry.reachability_monitor import ReachabilityMonitor
 from damasktally.entry.server_reports import ServerReports
 from damasktally.events import emit
 from damasktally.events.catalogue import SERVER_PAUSED
@@ -52,6 +53,7 @@
     :param candidates: receives loads, successes and failures.
     :param reports: receives what servers report of themselves.
     :param pool: idle connections to servers.
+    :param reachability: receives which servers answered, and which were not reached.
     """
 
     def __init__(
@@ -60,8 +62,10 @@
         candidates: ServerCandidates,
         reports: ServerReports,
         pool: ConnectionPool,
+        reachability: ReachabilityMonitor,
     ) -> None:
         self._view = view
+        self._reachability = reachability
         self._reports = reports
         self._candidates = candidates
         self._pool = pool
@@ -83,15 +87,18 @@
         """
         started_at = self._loop.time()
         self._candidates.record_send(server.id, started_at)
+        self._reachability.record_sent(server)
         try:
             outcome, response = await self._connect_and_send(
                 req, server, customer, deadline, at_most_once
             )
         finally:
             self._candidates.loads.end(server.id)
+            self._reachability.record_ended(server)
         if not (outcome is AttemptOutcome.LOST and req.is_disconnected):
             # A response that was lost because the caller left is no server's failure.
             self._record_outcome(server, outcome, response)
+            self._record_reachability(server, outcome)
         return Attempt(server.id, outcome, self._loop.time() - started_at, response)
 
     async def _connect_and_send(
@@ -194,6 +201,16 @@
         elif outcome in (AttemptOutcome.LOST, AttemptOutcome.ANSWERED):
             self._record_failure(server, outcome, unreachable=False)
 
+    def _record_reachability(self, server: Server, outcome: AttemptOutcome) -> None:
+        """Record what an attempt shows of the connection to the server.
+
+        A deadline that passed shows nothing, as a server that is busy causes it, too.
+        """
+        if outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.LOST):
+            self._reachability.record_failure(server, outcome.value)
+        elif outcome not in (AttemptOutcome.TIMED_OUT, AttemptOutcome.ABANDONED):
+            self._reachability.record_answered(server)
+
     def _record_failure(
         self, server: Server, outcome: AttemptOutcome, unreachable: bool
     ) -> None:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -30,6 +30,7 @@
 from damasktally.entry.peer_reports import PeerReports
 from damasktally.entry.peers import PeerProtocol
 from damasktally.entry.quota_reports import QuotaReports
+from damasktally.entry.reachability_monitor import ReachabilityMonitor
 from damasktally.entry.registration import Registration
 from damasktally.entry.requests import RequestHandler
 from damasktally.entry.server_reports import ServerReports
@@ -173,8 +174,15 @@
         )
         self._capacity_log = CapacityLog(self._view)
         self._connection_pool = ConnectionPool(response_memory)
+        self._reachability = ReachabilityMonitor(
+            self._candidates, self._connection_pool, self._rng
+        )
         forwarder = Forwarder(
-            self._view, self._candidates, self._server_reports, self._connection_pool
+            self._view,
+            self._candidates,
+            self._server_reports,
+            self._connection_pool,
+            self._reachability,
         )
         self._requests = RequestHandler(
             self._view,
@@ -289,6 +297,7 @@
         await self._store_sync.stop()
         self._era_follower.close()
         self._blocked_requests.close()
+        self._reachability.close()
         for server in self._servers:
             server.close()
         self._peer_protocol.close()
@@ -328,6 +337,7 @@
         self._view.settle(now)
         self._era_follower.follow()
         self._crash_reports.handle_block_changes()
+        self._reachability.probe(now)
         self._update_shares(now)
 
     def _run_maintenance(self, now: float) -> None:
@@ -340,6 +350,7 @@
         self._connection_pool.close_all_except(known_servers)
         self._candidates.keep_only(known_servers)
         self._server_reports.keep_only(known_servers)
+        self._reachability.keep_only(self._view.servers.services())
         self._crash_suspects.remove_expired(now)
         self._capacity_log.log_changes(now)
         self._update_metrics(now)
@@ -363,6 +374,8 @@
         metrics = self._metrics
         metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
+        unreachable = self._reachability.unreachable_services()
+        metrics.unreachable_services.set(len(unreachable))
         metrics.limited_servers.set(self._candidates.limits.limited_count())
         for topic, confirmed_at in self._confirmations.times():
             metrics.view_age.labels(topic.value).set(now - confirmed_at)
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -43,6 +43,11 @@
             "Distinct requests that are refused because servers ended under them.",
             registry=self.registry,
         )
+        self.unreachable_services = Gauge(
+            "damasktally_entry_unreachable_services",
+            "Services of which this host reaches no server.",
+            registry=self.registry,
+        )
         self.lookups = Counter(
             "damasktally_entry_lookups", "Look-ups answered.", registry=self.registry
         )
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -203,6 +203,19 @@
     "A backend server refused a request and named a time; it gets none until then.",
     "Check the server's load.",
 )
+SERVICE_UNREACHABLE = Event(
+    520,
+    "service-unreachable",
+    "This host reaches no server of a service: several failed in a row, and none "
+    "answered or accepted a connection since; the fields show the last ones.",
+    "If other hosts do not log it, check this host's network; otherwise the servers.",
+)
+SERVICE_REACHABLE = Event(
+    521,
+    "service-reachable",
+    "This host reaches servers of a service again.",
+    "None, unless it is frequent: then check the host's network.",
+)
 HANDLER_FAILED = Event(
     513,
     "handler-failed",
--- a/damasktally/fleet/servers.py
+++ b/damasktally/fleet/servers.py
@@ -95,6 +95,10 @@
             if not item.server.is_draining and not self.is_leaving(item.server)
         ]
 
+    def services(self) -> set[str]:
+        """Return the names of the services that have registered servers."""
+        return {record.server.service for record in self._records.values()}
+
     def is_leaving(self, server: Server) -> bool:
         """Return whether this process of a server said that it leaves."""
         mark = self._leaving.get(server.id)
