Counted the pauses that servers ask for, and the servers that pause.

Whether servers asked a host for pauses could be told from the log only, and not how often they renewed them. damasktally_entry_pauses_asked and damasktally_entry_paused_servers show both. No decision changed; features/entry/server_pauses and boundary hold.

--- a/damasktally/decisions/server_pauses.py
+++ b/damasktally/decisions/server_pauses.py
@@ -63,6 +63,10 @@
         """Return whether a server wants no requests of this host now."""
         return self.remaining_s(server, now) > 0
 
+    def paused_count(self, now: float) -> int:
+        """Return the number of servers whose pause lasts."""
+        return sum(pause.until > now for pause in self._pauses.values())
+
     def earliest_end_s(self, servers: Iterable[Server], now: float) -> float | None:
         """Return how long it takes until one of several paused servers wants work.
 
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -145,6 +145,7 @@
             self._candidates.loads,
             self._candidates.limits,
             self._candidates.pauses,
+            self._metrics,
         )
         self._crash_suspects = CrashSuspects(self._own.host)
         crash_reports = self._crash_reports = CrashReports(self._crash_suspects)
@@ -353,6 +354,7 @@
         metrics = self._metrics
         metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
+        metrics.paused_servers.set(self._candidates.pauses.paused_count(now))
         unreachable = self._reachability.unreachable_services()
         metrics.unreachable_services.set(len(unreachable))
         metrics.limited_servers.set(self._candidates.limits.limited_count())
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -44,6 +44,16 @@
             "Backend servers that name a rate limit for all hosts together.",
             registry=self.registry,
         )
+        self.paused_servers = Gauge(
+            "damasktally_entry_paused_servers",
+            "Backend servers that asked this host for a pause that lasts.",
+            registry=self.registry,
+        )
+        self.pauses_asked = Counter(
+            "damasktally_entry_pauses_asked",
+            "Refusals of servers that asked this host for a pause.",
+            registry=self.registry,
+        )
         self.blocked_requests = Gauge(
             "damasktally_entry_blocked_requests",
             "Distinct requests that are refused because servers ended under them.",
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -6,6 +6,7 @@
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
+from damasktally.entry.metrics import EntryMetrics
 from damasktally.events import emit
 from damasktally.events.catalogue import (
     SERVER_ASKED_FOR_PAUSE,
@@ -35,7 +36,9 @@
         loads: ServerLoads,
         limits: ServerLimits,
         pauses: ServerPauses,
+        metrics: EntryMetrics,
     ) -> None:
+        self._metrics = metrics
         self._view = view
         self._loads = loads
         self._limits = limits
@@ -62,6 +65,7 @@
         self.record_limits([limit], ReportScope.OWN, OWN_SOURCE)
 
     def _record_pause(self, server: Server, pause_s: float, now: float) -> None:
+        self._metrics.pauses_asked.inc()
         if self._pauses.record(server.id, server.started_ms, pause_s, now):
             emit(SERVER_ASKED_FOR_PAUSE, server=server.id, seconds=pause_s)
 
