Checked for a pause again once a request has its connection.

Cause found: a request chooses its server, then waits up to 0.35 s for a connection, and longer on a busy host; a pause that begins meanwhile did not hold for it. A request that has its connection asks once more whether the server takes requests; if it pauses or leaves, the request goes to another server, and the connection stays for later.

--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -1,5 +1,6 @@
 """Rank the servers that may receive a request."""
 
+from asyncio import get_running_loop
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -57,6 +58,7 @@
         self._own = own
         self._topology = topology
         self._region_of = region_of
+        self._loop = get_running_loop()
         self._affinity_ranking = AffinityRanking(own.region, region_of)
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
         self.loads = ServerLoads()
@@ -147,6 +149,15 @@
         servers = self.eligible_servers(service, home_regions)
         return self.pauses.earliest_end_s(servers, now)
 
+    def wants_requests(self, server: Server) -> bool:
+        """Return whether a server still takes requests of this host.
+
+        Other requests may learn meanwhile that it pauses or leaves.
+        """
+        if self.pauses.is_paused(server, self._loop.time()):
+            return False
+        return not self._view.servers.is_leaving(server)
+
     def has_unreachable_server(
         self, service: str, home_regions: frozenset[str]
     ) -> bool:
--- a/damasktally/entry/forwarder.py
+++ b/damasktally/entry/forwarder.py
@@ -104,7 +104,14 @@
     ) -> tuple[AttemptOutcome, Response | None]:
         """Send the request, and record what the server reports of itself."""
         encode = partial(_encode_request, req, server, customer)
-        options = SendOptions(server.id, server.address, encode, deadline, at_most_once)
+        options = SendOptions(
+            server.id,
+            server.address,
+            encode,
+            deadline,
+            at_most_once,
+            partial(self._candidates.wants_requests, server),
+        )
         outcome, response = await self._sender.send(req, options)
         if response is None:
             return outcome, None
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -24,7 +24,8 @@
     NOT_SENT = "not-sent"
     """No connection could be established, so nothing was sent."""
     ABANDONED = "abandoned"
-    """Nothing was sent, as the caller disconnected or the deadline passed."""
+    """Nothing was sent, as the caller disconnected, the deadline passed, or the server
+    asked for a pause meanwhile."""
     LOST = "lost"
     """The request was sent, but no complete response arrived: it may have run."""
     TIMED_OUT = "timed-out"
--- a/damasktally/entry/request_sender.py
+++ b/damasktally/entry/request_sender.py
@@ -30,6 +30,8 @@
     :param encode: returns the bytes to send, given the milliseconds that remain.
     :param deadline: time on the event loop's clock in seconds.
     :param at_most_once: whether the request must not run more than once.
+    :param is_wanted: returns whether the request may still be sent, once there is a
+        connection for it.
     """
 
     target: str
@@ -37,6 +39,7 @@
     encode: Callable[[int], bytes]
     deadline: float
     at_most_once: bool
+    is_wanted: Callable[[], bool] = lambda: True
 
 
 class RequestSender:
@@ -68,7 +71,7 @@
         except ConnectFailed:
             return AttemptOutcome.NOT_SENT, None
         remaining_s = options.deadline - self._loop.time()
-        if req.is_disconnected or remaining_s <= 0:
+        if req.is_disconnected or remaining_s <= 0 or not options.is_wanted():
             self._pool.release(options.target, conn)
             return AttemptOutcome.ABANDONED, None
         return await self._send_and_receive(req, conn, options)
