Added a failing test of requests that cuts of links block, and the soak's cuts.

All of 6 hosts lose all servers by resets, twice for 1.2 s: each host then blocks a request for up to 598 s, although no server had ended. With 5 of 6 cut none is blocked. Seeds without it draw as before.

--- a/features/entry/server_cuts.feature
+++ b/features/entry/server_cuts.feature
@@ -117,3 +117,16 @@
       | 6     | 4       | 2     |
       | 4     | 3       | 4     |
       | 4     | 4       | 4     |
+
+  # Guards against blaming requests for responses that a host's own links lost.
+  Scenario Outline: Responses that are lost by cuts of hosts block no request
+    Given a fleet of 6 hosts and 8 servers
+    And every server takes 0.2 s
+    And callers sent 120 requests a second to all hosts for 1 s
+    When <cut> of the hosts lose all servers <times> times for <seconds> s, connections are reset
+    Then no request was blocked at any host
+
+    Examples:
+      | cut | times | seconds |
+      | 5   | 4     | 0.5     |
+      | 6   | 2     | 1.2     |
--- a/features/fault_soak/__main__.py
+++ b/features/fault_soak/__main__.py
@@ -26,6 +26,9 @@
         action="store_true",
         help="add servers' own reports, requests that end servers, and store restores",
     )
+    parser.add_argument(
+        "--cuts", action="store_true", help="cut hosts from all servers, too"
+    )
     parser.add_argument("--keep", type=Path, help="folder in which logs are kept")
     options = parser.parse_args()
     fresh = [SystemRandom().randrange(10**9) for _ in range(options.seeds)]
@@ -44,6 +47,7 @@
                     options.seconds,
                     options.callers,
                     options.reports,
+                    options.cuts,
                 )
             )
         print(result, flush=True)
--- a/features/fault_soak/proxy.py
+++ b/features/fault_soak/proxy.py
@@ -2,6 +2,7 @@
 
 from asyncio import StreamReader, StreamWriter, gather, open_connection, sleep
 from asyncio import start_server as listen
+from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
 from time import monotonic
@@ -22,6 +23,17 @@
     NO_ANSWERS = "no-answers"
 
 
+class ClientCut(Enum):
+    """How the connections of one client are cut, while those of others are not.
+
+    New connections are reset in all cases.
+    """
+
+    RESET = "open ones are reset"
+    SILENCE = "open ones carry nothing any more"
+    REFUSE_NEW = "open ones live on"
+
+
 class FaultProxy:
     """Forward connections to one address, with an optional impairment.
 
@@ -38,6 +50,9 @@
         self.port = 0
         self._server = None
         self._open_writers: set[StreamWriter] = set()
+        self._cuts: dict[str, Callable[[], set[int]]] = {}
+        self._silenced_by_port: dict[int, list[bool]] = {}
+        self._writer_by_port: dict[int, StreamWriter] = {}
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -56,6 +71,28 @@
             for writer in list(self._open_writers):
                 writer.transport.abort()
 
+    def cut_client(
+        self, name: str, cut: ClientCut, find_ports: Callable[[], set[int]]
+    ) -> None:
+        """Cut a client.
+
+        :param find_ports: returns the local ports of the client's connections.
+        """
+        self._cuts[name] = find_ports
+        ports = find_ports() & set(self._writer_by_port)
+        for port in ports:
+            if cut is ClientCut.RESET:
+                self._writer_by_port[port].transport.abort()
+            elif cut is ClientCut.SILENCE:
+                self._silenced_by_port[port][0] = True
+
+    def join_client(self, name: str) -> None:
+        """End the cut of a client, if there is one."""
+        self._cuts.pop(name, None)
+
+    def _is_cut(self, port: int) -> bool:
+        return any(port in find_ports() for find_ports in self._cuts.values())
+
     def was_impaired(self, at: float) -> bool:
         """Return whether connections were impaired at a time of the monotonic clock."""
         begun = sum(begin <= at for begin in self.impaired_from)
@@ -63,7 +100,8 @@
         return begun > ended
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
-        if self.impairment is Impairment.RESET:
+        client_port = writer.get_extra_info("peername")[1]
+        if self.impairment is Impairment.RESET or self._is_cut(client_port):
             writer.transport.abort()
             return
         try:
@@ -73,7 +111,8 @@
             return
         ends = {writer, target_writer}
         self._open_writers |= ends
-        silenced = [False]
+        silenced = self._silenced_by_port[client_port] = [False]
+        self._writer_by_port[client_port] = writer
         try:
             await gather(
                 self._forward(reader, target_writer, silenced, is_answer=False),
@@ -81,6 +120,8 @@
             )
         finally:
             self._open_writers -= ends
+            self._silenced_by_port.pop(client_port, None)
+            self._writer_by_port.pop(client_port, None)
             for end in ends:
                 end.close()
 
--- a/features/fault_soak/run.py
+++ b/features/fault_soak/run.py
@@ -12,6 +12,7 @@
 from fault_soak.fleet import SoakFleet
 from fault_soak.report_checks import find_report_violations
 from fault_soak.report_faults import REPORT_FAULTS
+from fault_soak.server_cuts import cut_hosts_from_servers, end_cut
 
 PLANNED_ONLY_RATIO = 0.25
 """Fraction of the seeds in which only planned operations take place."""
@@ -49,18 +50,22 @@
     seconds: float,
     caller_count: int,
     with_reports: bool = False,
+    with_cuts: bool = False,
 ) -> SeedResult:
     """Run a seed and return its outcome.
 
     :param seconds: how long faults are injected.
     :param with_reports: add servers that report on themselves, requests that end
         servers, and a store that comes back from copies. Seeds draw other faults then.
+    :param with_cuts: cut hosts from all servers, among all other faults.
     """
     rng = Random(seed)
     planned_only = not with_reports and rng.random() < PLANNED_ONLY_RATIO
     faults = PLANNED_FAULTS if planned_only else ALL_FAULTS
     if with_reports:
         faults = (*REPORT_FAULTS, *REPORT_FAULTS, *ALL_FAULTS)
+    if with_cuts:
+        faults = (*faults, *[cut_hosts_from_servers] * (len(faults) // 2))
     fleet = SoakFleet(folder, host_count, server_count=6)
     result = SeedResult(seed)
     callers = [
@@ -77,6 +82,7 @@
         await sleep(WARM_UP_S)
         await inject_faults(fleet, rng, seconds, faults, result)
         end_faults(fleet)
+        end_cut(fleet, fleet.hosts)
         result.problems += await wait_until_settled(fleet)
         for task in tasks:
             task.cancel()
--- a/features/steps/server_cut_steps.py
+++ b/features/steps/server_cut_steps.py
@@ -518,3 +518,49 @@
         named = select_addresses(entries, "north", frozenset(), Random(1))
         assert len(named) == int(row["named"]), (row, named)
         assert "h-far:1" not in named
+
+
+@when(
+    "{count:d} of the hosts lose all servers {times:d} times for {seconds:g} s, {shape}"
+)
+def when_cut_in_series(context, count, times, seconds, shape):
+    """Cut the last hosts again and again under load."""
+
+    async def cut():
+        for _ in range(times):
+            await sleep(seconds)
+            for links in context.links[-count:]:
+                links.cut(SHAPES[shape])
+            await sleep(seconds)
+            for links in context.links[-count:]:
+                links.cut("whole")
+
+    async def run():
+        load = call_hosts(context, context.hosts, 120, 2 * times * seconds + 2.0)
+        await gather(load, cut())
+
+    context.blocked_counts = watch_blocks(context)
+    context.loop_thread.run(run())
+
+
+def watch_blocks(context):
+    """Count the requests that each host blocks from now on."""
+    counts = Counter()
+    for host in context.hosts:
+        reports = host._crash_reports
+        name, on_blocked = host._own.host, reports.on_blocked
+
+        def count(report, name=name, on_blocked=on_blocked):
+            counts[name] += 1
+            on_blocked(report)
+
+        reports.on_blocked = count
+    return counts
+
+
+@then("no request was blocked at any host")
+def then_none_blocked(context):
+    """Check what the hosts blocked."""
+    assert not context.blocked_counts, context.blocked_counts
+    now = context.loop_thread.loop.time()
+    assert not any(host._crash_suspects.blocked_count(now) for host in context.hosts)
