Judged a lost response by the other connections of its host.

Cause: each lost response counted as a possible end of its server, whatever else broke at the host. A loss is judged 0.25 s after it. It is the link's if connections to most other connected servers, three at least, broke within 0.2 s, or if only this host does not reach the service while others do. Not covered: cuts from some servers only, and hosts with connections to fewer than four.

--- a/damasktally/decisions/crash_suspects.py
+++ b/damasktally/decisions/crash_suspects.py
@@ -147,14 +147,20 @@
         return len(self._suspects)
 
     def record_loss(
-        self, fingerprint: str, process: str, window: int, now: float
+        self,
+        fingerprint: str,
+        process: str,
+        window: int,
+        now: float,
+        age_s: float = 0.0,
     ) -> None:
         """Record that a server process lost its response to a request.
 
         :param process: identifies the process of the server.
         :param window: number of the time in which it was lost.
+        :param age_s: how many seconds ago it was lost.
         """
-        entry = CrashEntry(process, window, 0.0, False)
+        entry = CrashEntry(process, window, age_s, False)
         self.merge(CrashReport(fingerprint, (entry,)), now)
         self._suspects[fingerprint].has_own_loss = True
 
--- a/damasktally/entry/connection_pool.py
+++ b/damasktally/entry/connection_pool.py
@@ -2,7 +2,9 @@
 
 from asyncio import get_running_loop
 from collections.abc import Awaitable, Callable
+from functools import partial
 
+from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.http1.outbound import ServerConnection, connect
 from damasktally.http1.response_memory import ResponseMemory
 
@@ -29,11 +31,18 @@
     connections.
 
     :param memory: limits the bytes of all responses that are being received.
+    :param breaks: receives which connections are opened, and which are closed.
     :param connector: opens new connections.
     """
 
-    def __init__(self, memory: ResponseMemory, connector: Connector = connect) -> None:
+    def __init__(
+        self,
+        memory: ResponseMemory,
+        breaks: LinkBreaks,
+        connector: Connector = connect,
+    ) -> None:
         self._memory = memory
+        self._breaks = breaks
         self._connector = connector
         self._idle: dict[str, list[ServerConnection]] = {}
         self._loop = get_running_loop()
@@ -58,10 +67,10 @@
             if conn.can_send and now - conn.idle_since <= limit:
                 return conn
             conn.close()
-        return await self._connector(address, timeout_s, self._memory)
+        return await self.open(server, address, timeout_s)
 
     async def open(
-        self, address: tuple[str, int], timeout_s: float
+        self, server: str, address: tuple[str, int], timeout_s: float
     ) -> ServerConnection:
         """Open a connection, which :meth:`release` adds to the pool.
 
@@ -69,7 +78,13 @@
         :param timeout_s: seconds that the connection may take.
         :raises ConnectFailed: if it is not established in time.
         """
-        return await self._connector(address, timeout_s, self._memory)
+        conn = await self._connector(address, timeout_s, self._memory)
+        self._breaks.record_opened(server)
+        conn.on_closed = partial(self._record_closed, server)
+        return conn
+
+    def _record_closed(self, server: str, is_broken: bool) -> None:
+        self._breaks.record_closed(server, is_broken, self._loop.time())
 
     def release(self, server: str, conn: ServerConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/damasktally/entry/crash_reports.py
+++ b/damasktally/entry/crash_reports.py
@@ -5,12 +5,19 @@
 from time import time
 
 from damasktally.decisions.crash_suspects import CrashSuspects
+from damasktally.decisions.link_breaks import TOGETHER_S, LinkBreaks
 from damasktally.entry.outcome import Attempt, AttemptOutcome
 from damasktally.events import emit
-from damasktally.events.catalogue import REQUEST_BLOCKED, REQUEST_UNBLOCKED
+from damasktally.events.catalogue import (
+    LOSS_IGNORED,
+    REQUEST_BLOCKED,
+    REQUEST_UNBLOCKED,
+)
 from damasktally.fleet.crash_reports import CrashReport
 from damasktally.fleet.model import Server
 
+DECISION_DELAY_S = TOGETHER_S + 0.05
+"""A loss is judged this long after it, when breaks of the same link are known."""
 END_WINDOW_S = 5
 """Losses at one process within this many seconds count as one end of it: its next
 process is known as such only once it registered."""
@@ -24,10 +31,20 @@
     of one that is not blocked any more. The host sets both to store what is blocked.
 
     :param suspects: decides which requests are blocked.
+    :param breaks: breaks of this host's connections to servers.
+    :param is_cut_off: returns whether this host does not reach a service that other
+        hosts reach.
     """
 
-    def __init__(self, suspects: CrashSuspects) -> None:
+    def __init__(
+        self,
+        suspects: CrashSuspects,
+        breaks: LinkBreaks,
+        is_cut_off: Callable[[str], bool],
+    ) -> None:
         self._suspects = suspects
+        self._breaks = breaks
+        self._is_cut_off = is_cut_off
         self.on_blocked: Callable[[CrashReport], None] | None = None
         self.on_unblocked: Callable[[str], None] | None = None
         self._loop = get_running_loop()
@@ -52,11 +69,26 @@
         now = self._loop.time()
         if attempt.outcome is AttemptOutcome.LOST:
             window = int(time() // END_WINDOW_S)
-            self._suspects.record_loss(fingerprint, _process_of(server), window, now)
+            self._loop.call_later(
+                DECISION_DELAY_S, self._judge_loss, fingerprint, server, window, now
+            )
         elif attempt.outcome is AttemptOutcome.ANSWERED:
             if attempt.response.status < 500:
                 self._suspects.record_answer(fingerprint, now)
 
+    def _judge_loss(
+        self, fingerprint: str, server: Server, window: int, lost_at: float
+    ) -> None:
+        """Record a loss, unless this host's own link explains it."""
+        is_own_link = self._breaks.is_own_link(server.id, lost_at)
+        if is_own_link or self._is_cut_off(server.service):
+            emit(LOSS_IGNORED, server=server.id, fingerprint=fingerprint)
+            return
+        now = self._loop.time()
+        self._suspects.record_loss(
+            fingerprint, _process_of(server), window, now, now - lost_at
+        )
+
     def record_alive(self, server: Server) -> None:
         """Record that a server answered some request."""
         self._suspects.record_alive(_process_of(server), self._loop.time())
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -13,6 +13,7 @@
 from damasktally.addresses import split_address
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
+from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
 from damasktally.entry.blocked_requests import BlockedRequests
 from damasktally.entry.candidates import ServerCandidates
@@ -53,10 +54,7 @@
     SETTINGS_RELOADED,
 )
 from damasktally.fleet.members import MemberTable
-from damasktally.fleet.model import (
-    CallerLimits,
-    Customer,
-)
+from damasktally.fleet.model import CallerLimits, Customer
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
 from damasktally.http1.response_memory import ResponseMemory
@@ -148,7 +146,15 @@
             self._metrics,
         )
         self._crash_suspects = CrashSuspects(self._own.host)
-        crash_reports = self._crash_reports = CrashReports(self._crash_suspects)
+        self._link_breaks = LinkBreaks()
+        crash_reports = self._crash_reports = CrashReports(
+            self._crash_suspects,
+            self._link_breaks,
+            lambda service: (
+                not self._reachability.is_reachable(service)
+                and self._topology.is_reached_elsewhere(service, self._loop.time())
+            ),
+        )
         self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
         crash_reports.on_blocked = self._blocked_requests.save
         crash_reports.on_unblocked = self._blocked_requests.remove
@@ -173,7 +179,7 @@
             lambda: self._update_shares(self._loop.time()),
         )
         self._capacity_log = CapacityLog(self._view)
-        self._connection_pool = ConnectionPool(response_memory)
+        self._connection_pool = ConnectionPool(response_memory, self._link_breaks)
         self._reachability = ReachabilityMonitor(
             self._candidates, self._connection_pool, self._rng
         )
@@ -184,7 +190,7 @@
             self._connection_pool,
             self._reachability,
         )
-        self._host_pool = ConnectionPool(response_memory)
+        self._host_pool = ConnectionPool(response_memory, LinkBreaks())
         self._requests = RequestHandler(
             self._view,
             self._candidates,
@@ -212,7 +218,7 @@
         forwarded = ForwardedRequests(self._requests, self._own.capacity)
         self._ports = HostPorts.from_config(
             settings.listen,
-            self._caller_limits,
+            lambda: cfg.limits if (cfg := self._view.configuration) else CallerLimits(),
             self._requests.handle,
             forwarded.handle,
             handlers,
@@ -387,10 +393,6 @@
         is_configured = self._view.configuration is not None
         return is_configured and len(self._view.servers) > 0 and not self._is_stopping
 
-    def _caller_limits(self) -> CallerLimits:
-        cfg = self._view.configuration
-        return cfg.limits if cfg else CallerLimits()
-
     def _log_change(self, change: ViewChange) -> None:
         self._peer_protocol.announce_view_change()
         log_view_change(change)
--- a/damasktally/entry/reachability_monitor.py
+++ b/damasktally/entry/reachability_monitor.py
@@ -109,7 +109,7 @@
     async def _connect(self, server: Server) -> bool:
         """Open a connection to a server, and record whether it succeeded."""
         try:
-            conn = await self._pool.open(server.address, PROBE_TIMEOUT_S)
+            conn = await self._pool.open(server.id, server.address, PROBE_TIMEOUT_S)
         except ConnectFailed as exc:
             self.record_failure(server, exc.message)
             return False
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -216,6 +216,13 @@
     "This host reaches servers of a service again.",
     "None, unless it is frequent: then check the host's network.",
 )
+LOSS_IGNORED = Event(
+    522,
+    "loss-ignored",
+    "A response was lost while connections to most other servers broke, too, or while "
+    "only this host did not reach the service; it is not held against the request.",
+    "Check this host's network.",
+)
 HANDLER_FAILED = Event(
     513,
     "handler-failed",
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -67,9 +67,10 @@
 
     :param memory: limits the bytes of all responses that are being received.
 
-    ``idle_since`` is when the last response was complete, in seconds on the event
-    loop's clock. ``keep_alive_timeout_s`` is how long the server keeps the connection
-    open while it is idle, or ``None`` if its last response did not state it.
+    ``on_closed`` is called when the connection has ended, and whether it was reset or
+    timed out. ``idle_since`` is when the last response was complete, in seconds on the
+    event loop's clock. ``keep_alive_timeout_s`` is how long the server keeps the
+    connection open while it is idle, or ``None`` if its last response did not state it.
     """
 
     def __init__(self, memory: ResponseMemory) -> None:
@@ -87,6 +88,7 @@
         self._skipped_count = 0
         self._is_unsolicited = False
         self._received_eof = False
+        self.on_closed: Callable[[bool], None] | None = None
         self.idle_since = self._loop.time()
         self.keep_alive_timeout_s: float | None = None
         self._reusable = True
@@ -153,6 +155,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete the pending response if its body ends at the close, or fail it."""
         self._reusable = False
+        if self.on_closed is not None:
+            self.on_closed(exc is not None)
         if self._pending_response is None:
             return
         ends_at_close = self._in_body and not self._has_known_length()
--- a/features/entry/server_cuts.feature
+++ b/features/entry/server_cuts.feature
@@ -130,3 +130,20 @@
       | cut | times | seconds |
       | 5   | 4     | 0.5     |
       | 6   | 2     | 1.2     |
+
+  # Guards against excusing a request that ends servers, and against blaming one that a
+  # broken link lost.
+  Scenario Outline: A loss is the link's if connections to most other servers break with it
+    Given connections to <open> servers
+    When those to <broken> servers break within <seconds> s
+    Then the loss of the first of them is put down to <cause>
+
+    Examples:
+      | open | broken | seconds | cause      |
+      | 34   | 34     | 0.05    | the link   |
+      | 34   | 20     | 0.1     | the link   |
+      | 34   | 8      | 0.1     | the server |
+      | 34   | 34     | 6       | the server |
+      | 8    | 2      | 0.01    | the server |
+      | 8    | 6      | 0.01    | the link   |
+      | 3    | 3      | 0.01    | the server |
--- a/features/steps/server_cut_steps.py
+++ b/features/steps/server_cut_steps.py
@@ -20,6 +20,7 @@
 
 from damasktally.decisions.directory import DirectoryEntry, select_addresses
 from damasktally.decisions.host_selection import choose_host
+from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.decisions.service_reachability import ServiceReachability
 from damasktally.fleet.model import Member, ReadyHost
 from damasktally.http1.outbound import ConnectFailed, connect
@@ -131,7 +132,7 @@
         self.shape = shape
         for conn in self._open:
             if shape == "reset":
-                conn._transport.abort()
+                conn._transport._force_close(ConnectionResetError())
             elif shape == "silent":
                 conn.data_received = lambda data: None
                 conn._transport.write = lambda data: None
@@ -564,3 +565,25 @@
     assert not context.blocked_counts, context.blocked_counts
     now = context.loop_thread.loop.time()
     assert not any(host._crash_suspects.blocked_count(now) for host in context.hosts)
+
+
+@given("connections to {count:d} servers")
+def given_connections(context, count):
+    """Open two connections to each server."""
+    context.breaks = LinkBreaks()
+    for number in range(2 * count):
+        context.breaks.record_opened(f"s-{number // 2}")
+
+
+@when("those to {count:d} servers break within {seconds:g} s")
+def when_break(context, count, seconds):
+    """Break them one after the other."""
+    for number in range(2 * count):
+        at = seconds * (number // 2) / count
+        context.breaks.record_closed(f"s-{number // 2}", True, at)
+
+
+@then("the loss of the first of them is put down to {cause}")
+def then_cause(context, cause):
+    """Compare the conclusion."""
+    assert context.breaks.is_own_link("s-0", 0.0) == (cause == "the link")
