--- a/damasktally/entry/host_forwarder.py
+++ b/damasktally/entry/host_forwarder.py
@@ -125,7 +125,7 @@
             outcome = AttemptOutcome.REFUSED_BY_HOST
         self._metrics.forwarded.labels(outcome.value).inc()
         return Attempt(
-            member.host,
+            f"host {member.host}",
             outcome,
             self._loop.time() - started_at,
             response,
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -38,7 +38,8 @@
 class Attempt:
     """An attempt to send a request, for retry decisions and the log.
 
-    :param target: id of the server, or name of the host to which it was forwarded.
+    :param target: id of the server, or ``host`` and the name of the host to which it
+        was forwarded.
     :param duration_s: seconds from the start of the attempt to its outcome.
     :param response: the response, if one was received.
     :param is_final: whether no other attempt follows, whatever the outcome.
--- a/damasktally/events/explanation.py
+++ b/damasktally/events/explanation.py
@@ -5,6 +5,7 @@
 
 from damasktally.events.catalogue import (
     HOST_LEAVING,
+    LOSS_IGNORED,
     PEER_LOST,
     REQUEST_BLOCKED,
     REQUEST_ENDED,
@@ -13,6 +14,8 @@
     SERVER_LIMIT_CHANGED,
     SERVER_PAUSED,
     SERVICE_CAPACITY,
+    SERVICE_REACHABLE,
+    SERVICE_UNREACHABLE,
     STORE_LOST,
     STORE_REGAINED,
     STORE_RESTORED,
@@ -26,6 +29,7 @@
     event.number
     for event in (
         HOST_LEAVING,
+        LOSS_IGNORED,
         PEER_LOST,
         REQUEST_BLOCKED,
         REQUEST_UNBLOCKED,
@@ -33,6 +37,8 @@
         SERVER_LIMIT_CHANGED,
         SERVER_PAUSED,
         SERVICE_CAPACITY,
+        SERVICE_REACHABLE,
+        SERVICE_UNREACHABLE,
         STORE_LOST,
         STORE_REGAINED,
         STORE_RESTORED,
@@ -86,11 +92,14 @@
         "view confirmed "
         f"{record.get('view_age_s', 'unknown')} s before.",
     ]
+    if record.get("forwarded_by"):
+        lines.append(f"Host {record['forwarded_by']} had forwarded it to this one.")
     if record.get("inputs"):
         figures = ", ".join(f"{key} {value}" for key, value in record["inputs"].items())
         lines.append(f"Decided by: {figures}.")
     for server, ending, took_ms in record.get("attempts", []):
-        lines.append(f"Server {server}: {ending} after {took_ms} ms.")
+        target = f"Other {server}" if server.startswith("host ") else f"Server {server}"
+        lines.append(f"{target}: {ending} after {took_ms} ms.")
     earliest = record["timestamp"] - CONTEXT_WINDOW_S
     for item in context:
         if item["timestamp"] >= earliest:
--- a/features/entry/boundary.feature
+++ b/features/entry/boundary.feature
@@ -72,6 +72,10 @@
     Then the explanation of that request has its reason, attempts and the lost store
     And an id that is not in the log is reported as not found
 
+  Scenario: The explanation of a request says that this host did not reach the servers
+    Given log lines of a host that reached no server and forwarded a request
+    Then the explanation of that request names the other host and the lost service
+
   Scenario: Every reason that a request can end with has a meaning
     Then each reason has a word and a meaning and is used in the code
 
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -424,6 +424,30 @@
     assert explanation[-1].startswith("1.50 s before: store-lost"), explanation
 
 
+FORWARDED_LINES = """\
+{"event":520,"service":"svc","server":"s-1","error":"not-sent","servers":8,\
+"timestamp":100.0,"message_type":"damasktally:service-unreachable"}
+{"event":510,"request":"r-7","status":200,"reason":"answered","route":"pay",\
+"customer":"acme","service":"svc","configuration":3,"servers_revision":9,"ms":12.5,\
+"caller_gone":false,"attempts":[["host h-2","answered",9.5]],"timestamp":101.5,\
+"message_type":"damasktally:request-ended"}
+"""
+
+
+@given("log lines of a host that reached no server and forwarded a request")
+def given_forwarded_lines(context):
+    """Prepare log lines of a host that is cut off from servers."""
+    context.lines = FORWARDED_LINES.splitlines()
+
+
+@then("the explanation of that request names the other host and the lost service")
+def then_forwarding_explained(context):
+    """Check the lines of the explanation."""
+    explanation = explain_request("r-7", context.lines)
+    assert "Other host h-2: answered after 9.5 ms." in explanation, explanation
+    assert explanation[-1].startswith("1.50 s before: service-unreachable"), explanation
+
+
 @then("an id that is not in the log is reported as not found")
 def then_unknown_request(context):
     """Check a request id that does not occur in the log."""
