Let alert rules name the metrics of entry hosts, too.

The check of alert rules knew the threaded host's metrics only, and failed on the new rule for unreachable services. It looks them up in both registries now: a rule still has to name a metric that exists.

--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -20,6 +20,7 @@
 from damasktally.cli.app import build_app
 from damasktally.conf import Settings, load_settings
 from damasktally.demo.fleet import make_host_settings
+from damasktally.entry.metrics import EntryMetrics
 from damasktally.errors import DamasktallyError
 from damasktally.events import CATALOGUE
 from damasktally.host import Host
@@ -251,15 +252,13 @@
     config = make_host_settings("h1", "r", "d", "http://127.0.0.1:1", "r")
     host = Host.from_config(config)
     context.cleanups.append(ActorRegistry.stop_all)
-    context.metrics = {
-        sample.name
-        for metric in host.metrics.registry.collect()
-        for sample in metric.samples
-    }
+    metrics = [
+        *host.metrics.registry.collect(),
+        *EntryMetrics().registry.collect(),
+    ]
+    context.metrics = {sample.name for metric in metrics for sample in metric.samples}
     # A counter with labels has no sample before its first count.
-    context.metrics |= {
-        f"{metric.name}_total" for metric in host.metrics.registry.collect()
-    }
+    context.metrics |= {f"{metric.name}_total" for metric in metrics}
 
 
 @then("every metric of the alert rules and the dashboard is in it")
