Left losses to their requests while a host does not reach a service.

Suspected cause: losses were left out while only this host did not reach the service, and requests that end both servers of a service bring that about, too. That rule is removed; breaks of connections to nearly all other servers alone explain a loss.

--- a/damasktally/entry/crash_reports.py
+++ b/damasktally/entry/crash_reports.py
@@ -50,8 +50,6 @@
 
     :param suspects: decides which requests are blocked.
     :param breaks: breaks of this host's connections to servers.
-    :param is_cut_off: returns whether this host does not reach a service that other
-        hosts reach.
     :param is_registered: returns whether a server still runs as the same process, by
         its registration.
     """
@@ -60,12 +58,10 @@
         self,
         suspects: CrashSuspects,
         breaks: LinkBreaks,
-        is_cut_off: Callable[[str], bool],
         is_registered: Callable[[Server], bool],
     ) -> None:
         self._suspects = suspects
         self._breaks = breaks
-        self._is_cut_off = is_cut_off
         self._is_registered = is_registered
         self._excused: list[_Loss] = []
         self.on_blocked: Callable[[CrashReport], None] | None = None
@@ -101,8 +97,7 @@
     def _judge_loss(self, loss: _Loss) -> None:
         """Record a loss, unless this host's own link explains it."""
         server = loss.server
-        is_own_link = self._breaks.is_own_link(server.id, loss.lost_at)
-        if is_own_link or self._is_cut_off(server.service):
+        if self._breaks.is_own_link(server.id, loss.lost_at):
             emit(LOSS_IGNORED, server=server.id, fingerprint=loss.fingerprint)
             self._excused.append(loss)
         else:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -150,10 +150,6 @@
         crash_reports = self._crash_reports = CrashReports(
             self._crash_suspects,
             self._link_breaks,
-            lambda service: (
-                not self._reachability.is_reachable(service)
-                and self._topology.is_reached_elsewhere(service, self._loop.time())
-            ),
             self._view.servers.is_registered,
         )
         self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -292,11 +292,6 @@
                 hosts += listed_ready_hosts(relayed.data_centre_hosts)
         return [item for item in hosts if item.member.host != self._own.host]
 
-    def is_reached_elsewhere(self, service: str, now: float) -> bool:
-        """Return whether another host reports that it reaches a service."""
-        hosts = self.ready_hosts(now)
-        return any(service not in host.unreachable_services for host in hosts)
-
     def warmup_senders(self, data_centre: str, now: float) -> list[str]:
         """Return the hosts among which the requests to a server in warm-up are divided.
 
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -219,8 +219,8 @@
 LOSS_IGNORED = Event(
     522,
     "loss-ignored",
-    "A response was lost while those to nearly all other servers broke, too, or "
-    "only this host did not reach the service; it is not held against the request.",
+    "A response was lost while connections to nearly all other servers broke, too; it "
+    "is not held against the request.",
     "Check this host's network.",
 )
 HANDLER_FAILED = Event(
