Read the slots and the slowdown that servers report with their load.

Cause: a load report with a fourth figure was logged as unreadable and ignored. Servers of the next deployments report the time that work takes on them as that figure.

Change: parse_load takes three or four figures; ServerReport has slots and slowdown; ServerLoads keeps the slowdown, whose weight falls to zero within 1 s as that of the load does. Figures above 1,000,000 are malformed, and so are those of thousands of digits, for which int() raised an error. The signature of record_report grew by the slowdown, so its callers in the lab and in one scenario step pass None.

--- a/damasktally/decisions/load.py
+++ b/damasktally/decisions/load.py
@@ -1,4 +1,4 @@
-"""Estimate how many outstanding requests each server has, from all hosts together."""
+"""Estimate how many outstanding requests each server has, and how slow it is."""
 
 from dataclasses import dataclass
 
@@ -10,6 +10,7 @@
 class _ServerLoad:
     own: int = 0
     others: float = 0.0
+    slowdown: float = 1.0
     reported_at: float = -1e9
 
 
@@ -34,7 +35,12 @@
         load.own = max(0, load.own - 1)
 
     def record_report(
-        self, server: str, running: int, waiting: int, now: float
+        self,
+        server: str,
+        running: int,
+        waiting: int,
+        slowdown: float | None,
+        now: float,
     ) -> None:
         """Record a server's own load report.
 
@@ -44,9 +50,12 @@
 
         :param running: requests that occupy a slot.
         :param waiting: requests in the server's queue.
+        :param slowdown: time that work takes on the server, relative to the usual
+            time, or None if it does not say.
         """
         load = self._load(server)
         load.others = max(0.0, running + waiting - (load.own - 1))
+        load.slowdown = 1.0 if slowdown is None else slowdown
         load.reported_at = now
 
     def estimate(self, server: str, now: float) -> float:
@@ -54,8 +63,17 @@
         load = self._loads.get(server)
         if load is None:
             return 0.0
-        report_weight = 1.0 - (now - load.reported_at) / REPORT_LIFETIME_S
-        return load.own + load.others * max(0.0, report_weight)
+        return load.own + load.others * _report_weight(load, now)
+
+    def slowdown(self, server: str, now: float) -> float:
+        """Return the time that work takes on a server, relative to the usual time.
+
+        It approaches 1.0 as the report ages, and is 1.0 without a report.
+        """
+        load = self._loads.get(server)
+        if load is None:
+            return 1.0
+        return 1.0 + (load.slowdown - 1.0) * _report_weight(load, now)
 
     def keep_only(self, servers: set[str]) -> None:
         """Remove all other servers, unless a request of this host is outstanding."""
@@ -65,3 +83,9 @@
 
     def _load(self, server: str) -> _ServerLoad:
         return self._loads.setdefault(server, _ServerLoad())
+
+
+def _report_weight(load: _ServerLoad, now: float) -> float:
+    """Return the weight of the last report, which falls from 1 to 0 as it ages."""
+    age_s = now - load.reported_at
+    return max(0.0, 1.0 - age_s / REPORT_LIFETIME_S)
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -50,7 +50,9 @@
         """Record the report of a server that a response to this host carried."""
         now = self._loop.time()
         if report.running is not None and report.waiting is not None:
-            self._loads.record_report(server.id, report.running, report.waiting, now)
+            self._loads.record_report(
+                server.id, report.running, report.waiting, report.slowdown, now
+            )
         if report.is_leaving:
             self.record_leaving([(server.id, server.started_ms)], OWN_SOURCE)
         if report.pause_s is not None:
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -190,6 +190,9 @@
     :param is_leaving: whether it is about to end and wants no more requests.
     :param pause_s: seconds for which it wants no requests of this host, or None.
     :param unreadable: names of the headers that could not be decoded.
+    :param slots: requests that it processes at once, or None if it does not say.
+    :param slowdown: time that work currently takes on it, relative to the usual time
+        (1.0 = as usual), or None if it does not say.
     """
 
     running: int | None
@@ -199,6 +202,8 @@
     is_leaving: bool = False
     pause_s: float | None = None
     unreadable: tuple[str, ...] = ()
+    slots: int | None = None
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/damasktally/lab/simulation.py
+++ b/damasktally/lab/simulation.py
@@ -197,7 +197,7 @@
         report: tuple[int, int],
     ) -> None:
         host, now = request.host, self._now
-        host.loads.record_report(server.id, *report, now)
+        host.loads.record_report(server.id, *report, None, now)
         host.loads.end(server.id)
         if not ran:
             self._retry_or_refuse(request)
--- a/damasktally/platform/headers.py
+++ b/damasktally/platform/headers.py
@@ -4,6 +4,7 @@
 """
 
 from math import isfinite
+from typing import NamedTuple
 
 from damasktally.fleet.model import ServerReport
 from damasktally.http1.messages import Response
@@ -30,6 +31,26 @@
 STORE_ERA = b"store-era"
 """Rises by one each time the store comes back from an older copy."""
 
+MAX_LOAD_FIGURE = 1_000_000
+"""A load report with a larger figure is malformed."""
+MAX_LOAD_DIGITS = 7
+
+
+class LoadFigures(NamedTuple):
+    """Figures of a server's load report.
+
+    :param running: requests that occupy a slot.
+    :param waiting: requests in the server's queue.
+    :param slots: requests that the server processes at once.
+    :param slowdown: time that work takes, relative to the usual time, or None if the
+        report does not say. A time of 0 percent says nothing.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None
+
 
 def decode_server_report(response: Response) -> ServerReport:
     """Decode what a server reports of itself in the headers of a response.
@@ -53,15 +74,16 @@
     pause_s, is_pause_readable = _decode_pause(response)
     if not is_pause_readable:
         unreadable.append(RETRY_AFTER.decode())
-    running, waiting, _ = load or (None, None, None)
     return ServerReport(
-        running=running,
-        waiting=waiting,
+        running=load.running if load else None,
+        waiting=load.waiting if load else None,
         rate_limit=rate_limit,
         is_limit_unreadable=is_limit_unreadable,
         is_leaving=b"1" in leaving_values,
         pause_s=pause_s,
         unreadable=tuple(unreadable),
+        slots=load.slots if load else None,
+        slowdown=load.slowdown if load else None,
     )
 
 
@@ -95,17 +117,28 @@
     return number if isfinite(number) else None
 
 
-def parse_load(value: bytes) -> tuple[int, int, int] | None:
-    """Parse a server's load report.
+def parse_load(value: bytes) -> LoadFigures | None:
+    """Parse a server's load report: three or four figures, separated by commas.
+
+    :returns: the figures, or None if the report is malformed.
+    """
+    figures = [_parse_figure(part.strip()) for part in value.split(b",")]
+    if len(figures) not in (3, 4) or None in figures:
+        return None
+    running, waiting, slots = figures[:3]
+    percent = figures[3] if len(figures) == 4 else 0
+    return LoadFigures(running, waiting, slots, percent / 100.0 or None)
+
+
+def _parse_figure(digits: bytes) -> int | None:
+    """Parse a figure of a load report; return None if it is malformed or too large.
 
-    :returns: the number of running requests, of waiting requests and of slots, or None
-        if the report is malformed.
+    The length is checked first, as ``int`` raises an error for thousands of digits.
     """
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if not digits.isdigit() or len(digits) > MAX_LOAD_DIGITS:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
+    figure = int(digits)
+    return figure if figure <= MAX_LOAD_FIGURE else None
 
 
 def parse_milliseconds(value: bytes | None) -> float | None:
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -340,7 +340,7 @@
     loads = ServerLoads()
     loads.begin("s")
     loads.begin("s")
-    loads.record_report("s", 3, 1, 10.0)
+    loads.record_report("s", 3, 1, None, 10.0)
     loads.end("s")
     assert loads.estimate("s", 10.0) == 4.0
     assert 1.0 < loads.estimate("s", 10.5) < 4.0
