--- a/damasktally/decisions/server_selection.py
+++ b/damasktally/decisions/server_selection.py
@@ -35,6 +35,7 @@
     outstanding: Callable[[Server], float],
     priority: int,
     max_candidates: int = MAX_CANDIDATE_SERVERS,
+    slowdown: Callable[[Server], float] = lambda server: 1.0,
 ) -> Server | None:
     """Return the server for a request, or ``None`` when all candidates are full.
 
@@ -42,6 +43,8 @@
     :param outstanding: returns the number of outstanding requests at a server.
     :param priority: 0 is the most urgent.
     :param max_candidates: how many servers of the ranking are considered.
+    :param slowdown: returns the time that work takes on a server, relative to the
+        usual time.
     """
     best: Server | None = None
     best_cost = inf
@@ -50,7 +53,7 @@
         if load + 1 > max_outstanding(server.slots, priority):
             continue
         queued = max(0.0, load + 1 - server.slots)
-        cost = queued / server.slots + RANK_PENALTY * rank
+        cost = slowdown(server) * (1 + queued / server.slots) + RANK_PENALTY * rank
         if cost < best_cost:
             best, best_cost = server, cost
     return best
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -10,6 +10,7 @@
     MAX_SERVERS_PER_REGION,
     AffinityRanking,
 )
+from damasktally.decisions.diversion import Diversions
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.outlier_detection import OutlierDetector
 from damasktally.decisions.server_limits import ServerLimits
@@ -61,6 +62,7 @@
         self._loop = get_running_loop()
         self._affinity_ranking = AffinityRanking(own.region, region_of)
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
+        self.diversions = Diversions()
         self.loads = ServerLoads()
         self.limits = ServerLimits(own.host)
         self.pauses = ServerPauses()
@@ -130,7 +132,7 @@
             rank = partial(
                 self._affinity_ranking.rank, group_key, group.servers, affinity_key
             )
-            order = rank()
+            order = self.diversions.reorder(service, rank(), affinity_key)
         usable = [name for name in order if self._is_usable(by_id[name], now)]
         if len(usable) < MAX_CANDIDATE_SERVERS and len(order) < len(by_id):
             order = rank(MAX_EXTENDED_SERVERS_PER_REGION)
@@ -138,6 +140,21 @@
             usable = usable[:MAX_SERVERS_PER_REGION]
         return [by_id[name] for name in usable if name not in tried]
 
+    def update_diversions(self, now: float) -> None:
+        """Adjust which objects are diverted from overloaded servers.
+
+        :param now: time of the event loop's clock in seconds.
+        """
+        loads: dict[str, dict[str, float]] = {}
+        counts: dict[str, int] = {}
+        for server in self._view.servers.usable():
+            counts[server.service] = counts.get(server.service, 0) + 1
+            load = self.loads.estimate(server.id, now)
+            if load > 0:
+                loads.setdefault(server.service, {})[server.id] = load / server.slots
+        for service, count in counts.items():
+            self.diversions.update(service, loads.get(service, {}), count, now)
+
     def pause_end_s(
         self, service: str, home_regions: frozenset[str], now: float
     ) -> float | None:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -322,6 +322,7 @@
         self._era_follower.follow()
         self._crash_reports.handle_block_changes()
         self._reachability.probe(now)
+        self._candidates.update_diversions(now)
         self._update_shares(now)
 
     def _run_maintenance(self, now: float) -> None:
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -315,10 +315,12 @@
     ) -> Server | None:
         """Return the server with room among the first ranked ones, or ``None``."""
         estimated_load = self._candidates.loads.estimate
+        slowdown = self._candidates.loads.slowdown
         selected = choose_server(
             ranked,
             lambda server: estimated_load(server.id, now),
             priority_of(trace.route, trace.customer),
+            slowdown=lambda server: slowdown(server.id, now),
         )
         if selected is None:
             trace.inputs = {
