Spread requests that concern no object over random servers.

Cause: without an affinity key, servers were sorted by the host's own estimate of their load, which is 0 at nearly all of them; ties fell to the lowest id, so all hosts sent such requests to the same server of a service. Change: four random servers are compared, the least loaded first, near ones first among equals.

--- a/damasktally/decisions/server_selection.py
+++ b/damasktally/decisions/server_selection.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Sequence
 from math import inf
+from random import Random
 
 from damasktally.fleet.model import Server
 
@@ -20,6 +21,8 @@
 MAX_CANDIDATE_SERVERS = 2
 """Servers of an object's ranking that are considered. Each of them has to warm up for
 the object."""
+RANDOM_CANDIDATE_SERVERS = 4
+"""Servers that are compared for a request that concerns no object."""
 RANK_PENALTY = 1.0
 """Queue length, as a ratio of a server's slots, by which the next server in the ranking
 has to be shorter to be chosen."""
@@ -30,6 +33,30 @@
     return slots * (1.0 + QUEUED_PER_SLOT.get(priority, MIN_QUEUED_PER_SLOT))
 
 
+def rank_by_load(
+    servers: Sequence[Server],
+    outstanding: Callable[[Server], float],
+    is_near: Callable[[Server], bool],
+    rng: Random,
+) -> list[Server]:
+    """Rank some random servers for a request that concerns no object.
+
+    Most loads are unknown or equal. Hosts that all took the first of the least loaded
+    servers would overload it, so only a few random servers are compared (compare
+    Mitzenmacher, "The power of two choices in randomized load balancing", 2001).
+
+    :param servers: servers that may be used.
+    :param outstanding: returns the number of outstanding requests at a server.
+    :param is_near: returns whether a server is in the region of this host; of two
+        servers with the same load, a near one goes first.
+    """
+    sample = rng.sample(servers, min(RANDOM_CANDIDATE_SERVERS, len(servers)))
+    sample.sort(
+        key=lambda server: (outstanding(server) / server.slots, not is_near(server))
+    )
+    return sample
+
+
 def choose_server(
     ranked: Sequence[Server],
     outstanding: Callable[[Server], float],
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
+from random import Random
 
 from damasktally.decisions.affinity import (
     MAX_EXTENDED_SERVERS_PER_REGION,
@@ -15,7 +16,10 @@
 from damasktally.decisions.outlier_detection import OutlierDetector
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
-from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS
+from damasktally.decisions.server_selection import (
+    MAX_CANDIDATE_SERVERS,
+    rank_by_load,
+)
 from damasktally.decisions.warmup_limiter import WarmupLimiter, warmup_tokens
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.model import Member, Server
@@ -46,6 +50,7 @@
     :param topology: the hosts among which the requests to a server that is warming up
         are divided.
     :param region_of: the region of each data centre.
+    :param rng: selects servers for requests that concern no object.
     """
 
     def __init__(
@@ -54,11 +59,13 @@
         own: Member,
         topology: FleetTopology,
         region_of: Mapping[str, str],
+        rng: Random,
     ) -> None:
         self._view = view
         self._own = own
         self._topology = topology
         self._region_of = region_of
+        self._rng = rng
         self._loop = get_running_loop()
         self._affinity_ranking = AffinityRanking(own.region, region_of)
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
@@ -115,8 +122,9 @@
     ) -> list[Server]:
         """Return the usable servers for a request, the preferred one first.
 
-        Without an affinity key, servers are ranked by their estimated load. If too few
-        of the servers that an object prefers take requests, the next ones follow.
+        Without an affinity key, some random servers are ranked by their estimated load.
+        If too few of the servers that an object prefers take requests, the next ones
+        follow.
 
         :param home_regions: regions that may serve; empty allows all.
         :param affinity_key: names the object of the request, or ``None``.
@@ -126,13 +134,12 @@
         group = self._server_group(service, home_regions)
         by_id = group.by_id
         if affinity_key is None:
-            order = sorted(by_id, key=lambda name: self.loads.estimate(name, now))
-        else:
-            group_key = f"{service}|{','.join(sorted(home_regions))}"
-            rank = partial(
-                self._affinity_ranking.rank, group_key, group.servers, affinity_key
-            )
-            order = self.diversions.reorder(service, rank(), affinity_key)
+            return self._rank_by_load(group.servers, tried, now)
+        group_key = f"{service}|{','.join(sorted(home_regions))}"
+        rank = partial(
+            self._affinity_ranking.rank, group_key, group.servers, affinity_key
+        )
+        order = self.diversions.reorder(service, rank(), affinity_key)
         usable = [name for name in order if self._is_usable(by_id[name], now)]
         if len(usable) < MAX_CANDIDATE_SERVERS and len(order) < len(by_id):
             order = rank(MAX_EXTENDED_SERVERS_PER_REGION)
@@ -140,6 +147,23 @@
             usable = usable[:MAX_SERVERS_PER_REGION]
         return [by_id[name] for name in usable if name not in tried]
 
+    def _rank_by_load(
+        self, servers: Sequence[Server], tried: Sequence[str], now: float
+    ) -> list[Server]:
+        """Return some usable servers for a request that concerns no object."""
+        usable = [
+            server
+            for server in servers
+            if server.id not in tried and self._is_usable(server, now)
+        ]
+        region_of, own_region = self._region_of, self._own.region
+        return rank_by_load(
+            usable,
+            lambda server: self.loads.estimate(server.id, now),
+            lambda server: region_of.get(server.data_centre) == own_region,
+            self._rng,
+        )
+
     def update_diversions(self, now: float) -> None:
         """Adjust which objects are diverted from overloaded servers.
 
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -136,7 +136,7 @@
             self._rng,
         )
         self._candidates = ServerCandidates(
-            self._view, self._own, self._topology, settings.region_of
+            self._view, self._own, self._topology, settings.region_of, self._rng
         )
         self._server_reports = ServerReports(
             self._view,
