--- a/damasktally/decisions/response_times.py
+++ b/damasktally/decisions/response_times.py
@@ -1,4 +1,4 @@
-"""Estimate how long a service whose servers are all full takes to have room again.
+"""Estimate how long servers take for a request, and how long to have room again.
 
 A full server has room when the requests that it holds are done, which takes about as
 long as its latest responses took.
@@ -8,6 +8,10 @@
 """Weight of one response in the moving average."""
 DEFAULT_RESPONSE_TIME_S = 0.5
 """Assumed for a service that has not responded to a request yet."""
+FALL_WEIGHT = 0.2
+RISE_WEIGHT = 0.02
+"""Weights with which a shorter and a longer response change the typical fast response
+time. With this ratio, about one in ten responses is faster."""
 MIN_WAIT_S = 0.1
 MAX_WAIT_S = 3.0
 
@@ -17,6 +21,7 @@
 
     def __init__(self) -> None:
         self._average_s: dict[str, float] = {}
+        self._fast_s: dict[str, float] = {}
 
     def record(self, service: str, seconds: float) -> None:
         """Add one response time of a service.
@@ -31,6 +36,18 @@
                 seconds - average_s
             )
 
+        fast_s = self._fast_s.get(service, seconds)
+        weight = FALL_WEIGHT if seconds < fast_s else RISE_WEIGHT
+        self._fast_s[service] = fast_s + weight * (seconds - fast_s)
+
+    def fast_response_s(self, service: str) -> float:
+        """Return how long a fast response of a service takes, in seconds.
+
+        It is about the time of a request that finds a free slot at a server that is
+        warm for its object; 0 if the service has not responded yet.
+        """
+        return self._fast_s.get(service, 0.0)
+
     def expected_wait_s(self, service: str) -> float:
         """Return the seconds after which a full service is expected to have room."""
         average_s = self._average_s.get(service, DEFAULT_RESPONSE_TIME_S)
--- a/damasktally/decisions/server_selection.py
+++ b/damasktally/decisions/server_selection.py
@@ -63,6 +63,7 @@
     priority: int,
     max_candidates: int = MAX_CANDIDATE_SERVERS,
     slowdown: Callable[[Server], float] = lambda server: 1.0,
+    max_relative_time: float = inf,
 ) -> Server | None:
     """Return the server for a request, or ``None`` when all candidates are full.
 
@@ -72,6 +73,9 @@
     :param max_candidates: how many servers of the ranking are considered.
     :param slowdown: returns the time that work takes on a server, relative to the
         usual time.
+    :param max_relative_time: time that is left for the request, relative to that of a
+        fast run. A server at which the request could not end in time even if it were
+        warm is left out: a run that is cut off occupies a slot and serves nobody.
     """
     best: Server | None = None
     best_cost = inf
@@ -80,7 +84,10 @@
         if load + 1 > max_outstanding(server.slots, priority):
             continue
         queued = max(0.0, load + 1 - server.slots)
-        cost = slowdown(server) * (1 + queued / server.slots) + RANK_PENALTY * rank
+        relative_time = slowdown(server) * (1 + queued / server.slots)
+        if relative_time > max_relative_time:
+            continue
+        cost = relative_time + RANK_PENALTY * rank
         if cost < best_cost:
             best, best_cost = server, cost
     return best
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 from damasktally.entry.host_headers import ForwardedRequest
 from damasktally.events.reasons import Reason
@@ -58,6 +59,8 @@
 
     :param configuration: version of the configuration, or 0 if there was none.
     :param reason: why the request ended as it did.
+    :param deadline: when the caller or the route stops waiting, in seconds on the event
+        loop's clock.
     :param fingerprint: hash by which the same request is recognised, once computed.
     :param retry_after_s: when a refused caller may return, if the decision named it.
     :param forwarded: set if another host forwarded the request to this one.
@@ -71,6 +74,7 @@
     customer: Customer | None = None
     service: str = ""
     reason: Reason | None = None
+    deadline: float = inf
     attempts: list[Attempt] = field(default_factory=list)
     fingerprint: str = ""
     retry_after_s: float | None = None
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -1,6 +1,7 @@
 """Handle callers' requests: admission control, server selection and retries."""
 
 from asyncio import get_running_loop
+from math import inf
 from random import Random
 
 from damasktally.decisions.quota import CustomerQuotas
@@ -164,7 +165,7 @@
         if trace.forwarded or self._reachability.is_reachable(trace.service):
             # Otherwise the host to which it is forwarded counts it.
             self._retries.record_request(trace.service, self._loop.time())
-        deadline = deadline_of(req, trace.route)
+        deadline = trace.deadline = deadline_of(req, trace.route)
         response = await self._forward_with_retries(req, trace, deadline)
         may_have_run = any(
             attempt.outcome
@@ -316,11 +317,13 @@
         """Return the server with room among the first ranked ones, or ``None``."""
         estimated_load = self._candidates.loads.estimate
         slowdown = self._candidates.loads.slowdown
+        fast_s = self._response_times.fast_response_s(trace.service)
         selected = choose_server(
             ranked,
             lambda server: estimated_load(server.id, now),
             priority_of(trace.route, trace.customer),
             slowdown=lambda server: slowdown(server.id, now),
+            max_relative_time=(trace.deadline - now) / fast_s if fast_s else inf,
         )
         if selected is None:
             trace.inputs = {
