--- a/damasktally/entry/host_handlers.py
+++ b/damasktally/entry/host_handlers.py
@@ -98,6 +98,7 @@
                 item.member.region,
                 item.member.data_centre,
                 reaches_servers=not services.issubset(item.unreachable_services),
+                capacity=item.member.capacity,
             )
             for item in hosts
         ]
