Passed the loads of busy servers on to all hosts.

Cause: a host sends about ten requests a second to hundreds of servers, so that its own load reports are tens of seconds old when it needs them.

Change: heartbeats and summaries carry server_loads, a new last field: reports of busy servers, and one more when a server stops being busy. ServerLoads.estimate and slowdown use the newest report, whichever host received it. A report of another host counts in full until it is 0.5 s old, as it waits for messages on its way. A summary that a host forwards from an earlier one carries none, as their ages would be wrong.

The scenario of the fields that an older host omits covers the new field, too.

Conclusion: a quiet fleet sends one byte more in each message.

--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -11,6 +11,7 @@
 
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
+from damasktally.decisions.load_reports import LoadReports
 from damasktally.decisions.quota import RELAYED_LAG_S, CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.entry.message_builder import (
@@ -65,6 +66,7 @@
             self.quotas,
             counts,
             ServerLimits(self.member.host),
+            LoadReports(),
             CrashSuspects(),
             lambda: OwnState(True, False, 0.1),
         )
--- a/damasktally/decisions/load.py
+++ b/damasktally/decisions/load.py
@@ -1,9 +1,25 @@
 """Estimate how many outstanding requests each server has, and how slow it is."""
 
 from dataclasses import dataclass
+from math import inf
+
+from damasktally.fleet.server_loads import ServerLoadReport
 
 REPORT_LIFETIME_S = 1.0
-"""Age from which a server's own load report no longer counts."""
+"""Age from which a server's load report no longer counts."""
+SHARED_REPORT_FULL_WEIGHT_S = 0.5
+"""Age up to which a report of another host counts in full.
+
+On its way through relays, it waits 0.3 s on average for messages. If its weight fell
+from the start, as that of an own report does, hosts would see less than half of the
+load.
+"""
+ARRIVAL_JITTER_S = 0.02
+"""A report of another host has to be newer than the known one by more than this.
+
+The time that a report takes between hosts is not part of its age. One that arrives in
+two ways would otherwise count as a newer one; the longest way between hosts is 12 ms.
+"""
 
 
 @dataclass(slots=True)
@@ -11,15 +27,20 @@
     own: int = 0
     others: float = 0.0
     slowdown: float = 1.0
-    reported_at: float = -1e9
+    reported_at: float = -inf
+    full_weight_s: float = 0.0
+    started_ms: int = 0
 
 
 class ServerLoads:
     """Add this host's outstanding requests at each server and those of other hosts.
 
-    A server's load report holds the requests that it had when it responded. The
-    requests of this host are subtracted; the rest belongs to other hosts, and its
-    weight falls to zero as the report ages.
+    A server's load report holds the requests that it had when it responded, to any
+    host. The requests of this host are subtracted; the rest belongs to other hosts, and
+    its weight falls to zero as the report ages. Only the newest report of a server
+    counts.
+
+    Times called ``now`` are in seconds on the event loop's clock.
     """
 
     def __init__(self) -> None:
@@ -41,8 +62,9 @@
         waiting: int,
         slowdown: float | None,
         now: float,
-    ) -> None:
-        """Record a server's own load report.
+        started_ms: int = 0,
+    ) -> bool:
+        """Record a server's load report that a response to this host carried.
 
         It has to be called before :meth:`end`: the request whose response carried the
         report is then still counted for this host, while the server no longer counts
@@ -52,11 +74,49 @@
         :param waiting: requests in the server's queue.
         :param slowdown: time that work takes on the server, relative to the usual
             time, or None if it does not say.
+        :param started_ms: Unix time of the start of the server's process in
+            milliseconds.
+        :returns: whether it was recorded; that of an earlier process is not.
         """
         load = self._load(server)
+        if started_ms < load.started_ms:
+            return False
         load.others = max(0.0, running + waiting - (load.own - 1))
         load.slowdown = 1.0 if slowdown is None else slowdown
         load.reported_at = now
+        load.full_weight_s = 0.0
+        load.started_ms = started_ms
+        return True
+
+    def record_shared_report(self, report: ServerLoadReport, now: float) -> bool:
+        """Record a report that another host received, unless a newer one is known.
+
+        The server counted the outstanding requests of this host, too, except those on
+        their way to it. All of them are subtracted, so that the estimate is the larger
+        one of the report and of this host's own requests. Adding the two would count
+        most of the own requests twice, and this host would avoid a server for the
+        load that it causes itself.
+
+        :returns: whether it was recorded. A report of an earlier process of the
+            server, from the future or with figures out of range is not.
+        """
+        if not report.is_plausible:
+            return False
+        load = self._load(report.server)
+        reported_at = now - report.age_ms / 1000.0
+        is_next_process = report.started_ms > load.started_ms
+        is_newer = reported_at > load.reported_at + ARRIVAL_JITTER_S
+        is_expired = now - reported_at >= REPORT_LIFETIME_S
+        if is_expired or report.started_ms < load.started_ms:
+            return False
+        if not (is_next_process or is_newer):
+            return False
+        load.others = max(0.0, report.running + report.waiting - load.own)
+        load.slowdown = report.slowdown_percent / 100.0
+        load.reported_at = reported_at
+        load.full_weight_s = SHARED_REPORT_FULL_WEIGHT_S
+        load.started_ms = report.started_ms
+        return True
 
     def estimate(self, server: str, now: float) -> float:
         """Return the estimated number of outstanding requests at a server."""
@@ -75,6 +135,13 @@
             return 1.0
         return 1.0 + (load.slowdown - 1.0) * _report_weight(load, now)
 
+    def report_age_s(self, server: str, now: float) -> float | None:
+        """Return the age of a server's report in seconds, or None if none counts."""
+        load = self._loads.get(server)
+        if load is None or now - load.reported_at >= REPORT_LIFETIME_S:
+            return None
+        return now - load.reported_at
+
     def keep_only(self, servers: set[str]) -> None:
         """Remove all other servers, unless a request of this host is outstanding."""
         for server in [name for name in self._loads if name not in servers]:
@@ -87,5 +154,6 @@
 
 def _report_weight(load: _ServerLoad, now: float) -> float:
     """Return the weight of the last report, which falls from 1 to 0 as it ages."""
-    age_s = now - load.reported_at
-    return max(0.0, 1.0 - age_s / REPORT_LIFETIME_S)
+    remaining_s = load.reported_at + REPORT_LIFETIME_S - now
+    weight = remaining_s / (REPORT_LIFETIME_S - load.full_weight_s)
+    return max(0.0, min(1.0, weight))
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -11,6 +11,7 @@
     AffinityRanking,
 )
 from damasktally.decisions.load import ServerLoads
+from damasktally.decisions.load_reports import LoadReports
 from damasktally.decisions.outlier_detection import OutlierDetector
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
@@ -62,6 +63,7 @@
         self._affinity_ranking = AffinityRanking(own.region, region_of)
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
         self.loads = ServerLoads()
+        self.load_reports = LoadReports()
         self.limits = ServerLimits(own.host)
         self.pauses = ServerPauses()
         self.outlier_detector = OutlierDetector()
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -141,6 +141,7 @@
         self._server_reports = ServerReports(
             self._view,
             self._candidates.loads,
+            self._candidates.load_reports,
             self._candidates.limits,
             self._candidates.pauses,
             self._metrics,
@@ -163,6 +164,7 @@
             self._quotas,
             heartbeat_history,
             self._candidates.limits,
+            self._candidates.load_reports,
             self._crash_suspects,
             self._own_state,
         )
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -13,6 +13,7 @@
 from damasktally.decisions.counter_totals import CounterTotals
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
+from damasktally.decisions.load_reports import LoadOutbox, LoadReports
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.surges import SurgeDetector
@@ -50,6 +51,7 @@
     :param quotas: supplies this host's demand and admitted counts by customer.
     :param heartbeat_history: records the counts that each heartbeat carried.
     :param server_limits: supplies the rate limits that servers named.
+    :param load_reports: supplies the loads of busy servers.
     :param crash_suspects: supplies the requests under which servers ended.
     :param get_own_state: returns the current state of this host.
     """
@@ -63,6 +65,7 @@
         quotas: CustomerQuotas,
         heartbeat_history: HeartbeatHistory,
         server_limits: ServerLimits,
+        load_reports: LoadReports,
         crash_suspects: CrashSuspects,
         get_own_state: Callable[[], OwnState],
     ) -> None:
@@ -72,6 +75,7 @@
         self._view = view
         self._quotas = quotas
         self._server_limits = server_limits
+        self._load_reports = load_reports
         self._crash_suspects = crash_suspects
         self._get_own_state = get_own_state
         self._heartbeat_history = heartbeat_history
@@ -165,6 +169,7 @@
         outbox.sequence += 1
         own_demand, own_admitted = self._quotas.demand(), self._quotas.admitted()
         self._heartbeat_history.record(outbox.sequence, own_demand, own_admitted)
+        loads = LoadOutbox() if is_complete else outbox.loads
         demand, is_demand_complete = outbox.demand.select(own_demand, is_complete)
         admitted, is_admitted_complete = outbox.admitted.select(
             own_admitted, is_complete
@@ -192,6 +197,7 @@
             leaving_servers=tuple(self._view.servers.new_leaving_marks(now)),
             forwarding_port=own.forwarding_port,
             unreachable_services=state.unreachable_services,
+            server_loads=self._load_reports.take(loads, ReportScope.OWN, now),
         )
 
     def build_data_centre_summary(self, now: float) -> RelaySummary:
@@ -246,6 +252,7 @@
             demand=dict(record.demand),
             admitted=dict(record.admitted),
             is_complete=True,
+            server_loads=(),
         )
 
     def _summarise_fleet(self, outbox: Outbox, now: float) -> RelaySummary:
@@ -321,7 +328,7 @@
 
         :param host_counts: numbers of live and of silent hosts.
         :param counts: demand and total of admitted requests, each by customer.
-        :param report_scope: the widest scope of the servers' limits that it carries.
+        :param report_scope: the widest scope of the servers' reports that it carries.
         :param included_heartbeats: number of each host's last included heartbeat.
         """
         outbox.sequence += 1
@@ -352,6 +359,7 @@
             server_limits=tuple(self._server_limits.reports(report_scope, now)),
             crash_reports=tuple(self._crash_suspects.reports(now)),
             leaving_servers=tuple(self._view.servers.new_leaving_marks(now)),
+            server_loads=self._load_reports.take(outbox.loads, report_scope, now),
         )
 
     def _revisions(self) -> tuple[int, ...]:
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+AGE_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0)
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8)
 
 
@@ -54,6 +55,13 @@
             "Refusals of servers that asked this host for a pause.",
             registry=self.registry,
         )
+        self.load_report_age = Histogram(
+            "damasktally_entry_load_report_age_seconds",
+            "Age of the load report of the backend server that a request was sent to, "
+            "if one counted when the server was chosen.",
+            buckets=AGE_BUCKETS_S,
+            registry=self.registry,
+        )
         self.blocked_requests = Gauge(
             "damasktally_entry_blocked_requests",
             "Distinct requests that are refused because servers ended under them.",
--- a/damasktally/entry/outbox.py
+++ b/damasktally/entry/outbox.py
@@ -1,7 +1,8 @@
 """State of this host that messages report, and what was last sent."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from damasktally.decisions.load_reports import LoadOutbox
 from damasktally.entry.delta import DeltaSelector
 from damasktally.fleet.summaries import DataCentreHosts
 
@@ -31,12 +32,14 @@
     :param admitted: selects the admitted counts that the next message carries.
     :param sequence: number of the last message.
     :param last_hosts: lists of hosts of the last summary.
+    :param loads: the load reports that messages carried.
     """
 
     demand: DeltaSelector
     admitted: DeltaSelector
     sequence: int = 0
     last_hosts: list[DataCentreHosts] | None = None
+    loads: LoadOutbox = field(default_factory=LoadOutbox)
 
     @classmethod
     def empty(cls) -> "Outbox":
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -325,8 +325,15 @@
                 f"held by {server.id}": round(estimated_load(server.id, now), 1)
                 for server in ranked[:MAX_CANDIDATE_SERVERS]
             }
+        else:
+            self._observe_report_age(selected, now)
         return selected
 
+    def _observe_report_age(self, server: Server, now: float) -> None:
+        age_s = self._candidates.loads.report_age_s(server.id, now)
+        if age_s is not None:
+            self._metrics.load_report_age.observe(age_s)
+
     def _is_blocked(self, req: Request, trace: RequestTrace) -> bool:
         """Return whether the request is one that ends servers, and explain it."""
         if self._crash_reports.is_empty:
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from damasktally.decisions.load import ServerLoads
+from damasktally.decisions.load_reports import LoadReports
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
 from damasktally.entry.metrics import EntryMetrics
@@ -15,6 +16,7 @@
 )
 from damasktally.fleet.model import Server, ServerReport
 from damasktally.fleet.server_limits import ReportScope, ServerLimitReport
+from damasktally.fleet.server_loads import ServerLoadReport
 from damasktally.fleet.view import FleetView
 
 OWN_SOURCE = "self"
@@ -26,6 +28,7 @@
 
     :param view: receives which servers leave.
     :param loads: receives the numbers of running and waiting requests.
+    :param load_reports: receives the same, to pass them on to other hosts.
     :param limits: receives the rate limits.
     :param pauses: receives the pauses that servers ask for.
     """
@@ -34,6 +37,7 @@
         self,
         view: FleetView,
         loads: ServerLoads,
+        load_reports: LoadReports,
         limits: ServerLimits,
         pauses: ServerPauses,
         metrics: EntryMetrics,
@@ -41,6 +45,7 @@
         self._metrics = metrics
         self._view = view
         self._loads = loads
+        self._load_reports = load_reports
         self._limits = limits
         self._pauses = pauses
         self._unreadable: set[tuple[str, tuple[str, ...]]] = set()
@@ -50,9 +55,7 @@
         """Record the report of a server that a response to this host carried."""
         now = self._loop.time()
         if report.running is not None and report.waiting is not None:
-            self._loads.record_report(
-                server.id, report.running, report.waiting, report.slowdown, now
-            )
+            self._record_load(server, report, now)
         if report.is_leaving:
             self.record_leaving([(server.id, server.started_ms)], OWN_SOURCE)
         if report.pause_s is not None:
@@ -66,6 +69,17 @@
         )
         self.record_limits([limit], ReportScope.OWN, OWN_SOURCE)
 
+    def _record_load(self, server: Server, report: ServerReport, now: float) -> None:
+        if self._loads.record_report(
+            server.id,
+            report.running,
+            report.waiting,
+            report.slowdown,
+            now,
+            server.started_ms,
+        ):
+            self._load_reports.record_own(server, report, now)
+
     def _record_pause(self, server: Server, pause_s: float, now: float) -> None:
         self._metrics.pauses_asked.inc()
         if self._pauses.record(server.id, server.started_ms, pause_s, now):
@@ -80,6 +94,22 @@
         for server, started_ms in servers:
             self._view.mark_leaving(server, started_ms, source, self._loop.time())
 
+    def record_loads(
+        self, reports: Iterable[ServerLoadReport], scope: ReportScope
+    ) -> None:
+        """Record loads of servers that another host learned of.
+
+        Those of servers that this host does not know, or knows as another process, are
+        ignored.
+        """
+        now = self._loop.time()
+        for report in reports:
+            known = self._view.servers.get(report.server)
+            if known is None or known.server.started_ms != report.started_ms:
+                continue
+            if self._loads.record_shared_report(report, now):
+                self._load_reports.record(report, known.server.slots, scope, now)
+
     def record_limits(
         self, reports: Iterable[ServerLimitReport], scope: ReportScope, source: str
     ) -> None:
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -13,6 +13,7 @@
 from damasktally.fleet.crash_reports import CrashReport
 from damasktally.fleet.model import Member
 from damasktally.fleet.server_limits import ServerLimitReport
+from damasktally.fleet.server_loads import ServerLoadReport
 from damasktally.fleet.topics import Topic, revisions_by_topic
 
 HEARTBEAT_TIMEOUT_S = 2.0
@@ -57,6 +58,7 @@
     :param forwarding_port: port where the sender takes callers' requests from other
         hosts, or 0.
     :param unreachable_services: services of which the sender reaches no server.
+    :param server_loads: loads of busy servers, from responses to the sender.
     """
 
     host: str
@@ -81,6 +83,7 @@
     leaving_servers: tuple[tuple[str, int], ...] = ()
     forwarding_port: int = 0
     unreachable_services: tuple[str, ...] = ()
+    server_loads: tuple[ServerLoadReport, ...] = ()
 
 
 @dataclass(slots=True)
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -178,6 +178,10 @@
     started_ms: int
 
 
+MAX_LOAD_FIGURE = 1_000_000
+"""A load report with a larger figure is malformed."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerReport:
     """What a server reports of itself with a response.
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -14,6 +14,7 @@
 from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, REMOVAL_TIMEOUT_S
 from damasktally.fleet.model import Member, ReadyHost
 from damasktally.fleet.server_limits import ServerLimitReport
+from damasktally.fleet.server_loads import ServerLoadReport
 from damasktally.fleet.topics import Topic, revisions_by_topic
 
 
@@ -84,6 +85,7 @@
     :param server_limits: rate limits that servers named in responses to these hosts.
     :param crash_reports: requests under which servers ended, as far as the relay knows.
     :param leaving_servers: id and start of server processes that said that they leave.
+    :param server_loads: loads of busy servers, from responses to these hosts.
     """
 
     relay: str
@@ -104,6 +106,7 @@
     server_limits: tuple[ServerLimitReport, ...] = ()
     crash_reports: tuple[CrashReport, ...] = ()
     leaving_servers: tuple[tuple[str, int], ...] = ()
+    server_loads: tuple[ServerLoadReport, ...] = ()
 
 
 LISTING_LIFETIME_S = 8.0
--- a/damasktally/platform/headers.py
+++ b/damasktally/platform/headers.py
@@ -6,7 +6,7 @@
 from math import isfinite
 from typing import NamedTuple
 
-from damasktally.fleet.model import ServerReport
+from damasktally.fleet.model import MAX_LOAD_FIGURE, ServerReport
 from damasktally.http1.messages import Response
 
 REQUEST_ID = b"request-id"
@@ -31,8 +31,6 @@
 STORE_ERA = b"store-era"
 """Rises by one each time the store comes back from an older copy."""
 
-MAX_LOAD_FIGURE = 1_000_000
-"""A load report with a larger figure is malformed."""
 MAX_LOAD_DIGITS = 7
 
 
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -12,6 +12,7 @@
 
 from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
+from damasktally.decisions.load_reports import LoadReports
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.relays import RelayCandidate, choose_relays
 from damasktally.decisions.server_limits import ServerLimits
@@ -97,6 +98,7 @@
             quotas,
             heartbeat_history,
             ServerLimits(own.host),
+            LoadReports(),
             CrashSuspects("h"),
             get_own_state,
         )
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -20,6 +20,7 @@
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Member
 from damasktally.fleet.server_limits import ServerLimitReport
+from damasktally.fleet.server_loads import ServerLoadReport
 from damasktally.fleet.summaries import RelaySummary
 from damasktally.fleet.topics import Topic, revisions_by_topic
 from damasktally.fleet.view import Decoders, FleetView
@@ -284,6 +285,7 @@
         "leaving_servers": (("s-2", 5),),
         "forwarding_port": 9,
         "unreachable_services": ("svc",),
+        "server_loads": (ServerLoadReport("s-3", 8, 6, 2, 250, 90),),
     }
     values = msgspec.msgpack.decode(
         msgspec.msgpack.encode(make_heartbeat(**later_fields))
