--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -13,6 +13,7 @@
 )
 from damasktally.decisions.diversion import Diversions
 from damasktally.decisions.load import ServerLoads
+from damasktally.decisions.load_reports import LoadReports
 from damasktally.decisions.outlier_detection import OutlierDetector
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.server_pauses import ServerPauses
@@ -71,6 +72,7 @@
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
         self.diversions = Diversions()
         self.loads = ServerLoads()
+        self.load_reports = LoadReports()
         self.limits = ServerLimits(own.host)
         self.pauses = ServerPauses()
         self.outlier_detector = OutlierDetector()
