Looked only at servers that may be busy when diverting objects.

Cause: each host went over all servers five times a second. Change: only those with a load report or own requests.

--- a/damasktally/decisions/load.py
+++ b/damasktally/decisions/load.py
@@ -125,6 +125,11 @@
             return 0.0
         return load.own + load.others * _report_weight(load, now)
 
+    def estimates(self, now: float) -> dict[str, float]:
+        """Return the estimates of all servers that are not known to be idle, by id."""
+        estimates = {name: self.estimate(name, now) for name in self._loads}
+        return {name: value for name, value in estimates.items() if value > 0}
+
     def slowdown(self, server: str, now: float) -> float:
         """Return the time that work takes on a server, relative to the usual time.
 
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -1,6 +1,7 @@
 """Rank the servers that may receive a request."""
 
 from asyncio import get_running_loop
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -71,6 +72,7 @@
         self._affinity_ranking = AffinityRanking(own.region, region_of)
         self._server_groups: dict[tuple[str, frozenset[str]], _ServerGroup] = {}
         self.diversions = Diversions()
+        self._server_counts: tuple[int, Counter[str]] = (-1, Counter())
         self.loads = ServerLoads()
         self.load_reports = LoadReports()
         self.limits = ServerLimits(own.host)
@@ -172,15 +174,21 @@
         :param now: time of the event loop's clock in seconds.
         """
         loads: dict[str, dict[str, float]] = {}
-        counts: dict[str, int] = {}
-        for server in self._view.servers.usable():
-            counts[server.service] = counts.get(server.service, 0) + 1
-            load = self.loads.estimate(server.id, now)
-            if load > 0:
-                loads.setdefault(server.service, {})[server.id] = load / server.slots
-        for service, count in counts.items():
+        for name, load in self.loads.estimates(now).items():
+            record = self._view.servers.get(name)
+            if record is not None:
+                server = record.server
+                loads.setdefault(server.service, {})[name] = load / server.slots
+        for service, count in self._count_servers().items():
             self.diversions.update(service, loads.get(service, {}), count, now)
 
+    def _count_servers(self) -> Counter[str]:
+        """Return the number of usable servers of each service, by its name."""
+        if self._server_counts[0] != self._view.generation:
+            counts = Counter(item.service for item in self._view.servers.usable())
+            self._server_counts = (self._view.generation, counts)
+        return self._server_counts[1]
+
     def pause_end_s(
         self, service: str, home_regions: frozenset[str], now: float
     ) -> float | None:
