Told refused callers to return soon if another server has room.

Cause: when servers refuse requests although they have free slots, requests end with a 503 once their attempts or the retry budget are used up. The caller was told to return after the mean response time, as if all servers were full, and then was late. Change: if a server with room was found but may not be tried, the delay is 0.1 s before jitter.

--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -38,6 +38,9 @@
 """A request with fewer seconds than this until its deadline is not sent."""
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 """Retry delay that a host without a configuration sends, before jitter."""
+ROOM_RETRY_AFTER_S = 0.1
+"""Retry delay for a caller whose request may not be sent to another server although one
+has room: the caller's own next attempt counts as a new request."""
 RETURN_MEMORY_S = 5.0
 """A service that was regained so recently may not have room for all requests yet."""
 NOT_SENT_OUTCOMES = frozenset(
@@ -206,6 +209,8 @@
                 trace.reason = trace.reason or Reason.NO_ROOM
                 return self._final_responses.from_failure(trace)
             if send_count and not self._retries.take(trace, send_count, now):
+                # The target has room, so the caller need not wait for any.
+                trace.retry_after_s = ROOM_RETRY_AFTER_S
                 return self._final_responses.from_failure(trace)
             trace.reason = None
             if isinstance(target, Member):
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -36,6 +36,12 @@
     And another 0.3 s pass
     Then a caller with key k-1 gets 200 for /read/1
 
+  Scenario: A caller that ran out of attempts while servers have room may return soon
+    Given 4 more servers
+    And every server answers 503 without running the request
+    When a caller of /read/1 is refused
+    Then it may return after at most 0.15 s
+
   Scenario Outline: A request that a server refuses without running it is retried: <kind>
     Given the preferred server answers 503 without running the request
     When a caller sends <method> <path>
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -156,6 +156,28 @@
     )
 
 
+@given("every server answers 503 without running the request")
+def given_none_runs(context):
+    """Make every server refuse requests without running them."""
+    for server in context.servers:
+        server.respond = lambda request: make_answer(
+            request.headers["request-id"], 503, extra="Not-Run: 1\r\n"
+        )
+
+
+@when("a caller of {path} is refused")
+def when_refused(context, path):
+    """Send a request and check that it was refused."""
+    send_and_keep_answer(context, path)
+    assert context.answer.status == 503, context.answer
+
+
+@then("it may return after at most {seconds:g} s")
+def then_returns_soon(context, seconds):
+    """Check the delay that the refusal names."""
+    assert 0 < float(context.answer.headers["retry-after"]) <= seconds
+
+
 @given("the preferred server answers 421")
 def given_misdirected(context):
     """Make the preferred server answer as if another server had its address."""
