Let requests wait at the first server only while a whole service is overloaded.

Change: while the servers of a service hold as many requests as slots on average, only a server with a free slot takes requests that do not prefer it. Result: features/entry/small_service.feature recovers from full queues within 10 s at 40 and 58 requests a second.

--- a/damasktally/decisions/diversion.py
+++ b/damasktally/decisions/diversion.py
@@ -42,6 +42,7 @@
     def __init__(self) -> None:
         self._fractions: dict[str, dict[str, float]] = {}
         self._updated_at: dict[str, float] = {}
+        self._mean_loads: dict[str, float] = {}
 
     def update(
         self, service: str, loads: Mapping[str, float], server_count: int, now: float
@@ -57,6 +58,7 @@
         self._updated_at[service] = now
         fractions = self._fractions.get(service, {})
         mean_load = sum(loads.values()) / max(1, server_count)
+        self._mean_loads[service] = mean_load
         limit = max(MIN_OVERLOAD, mean_load + OVERLOAD_MARGIN)
         rise, fall = RISE_PER_S * elapsed_s, FALL_PER_S * elapsed_s
         changed = {
@@ -74,6 +76,10 @@
         """Return the fraction of a server's objects that is diverted, from 0 to 1."""
         return self._fractions.get(service, {}).get(server, 0.0)
 
+    def is_service_full(self, service: str) -> bool:
+        """Return whether its servers have as many requests as slots on average."""
+        return self._mean_loads.get(service, 0.0) >= 1.0
+
     def diverted_count(self) -> int:
         """Return the number of servers from which objects are diverted."""
         return sum(len(fractions) for fractions in self._fractions.values())
--- a/damasktally/decisions/server_selection.py
+++ b/damasktally/decisions/server_selection.py
@@ -5,7 +5,9 @@
 server to be chosen, no server would become warm and the overload would last. Only a
 bounded number of servers is therefore considered, and the request is refused when all
 of them are full (compare Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with
-bounded loads", 2018).
+bounded loads", 2018). While all servers are overloaded, a request waits at the first
+one only. If it also waited at the second one, each server of a small service would get
+requests for all of its objects, could not keep them warm, and the overload would last.
 """
 
 from collections.abc import Callable, Sequence
@@ -64,6 +66,7 @@
     max_candidates: int = MAX_CANDIDATE_SERVERS,
     slowdown: Callable[[Server], float] = lambda server: 1.0,
     max_relative_time: float = inf,
+    is_service_full: bool = False,
 ) -> Server | None:
     """Return the server for a request, or ``None`` when all candidates are full.
 
@@ -81,7 +84,11 @@
     best_cost = inf
     for rank, server in enumerate(ranked[:max_candidates]):
         load = outstanding(server)
-        if load + 1 > max_outstanding(server.slots, priority):
+        needs_free_slot = is_service_full and rank > 0
+        limit = (
+            server.slots if needs_free_slot else max_outstanding(server.slots, priority)
+        )
+        if load + 1 > limit:
             continue
         queued = max(0.0, load + 1 - server.slots)
         relative_time = slowdown(server) * (1 + queued / server.slots)
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -329,6 +329,7 @@
             priority_of(trace.route, trace.customer),
             slowdown=lambda server: slowdown(server.id, now),
             max_relative_time=(trace.deadline - now) / fast_s if fast_s else inf,
+            is_service_full=self._candidates.diversions.is_service_full(trace.service),
         )
         if selected is None:
             trace.inputs = {
--- a/damasktally/lab/servers.py
+++ b/damasktally/lab/servers.py
@@ -36,6 +36,7 @@
     :param schedule: calls a function at a time of the simulated clock.
     :param slowdown: factor by which jobs take longer.
     :param shed_ratio: ratio of the jobs that are refused.
+    :param max_warm_objects: how many objects it is warm for.
     """
 
     server: Server
@@ -43,6 +44,7 @@
     rng: Random
     slowdown: float = 1.0
     shed_ratio: float = 0.0
+    max_warm_objects: int = MAX_WARM_OBJECTS
     running: int = 0
     waiting: deque[Job] = field(default_factory=deque)
     _last_ended_at: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
@@ -72,7 +74,7 @@
         self.running -= 1
         self._last_ended_at[job.key] = now
         self._last_ended_at.move_to_end(job.key)
-        if len(self._last_ended_at) > MAX_WARM_OBJECTS:
+        if len(self._last_ended_at) > self.max_warm_objects:
             self._last_ended_at.popitem(last=False)
         job.on_end(now, True)
         while self.waiting and self.running < self.server.slots:
