Made the load estimates cheaper, and added scenarios for what they ignore.

Change: an expired report is recognised by one comparison, and a report is built only for a busy server.

--- a/damasktally/decisions/load.py
+++ b/damasktally/decisions/load.py
@@ -28,9 +28,15 @@
     others: float = 0.0
     slowdown: float = 1.0
     reported_at: float = -inf
+    expires_at: float = -inf
     full_weight_s: float = 0.0
     started_ms: int = 0
 
+    def weight(self, now: float) -> float:
+        """Return the weight of a report that has not expired; it falls from 1 to 0."""
+        weight = (self.expires_at - now) / (REPORT_LIFETIME_S - self.full_weight_s)
+        return weight if weight < 1.0 else 1.0
+
 
 class ServerLoads:
     """Add this host's outstanding requests at each server and those of other hosts.
@@ -84,6 +90,7 @@
         load.others = max(0.0, running + waiting - (load.own - 1))
         load.slowdown = 1.0 if slowdown is None else slowdown
         load.reported_at = now
+        load.expires_at = now + REPORT_LIFETIME_S
         load.full_weight_s = 0.0
         load.started_ms = started_ms
         return True
@@ -106,14 +113,15 @@
         reported_at = now - report.age_ms / 1000.0
         is_next_process = report.started_ms > load.started_ms
         is_newer = reported_at > load.reported_at + ARRIVAL_JITTER_S
-        is_expired = now - reported_at >= REPORT_LIFETIME_S
-        if is_expired or report.started_ms < load.started_ms:
+        expires_at = reported_at + REPORT_LIFETIME_S
+        if now >= expires_at or report.started_ms < load.started_ms:
             return False
         if not (is_next_process or is_newer):
             return False
         load.others = max(0.0, report.running + report.waiting - load.own)
         load.slowdown = report.slowdown_percent / 100.0
         load.reported_at = reported_at
+        load.expires_at = expires_at
         load.full_weight_s = SHARED_REPORT_FULL_WEIGHT_S
         load.started_ms = report.started_ms
         return True
@@ -123,7 +131,9 @@
         load = self._loads.get(server)
         if load is None:
             return 0.0
-        return load.own + load.others * _report_weight(load, now)
+        if now >= load.expires_at:
+            return load.own
+        return load.own + load.others * load.weight(now)
 
     def slowdown(self, server: str, now: float) -> float:
         """Return the time that work takes on a server, relative to the usual time.
@@ -131,14 +141,14 @@
         It approaches 1.0 as the report ages, and is 1.0 without a report.
         """
         load = self._loads.get(server)
-        if load is None:
+        if load is None or now >= load.expires_at:
             return 1.0
-        return 1.0 + (load.slowdown - 1.0) * _report_weight(load, now)
+        return 1.0 + (load.slowdown - 1.0) * load.weight(now)
 
     def report_age_s(self, server: str, now: float) -> float | None:
         """Return the age of a server's report in seconds, or None if none counts."""
         load = self._loads.get(server)
-        if load is None or now - load.reported_at >= REPORT_LIFETIME_S:
+        if load is None or now >= load.expires_at:
             return None
         return now - load.reported_at
 
@@ -149,11 +159,7 @@
                 del self._loads[server]
 
     def _load(self, server: str) -> _ServerLoad:
-        return self._loads.setdefault(server, _ServerLoad())
-
-
-def _report_weight(load: _ServerLoad, now: float) -> float:
-    """Return the weight of the last report, which falls from 1 to 0 as it ages."""
-    remaining_s = load.reported_at + REPORT_LIFETIME_S - now
-    weight = remaining_s / (REPORT_LIFETIME_S - load.full_weight_s)
-    return max(0.0, min(1.0, weight))
+        load = self._loads.get(server)
+        if load is None:
+            load = self._loads[server] = _ServerLoad()
+        return load
--- a/damasktally/decisions/load_reports.py
+++ b/damasktally/decisions/load_reports.py
@@ -57,9 +57,13 @@
     @property
     def is_busy(self) -> bool:
         """Return whether other hosts should know of the server's load."""
-        if self.slowdown >= BUSY_SLOWDOWN:
-            return True
-        return self.total > 0 and self.total >= BUSY_SLOT_FRACTION * self.slots
+        return _is_busy(self.total, self.slots, self.slowdown)
+
+
+def _is_busy(total: int, slots: int, slowdown: float) -> bool:
+    if slowdown >= BUSY_SLOWDOWN:
+        return True
+    return total > 0 and total >= BUSY_SLOT_FRACTION * slots
 
 
 class LoadOutbox:
@@ -100,17 +104,20 @@
         The report of a server that is not busy is kept only if it was busy before, as
         far as this host knows.
         """
-        known = _KnownReport(
+        slots = report.slots or server.slots
+        slowdown = 1.0 if report.slowdown is None else report.slowdown
+        is_busy = _is_busy(report.running + report.waiting, slots, slowdown)
+        if not is_busy and not self._is_known_busy(server.id, now):
+            return
+        self._known[server.id] = _KnownReport(
             server.started_ms,
             report.running,
             report.waiting,
-            1.0 if report.slowdown is None else report.slowdown,
-            report.slots or server.slots,
+            slowdown,
+            slots,
             now,
             ReportScope.OWN,
         )
-        if known.is_busy or self._is_known_busy(server.id, now):
-            self._known[server.id] = known
 
     def _is_known_busy(self, server: str, now: float) -> bool:
         previous = self._known.get(server)
--- a/features/entry/server_loads.feature
+++ b/features/entry/server_loads.feature
@@ -67,6 +67,17 @@
       | without a slowdown     | 5       | 9       | 9       | 0       | 0    |
     And the first report of a server's next process counts
 
+  # Guards against a host that is told of a process that it does not know, or ended.
+  Scenario: A host ignores the load of a process that is not registered
+    Given a stand-in store with a configuration and 2 servers
+    And an entry host that is ready
+    And the order in which the servers are preferred is known
+    When another host passes on a load of another process of the preferred server
+    And another host passes on a load of an unknown server
+    Then the host sees no load and passes on none
+    When another host passes on a load of the preferred server
+    Then the host sees that load and passes it on
+
   Scenario: Only busy servers are passed on, and once more when they are busy no longer
     Then these loads of a server with 6 slots are passed on or not
       | running | waiting | slowdown | passed on |
@@ -82,6 +93,8 @@
     Then loads are passed on outwards only, and not when they are 1 s old
     And messages carry 64 or 256 loads at most, the newest first, and 250 a second
     And the age of a load grows with each host that passes it on
+    And a heartbeat for one host alone does not count as one of those for all
+    And a summary that a host forwards later carries no loads
     And a load takes at most 30 bytes in a message
 
   # Answers the second customer's load: uneven demand on many servers and hosts that send
--- a/features/steps/load_fleet_steps.py
+++ b/features/steps/load_fleet_steps.py
@@ -1,15 +1,24 @@
 """Steps for fleets whose hosts pass on the loads of servers."""
 
-from asyncio import sleep
+from asyncio import get_running_loop, run, sleep
 from statistics import mean
 
 import msgspec
 from behave import given, then, when
+from bootstrap_steps import (
+    SimulatedHost,
+    listed_hosts,
+    member,
+    whole_fleet_summary,
+)
 from entry_harness import make_answer, send_request, wait_until
 from entry_steps import port_of
 from load_fleet_model import STEP_S, LoadFleet, ModelServer, make_server
 
+from damasktally.decisions.load_reports import LoadOutbox
 from damasktally.fleet.members import Heartbeat
+from damasktally.fleet.server_limits import ReportScope
+from damasktally.fleet.server_loads import ServerLoadReport
 from damasktally.fleet.summaries import RelaySummary
 
 FILLING_RATE = 80
@@ -274,3 +283,79 @@
     messages = [decoder.decode(data) for data in context.datagrams]
     assert len(messages) > len(context.hosts), len(messages)
     assert not any(message.server_loads for message in messages)
+
+
+@then("a heartbeat for one host alone does not count as one of those for all")
+def then_single_not_counted(context):
+    """Build a heartbeat with all entries, as for a new host, then one for all."""
+
+    async def build():
+        host, now = (
+            SimulatedHost(member("near-9", "near", 9)),
+            get_running_loop().time(),
+        )
+        builder, report = host.message_builder, ServerLoadReport("s", 1, 6, 0, 100, 0)
+        builder._load_reports.record(report, 6, ReportScope.OWN, now)
+        counts = [
+            len(builder.build_heartbeat(now, is_complete).server_loads)
+            for is_complete in (True, False, False)
+        ]
+        assert counts == [1, 1, 0], counts
+
+    run(build())
+
+
+@then("a summary that a host forwards later carries no loads")
+def then_forwarded_without_loads(context):
+    """Let a host that is no relay forward a summary with ages as they were."""
+    loads = (ServerLoadReport("s", 1, 6, 0, 100, 10),)
+    summary = whole_fleet_summary([listed_hosts("near"), listed_hosts("far")])
+
+    async def forward():
+        host = SimulatedHost(member("near-9", "near", 9))
+        host.receive(msgspec.structs.replace(summary, server_loads=loads))
+        now = get_running_loop().time()
+        forwarded = host.message_builder.build_bootstrap_summary(now)
+        assert forwarded.relay == summary.relay
+        assert forwarded.server_loads == ()
+
+    run(forward())
+
+
+@when("another host passes on a load of {subject}")
+def when_passed_on(context, subject):
+    """Hand a report to the host as a relay's summary does."""
+    server, started = context.first.id, context.first.registration()["born"]
+    if subject == "another process of the preferred server":
+        started += 1
+    elif subject == "an unknown server":
+        server = "s-unknown"
+    report = ServerLoadReport(server, started, FILLED_LOAD, 0, 100, 0)
+
+    async def receive():
+        context.host._server_reports.record_loads([report], ReportScope.FLEET)
+
+    context.loop_thread.run(receive())
+
+
+def load_and_messages(context):
+    """Return the load of all servers as the host sees it, and what it would send."""
+    now, candidates = context.loop_thread.loop.time(), context.host._candidates
+    names = [server.id for server in context.servers] + ["s-unknown"]
+    loads = [candidates.loads.estimate(name, now) for name in names]
+    return sum(loads), candidates.load_reports.take(
+        LoadOutbox(), ReportScope.FLEET, now
+    )
+
+
+@then("the host sees no load and passes on none")
+def then_load_ignored(context):
+    """Check all servers."""
+    assert load_and_messages(context) == (0, ())
+
+
+@then("the host sees that load and passes it on")
+def then_load_taken(context):
+    """Check the preferred server."""
+    load, sent = load_and_messages(context)
+    assert load > 0.5 * FILLED_LOAD and len(sent) == 1, (load, sent)
--- a/features/steps/server_load_steps.py
+++ b/features/steps/server_load_steps.py
@@ -186,14 +186,14 @@
     for scope in (ReportScope.OWN, ReportScope.DATA_CENTRE):
         reports, outbox = LoadReports(), LoadOutbox()
         if scope is ReportScope.OWN:
-            reports.record_own(make_server(), make_report(6), NOW)
-            assert take_loads(reports, outbox) == [6]
+            reports.record_own(make_server(), make_report(3), NOW)
+            assert take_loads(reports, outbox) == [3]
         else:
-            reports.record(shared_report(6), 6, scope, NOW)
-        for step, running in enumerate((1, 0, 0, 2)):
+            reports.record(shared_report(3), 6, scope, NOW)
+        for step, running in enumerate((2, 0, 0, 2)):
             report = make_report(running)
             reports.record_own(make_server(), report, NOW + 0.1 + 0.01 * step)
-        assert take_loads(reports, outbox, now=NOW + 0.2) == [1]
+        assert take_loads(reports, outbox, now=NOW + 0.2) == [2]
         reports.record_own(make_server(), make_report(0), NOW + 0.3)
         assert take_loads(reports, outbox, now=NOW + 0.4) == []
 
