--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,6 +1,6 @@
 """Run every benchmark: ``python -m benchmarks``."""
 
-from benchmarks import control, decisions, loans, relays, requests
+from benchmarks import control, decisions, loans, relays, requests, server_loads
 
 
 def main() -> None:
@@ -11,6 +11,8 @@
     loans.main()
     print("# relays, no network")
     relays.main()
+    print("# loads of servers, no network")
+    server_loads.main()
     print("# requests, one host")
     requests.measure()
     print("# control, no callers")
--- a/features/steps/load_fleet_model.py
+++ b/benchmarks/server_loads.py
@@ -1,6 +1,7 @@
-"""Model of a fleet with relays that passes on the loads of servers, without a network.
+"""Measure how well hosts know the loads of servers, by the number of busy servers.
 
-The decisions and messages are those of the hosts; time advances in steps.
+The model is a fleet with relays, without a network. Decisions and messages are those of
+the hosts; time advances in steps. Scenarios use the model, too.
 """
 
 from collections import deque
@@ -9,6 +10,7 @@
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
+from statistics import mean
 
 import msgspec
 
@@ -18,6 +20,15 @@
 from damasktally.fleet.server_limits import ReportScope
 from damasktally.fleet.server_loads import ServerLoadReport
 
+HOST_COUNT = 86
+DATA_CENTRE_COUNT = 6
+BUSY_SERVER_COUNTS = (0, 64, 192)
+QUEUE_LENGTHS = (10, 14)
+"""Smallest and largest number of requests that a busy server is kept at."""
+WORK_S = (0.3, 2.4)
+"""Shortest and longest time of a request."""
+SETTLING_S = 2.0
+MEASURED_S = 4.0
 STEP_S = 0.01
 TICK_S = 0.2
 LOCAL_DELAY_S = 0.0007
@@ -197,3 +208,59 @@
             at = self.now + delay_s
             message = (at, next(self._order), receiver, seen_as, data)
             heappush(self._messages, message)
+
+
+class VariedServer(ModelServer):
+    """Server whose requests take different times."""
+
+    rng = Random(5)
+
+    def work_s(self, now):
+        """Return how long a request takes that starts now."""
+        return self.rng.uniform(*WORK_S) * self.slowdown(now)
+
+
+def keep_busy(fleet, seconds):
+    """Keep the fleet's servers busy, with requests of random hosts."""
+    for _ in range(round(seconds / STEP_S)):
+        fleet.advance()
+        for server in fleet.servers:
+            while server.total < fleet.rng.randint(*QUEUE_LENGTHS):
+                fleet.request(fleet.rng.choice(fleet.hosts), server)
+
+
+def measure(busy_count):
+    """Keep servers busy and return a row of figures."""
+    fleet = LoadFleet(HOST_COUNT, DATA_CENTRE_COUNT)
+    fleet.servers = [
+        VariedServer(make_server(f"srv-{number:08d}")) for number in range(busy_count)
+    ]
+    keep_busy(fleet, SETTLING_S)
+    for host in fleet.hosts:
+        host.received_bytes = host.received_reports = 0
+    keep_busy(fleet, MEASURED_S)
+    errors = [
+        abs(host.loads.estimate(server.server.id, fleet.now) - server.total)
+        for host in fleet.hosts
+        for server in fleet.servers
+    ]
+    rates = [host.received_bytes / MEASURED_S for host in fleet.hosts]
+    report_count = sum(host.received_reports for host in fleet.hosts)
+    return (
+        f"| {busy_count} | {mean(rates[DATA_CENTRE_COUNT:]):.0f} "
+        f"| {mean(rates[:DATA_CENTRE_COUNT]):.0f} "
+        f"| {sum(rates) * MEASURED_S / max(1, report_count):.1f} "
+        f"| {mean(errors) if errors else 0.0:.2f} |"
+    )
+
+
+def main() -> None:
+    """Print a table; the figures are those of load reports alone."""
+    print("| busy servers | bytes/s, host | bytes/s, relay | bytes a report | error |")
+    print("| --- | --- | --- | --- | --- |")
+    for busy_count in BUSY_SERVER_COUNTS:
+        print(measure(busy_count))
+
+
+if __name__ == "__main__":
+    main()
--- a/features/steps/load_fleet_steps.py
+++ b/features/steps/load_fleet_steps.py
@@ -13,8 +13,8 @@
 )
 from entry_harness import make_answer, send_request, wait_until
 from entry_steps import port_of
-from load_fleet_model import STEP_S, LoadFleet, ModelServer, make_server
 
+from benchmarks.server_loads import STEP_S, LoadFleet, ModelServer, make_server
 from damasktally.decisions.load_reports import LoadOutbox
 from damasktally.fleet.members import Heartbeat
 from damasktally.fleet.server_limits import ReportScope
