Let hosts ask a server's lease manager before they send under contention.

Cause: hosts decide on their own estimates, so that many send to the same free server, and the server turns most of them away. Change: package entry/leases with messages, manager, client, endpoint and gate; hosts announce a lease port; the request path acquires a lease for a contended server, checks the server again after a wait and releases the lease with the attempt. What protects servers from requests that end them moved to modules of its own. Two checks changed: the reasons in the code are looked for in packages below entry, too, and the fields that older hosts omit include the lease port.

--- a/damasktally/decisions/response_times.py
+++ b/damasktally/decisions/response_times.py
@@ -31,6 +31,10 @@
                 seconds - average_s
             )
 
+    def average_s(self, service: str) -> float:
+        """Return the seconds that a request to a service is expected to take."""
+        return self._average_s.get(service, DEFAULT_RESPONSE_TIME_S)
+
     def expected_wait_s(self, service: str) -> float:
         """Return the seconds after which a full service is expected to have room."""
         average_s = self._average_s.get(service, DEFAULT_RESPONSE_TIME_S)
--- a/damasktally/decisions/server_leases.py
+++ b/damasktally/decisions/server_leases.py
@@ -76,9 +76,13 @@
         decisions += self._enqueue(terms, state, now)
         return decisions + self._fill(state, now)
 
-    def end(self, key: LeaseKey, now: float) -> list[LeaseDecision]:
+    def end(
+        self, key: LeaseKey, now: float, outstanding: int | None = None
+    ) -> list[LeaseDecision]:
         """End a lease, or the wait for one, at the request of its host.
 
+        :param outstanding: requests that the server still had by the report that its
+            response carried, or ``None`` if there was none.
         :returns: decisions about requests that have room now.
         """
         decisions = self._renew_holder(key, now)
@@ -92,7 +96,10 @@
             return decisions
         state = self._servers[server]
         state.queue.remove(key)
-        state.end(key, now)
+        was_outstanding = state.end(key, now)
+        if was_outstanding and outstanding is not None:
+            # The lease that ended just now still counts among those of this moment.
+            state.record_report(outstanding + 1, now)
         return decisions + self._fill(state, now)
 
     def record_report(
--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -158,6 +158,19 @@
             return False
         return not self._view.servers.is_leaving(server)
 
+    def accepts(self, server: Server, home_regions: frozenset[str], now: float) -> bool:
+        """Return whether a server that was chosen earlier may still be used.
+
+        Meanwhile it may have started again, or drain, pause, leave or be evacuated.
+
+        :param home_regions: regions that may serve; empty allows all.
+        :param now: time of the event loop's clock in seconds.
+        """
+        current = self._server_group(server.service, home_regions).by_id.get(server.id)
+        if current is None or current.started_ms != server.started_ms:
+            return False
+        return self._is_usable(current, now)
+
     def has_unreachable_server(
         self, service: str, home_regions: frozenset[str]
     ) -> bool:
--- a/damasktally/entry/checks.py
+++ b/damasktally/entry/checks.py
@@ -11,6 +11,8 @@
 from damasktally.platform.bounds import decode_bounds
 from damasktally.platform.codec import MalformedObject
 
+MAX_PORT = 65_535
+
 Check = Callable[[EntrySettings], Iterator[CheckMessage]]
 
 
@@ -18,7 +20,8 @@
     """Check that no two listeners share an address."""
     listen = settings.listen
     addresses = [listen.callers, listen.readiness, listen.directory, listen.peers]
-    addresses += [item for item in (listen.forwarding, listen.metrics) if item]
+    optional = (listen.forwarding, listen.leases, listen.metrics)
+    addresses += [item for item in optional if item]
     if len(set(addresses)) < len(addresses):
         yield CheckMessage(
             "entry.E201",
@@ -40,6 +43,26 @@
         )
 
 
+def lease_address_is_valid(settings: EntrySettings) -> Iterator[CheckMessage]:
+    """Check that other hosts find the lease port at the address of the peers."""
+    listen = settings.listen
+    if not listen.leases:
+        return
+    host, port = split_address(listen.leases)
+    if host != split_address(listen.peers)[0]:
+        yield CheckMessage(
+            "entry.E207",
+            "[listen] leases and peers are on different addresses.",
+            "Use the same address with another port, as other hosts assume it.",
+        )
+    if not 1 <= port <= MAX_PORT:
+        yield CheckMessage(
+            "entry.E208",
+            f"[listen] leases has the port {port}, which is not from 1 to {MAX_PORT}.",
+            "Choose a free port, or leave the option empty to disable leases.",
+        )
+
+
 def data_centre_is_in_fleet(settings: EntrySettings) -> Iterator[CheckMessage]:
     """Check that the fleet's table contains this host's data centre and region."""
     host = settings.host
@@ -84,6 +107,7 @@
 CHECKS: tuple[Check, ...] = (
     ports_differ,
     forwarding_is_on_peer_address,
+    lease_address_is_valid,
     data_centre_is_in_fleet,
     bounds_can_be_decoded,
     seeds_name_another_host,
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -11,20 +11,19 @@
 from random import Random
 
 from damasktally.addresses import split_address
-from damasktally.decisions.crash_suspects import CrashSuspects
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
-from damasktally.entry.blocked_requests import BlockedRequests
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.confirmations import Confirmations
 from damasktally.entry.connection_pool import ConnectionPool
-from damasktally.entry.crash_reports import CrashReports
+from damasktally.entry.crash_protection import CrashProtection
 from damasktally.entry.forwarded_requests import ForwardedRequests
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.host_forwarder import HostForwarder
 from damasktally.entry.host_handlers import HostHandlers
+from damasktally.entry.leases import HostLeases
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.outbox import OwnState
@@ -38,6 +37,7 @@
 from damasktally.entry.requests import RequestHandler
 from damasktally.entry.retries import Retries
 from damasktally.entry.server_reports import ServerReports
+from damasktally.entry.server_sender import ServerSender
 from damasktally.entry.settings import EntrySettings, own_member
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_eras import EraFollower, EraProblemLog
@@ -59,10 +59,7 @@
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.bounds import decode_bounds
-from damasktally.platform.codec import (
-    decode_configuration,
-    decode_server,
-)
+from damasktally.platform.codec import decode_configuration, decode_server
 from damasktally.platform.store import CONFIGURATION_NAME, StoreClient
 
 TICK_INTERVAL_S = 0.25
@@ -145,16 +142,11 @@
             self._candidates.pauses,
             self._metrics,
         )
-        self._crash_suspects = CrashSuspects(self._own.host)
-        self._link_breaks = LinkBreaks()
-        crash_reports = self._crash_reports = CrashReports(
-            self._crash_suspects,
-            self._link_breaks,
-            self._view.servers.is_registered,
+        crashes = CrashProtection(
+            self._own.host, self._store, self._view.servers.is_registered, self._rng
         )
-        self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
-        crash_reports.on_blocked = self._blocked_requests.save
-        crash_reports.on_unblocked = self._blocked_requests.remove
+        self._crash_suspects, self._crash_reports = crashes.suspects, crashes.reports
+        self._blocked_requests = crashes.blocked_requests
         message_builder = FleetMessageBuilder(
             self._own,
             self._topology,
@@ -172,11 +164,11 @@
             self._topology,
             message_builder,
             self._transfer,
-            PeerReports(self._server_reports, crash_reports),
+            PeerReports(self._server_reports, crashes.reports),
             lambda: self._update_shares(self._loop.time()),
         )
         self._capacity_log = CapacityLog(self._view)
-        self._connection_pool = ConnectionPool(response_memory, self._link_breaks)
+        self._connection_pool = ConnectionPool(response_memory, crashes.link_breaks)
         self._reachability = ReachabilityMonitor(
             self._candidates, self._connection_pool, self._rng
         )
@@ -187,18 +179,28 @@
             self._connection_pool,
             self._reachability,
         )
+        self._leases = HostLeases(
+            self._members,
+            self._topology,
+            self._view,
+            self._candidates,
+            self._metrics,
+            lambda: self.is_ready,
+        )
+        self._server_reports.on_load = self._leases.manager.record_report
         self._host_pool = ConnectionPool(response_memory, LinkBreaks())
         self._requests = RequestHandler(
             self._view,
             self._candidates,
-            forwarder,
+            ServerSender(forwarder, self._candidates, self._leases.gate, crashes.guard),
             HostForwarder(
                 self._own, self._topology, self._host_pool, self._metrics, self._rng
             ),
             self._reachability,
-            crash_reports,
+            crashes.guard,
             self._quotas,
             Retries(self._topology, self._bounds, self._metrics),
+            self._leases.gate,
             self._metrics,
             self._rng,
         )
@@ -241,6 +243,7 @@
         peer_address = split_address(self._settings.listen.peers)
         await self._peer_protocol.start(peer_address)
         await self._transfer.start(peer_address)
+        await self._leases.start(self._settings.listen.leases)
         self._store_sync.start()
         self._blocked_requests.start()
         self._tasks = [create_task(self._register()), create_task(self._run_ticks())]
@@ -285,6 +288,7 @@
         self._blocked_requests.close()
         self._reachability.close()
         self._peer_protocol.close()
+        self._leases.close()
         self._transfer.close()
         self._connection_pool.close_all()
         self._host_pool.close_all()
@@ -332,6 +336,7 @@
         known_servers = self._view.servers.ids()
         self._connection_pool.close_all_except(known_servers)
         self._candidates.keep_only(known_servers)
+        self._leases.run_maintenance(known_servers)
         self._server_reports.keep_only(known_servers)
         self._reachability.keep_only(self._view.servers.services())
         self._crash_suspects.remove_expired(now)
@@ -358,8 +363,7 @@
         metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
         metrics.paused_servers.set(self._candidates.pauses.paused_count(now))
-        unreachable = self._reachability.unreachable_services()
-        metrics.unreachable_services.set(len(unreachable))
+        metrics.unreachable_services.set(len(self._reachability.unreachable_services()))
         metrics.limited_servers.set(self._candidates.limits.limited_count())
         for topic, confirmed_at in self._confirmations.times():
             metrics.view_age.labels(topic.value).set(now - confirmed_at)
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -192,6 +192,7 @@
             leaving_servers=tuple(self._view.servers.new_leaving_marks(now)),
             forwarding_port=own.forwarding_port,
             unreachable_services=state.unreachable_services,
+            lease_port=own.lease_port,
         )
 
     def build_data_centre_summary(self, now: float) -> RelaySummary:
@@ -370,6 +371,7 @@
         member.capacity,
         member.forwarding_port,
         unreachable_services,
+        member.lease_port,
     )
 
 
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -1,5 +1,7 @@
 """Define the metrics of an entry host, listed in ``docs/ref/entry-metrics.md``."""
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8)
@@ -64,6 +66,31 @@
             "Services of which this host reaches no server.",
             registry=self.registry,
         )
+        self.leases = Counter(
+            "damasktally_entry_leases",
+            "Leases that this host asked for, by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.lease_wait_seconds = Histogram(
+            "damasktally_entry_lease_wait_seconds",
+            "Seconds for which requests waited for room at a contended server.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.lease_waiting_requests = Gauge(
+            "damasktally_entry_lease_waiting_requests",
+            "Requests of all hosts that wait at this lease manager, by priority.",
+            ["priority"],
+            registry=self.registry,
+        )
+        self.lease_messages_dropped = Counter(
+            "damasktally_entry_lease_messages_dropped",
+            "Lease messages that were dropped, by cause.",
+            ["cause"],
+            registry=self.registry,
+        )
+        self._waiting_priorities: set[int] = set()
         self.lookups = Counter(
             "damasktally_entry_lookups", "Look-ups answered.", registry=self.registry
         )
@@ -94,3 +121,9 @@
             "Other hosts whose heartbeats are being received.",
             registry=self.registry,
         )
+
+    def set_waiting(self, waiting: Mapping[int, int]) -> None:
+        """Set how many requests of each priority wait at this lease manager."""
+        self._waiting_priorities |= waiting.keys()
+        for priority in self._waiting_priorities:
+            self.lease_waiting_requests.labels(priority).set(waiting.get(priority, 0))
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -62,6 +62,13 @@
     :param retry_after_s: when a refused caller may return, if the decision named it.
     :param forwarded: set if another host forwarded the request to this one.
     :param hosts_tried: names of the hosts to which this one forwarded the request.
+    :param is_trial: whether it is blocked, and let through to see whether it is still
+        one that ends servers.
+    :param needs_lease: whether the chosen server looks full, so that only its manager
+        can tell whether it has room.
+    :param lease_refusal: why a manager refused the request, if one did.
+    :param servers_refused: ids of the servers whose managers did.
+    :param waited_s: seconds for which it waited for leases.
     :param inputs: the values on which the last decision was based, by name.
     """
 
@@ -76,4 +83,9 @@
     retry_after_s: float | None = None
     forwarded: ForwardedRequest | None = None
     hosts_tried: list[str] = field(default_factory=list)
+    is_trial: bool = False
+    needs_lease: bool = False
+    lease_refusal: Reason | None = None
+    servers_refused: list[str] = field(default_factory=list)
+    waited_s: float = 0.0
     inputs: dict[str, float] = field(default_factory=dict)
--- a/damasktally/entry/request_rules.py
+++ b/damasktally/entry/request_rules.py
@@ -7,6 +7,8 @@
 
 DEFAULT_DEADLINE_S = 30.0
 """Seconds for a request whose caller sent no deadline."""
+MIN_REMAINING_TIME_S = 0.02
+"""A request with fewer seconds than this until its deadline is not sent."""
 
 
 def find_route(cfg: Configuration, req: Request) -> Route | None:
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -8,18 +8,18 @@
 from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS, choose_server
 from damasktally.decisions.weighted_round_robin import WeightedRoundRobin
 from damasktally.entry.candidates import ServerCandidates
-from damasktally.entry.crash_reports import CrashReports
+from damasktally.entry.crash_guard import CrashGuard
 from damasktally.entry.final_responses import FinalResponses
-from damasktally.entry.fingerprint import fingerprint_of
-from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.host_forwarder import HostForwarder
 from damasktally.entry.host_headers import REFUSAL, ForwardedRequest
+from damasktally.entry.leases import NO_LEASE_NEEDED, LeaseGate
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.outcome import Attempt, AttemptOutcome, RequestTrace
 from damasktally.entry.reachability_monitor import ReachabilityMonitor
 from damasktally.entry.refusals import retry_later_response, text_response
 from damasktally.entry.request_log import log_request
 from damasktally.entry.request_rules import (
+    MIN_REMAINING_TIME_S,
     allowed_regions,
     deadline_of,
     find_route,
@@ -27,14 +27,13 @@
     settles_request,
 )
 from damasktally.entry.retries import Retries
+from damasktally.entry.server_sender import ServerSender
 from damasktally.events.reasons import Reason
 from damasktally.fleet.model import Member, RetryPolicy, Server
 from damasktally.fleet.view import FleetView
 from damasktally.http1.messages import Request, Response
 from damasktally.platform.headers import AFFINITY_KEY, API_KEY, REQUEST_ID
 
-MIN_REMAINING_TIME_S = 0.02
-"""A request with fewer seconds than this until its deadline is not sent."""
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 """Retry delay that a host without a configuration sends, before jitter."""
 RETURN_MEMORY_S = 5.0
@@ -54,35 +53,38 @@
 
     :param view: configuration, evacuations and servers.
     :param candidates: ranks the servers for a request.
-    :param forwarder: sends a request to one server.
+    :param sender: sends a request to one server.
     :param host_forwarder: sends a request to another host.
     :param reachability: tells which services this host reaches.
-    :param crash_reports: decides which requests are blocked, since they end servers.
+    :param crash_guard: decides which requests are blocked, since they end servers.
     :param quotas: rate limits of the customers.
     :param retries: decides whether a request may be sent once more.
+    :param leases: decides which requests may be sent to contended servers.
     """
 
     def __init__(
         self,
         view: FleetView,
         candidates: ServerCandidates,
-        forwarder: Forwarder,
+        sender: ServerSender,
         host_forwarder: HostForwarder,
         reachability: ReachabilityMonitor,
-        crash_reports: CrashReports,
+        crash_guard: CrashGuard,
         quotas: CustomerQuotas,
         retries: Retries,
+        leases: LeaseGate,
         metrics: EntryMetrics,
         rng: Random,
     ) -> None:
         self._view = view
         self._candidates = candidates
-        self._forwarder = forwarder
+        self._sender = sender
         self._host_forwarder = host_forwarder
         self._reachability = reachability
-        self._crash_reports = crash_reports
+        self._crash_guard = crash_guard
         self._quotas = quotas
         self._retries = retries
+        self._leases = leases
         self._metrics = metrics
         self._round_robin = WeightedRoundRobin()
         self._response_times = ResponseTimes()
@@ -198,13 +200,24 @@
             if deadline - now < MIN_REMAINING_TIME_S:
                 trace.reason = Reason.TIME_IS_UP
                 return self._final_responses.from_failure(trace)
-            if self._is_blocked(req, trace):
+            if self._crash_guard.is_blocked(req, trace):
                 return self._final_responses.from_failure(trace)
             target = self._select_target(req, trace, tried_servers, now)
             if target is None:
                 trace.reason = trace.reason or Reason.NO_ROOM
                 return self._final_responses.from_failure(trace)
-            if send_count and not self._retries.take(trace, send_count, now):
+            permit = NO_LEASE_NEEDED
+            if self._needs_lease(trace, target, now):
+                run_s = self._response_times.average_s(trace.service)
+                permit = await self._sender.acquire_permit(
+                    req, trace, target, deadline, run_s
+                )
+            if permit is None:
+                continue
+            if send_count and not self._retries.take(
+                trace, send_count, self._loop.time()
+            ):
+                self._sender.withdraw(permit)
                 return self._final_responses.from_failure(trace)
             trace.reason = None
             if isinstance(target, Member):
@@ -212,11 +225,8 @@
                     req, trace, target, deadline, send_count
                 )
             else:
-                attempt = await self._forwarder.send(
-                    req, target, trace.customer, deadline, at_most_once
-                )
+                attempt = await self._sender.send(req, trace, target, permit, deadline)
                 tried_servers.append(target.id)
-                self._record_possible_crash(req, trace, target, attempt)
             trace.attempts.append(attempt)
             if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
                 self._response_times.record(trace.service, attempt.duration_s)
@@ -224,6 +234,14 @@
             if settles_request(attempt, at_most_once):
                 return self._final_responses.from_attempt(attempt, trace)
 
+    def _needs_lease(
+        self, trace: RequestTrace, target: Server | Member, now: float
+    ) -> bool:
+        """Return whether a lease is needed before the request is sent."""
+        if isinstance(target, Member):
+            return False
+        return trace.needs_lease or self._leases.is_contended(target, now)
+
     def _select_target(
         self, req: Request, trace: RequestTrace, tried_servers: list[str], now: float
     ) -> Server | Member | None:
@@ -242,8 +260,14 @@
                 return host
         affinity_key = req.header(AFFINITY_KEY) if trace.route.affinity else None
         ranked = self._candidates.rank_servers(
-            trace.service, home_regions, affinity_key, tried_servers, now
+            trace.service,
+            home_regions,
+            affinity_key,
+            tried_servers + trace.servers_refused,
+            now,
         )
+        if trace.lease_refusal is not None:
+            return self._choose_free_server(ranked, trace, now)
         if ranked:
             return self._choose_server(ranked, trace, now)
         if self._are_servers_missing(trace.service, home_regions, now):
@@ -313,7 +337,12 @@
     def _choose_server(
         self, ranked: list[Server], trace: RequestTrace, now: float
     ) -> Server | None:
-        """Return the server with room among the first ranked ones, or ``None``."""
+        """Return the server with room among the first ranked ones, or ``None``.
+
+        If all of them look full, and other hosts' requests are decided by lease
+        managers, the one with the least load is returned: its manager decides.
+        """
+        trace.needs_lease = False
         estimated_load = self._candidates.loads.estimate
         selected = choose_server(
             ranked,
@@ -325,39 +354,26 @@
                 f"held by {server.id}": round(estimated_load(server.id, now), 1)
                 for server in ranked[:MAX_CANDIDATE_SERVERS]
             }
+            if self._leases.is_enabled:
+                trace.needs_lease = True
+                return min(
+                    ranked[:MAX_CANDIDATE_SERVERS],
+                    key=lambda server: (
+                        estimated_load(server.id, now) / max(1, server.slots)
+                    ),
+                )
         return selected
 
-    def _is_blocked(self, req: Request, trace: RequestTrace) -> bool:
-        """Return whether the request is one that ends servers, and explain it."""
-        if self._crash_reports.is_empty:
-            return False
-        blocked_s = self._crash_reports.blocked_s(_fingerprint(req, trace))
-        if blocked_s <= 0:
-            return False
-        if self._crash_reports.take_trial(trace.fingerprint):
-            trace.inputs = {"tried though blocked for s": round(blocked_s, 1)}
-            return False
-        trace.reason = Reason.ENDS_SERVERS
-        trace.retry_after_s = blocked_s
-        trace.inputs = {"blocked for s": round(blocked_s, 1)}
-        return True
-
-    def _record_possible_crash(
-        self, req: Request, trace: RequestTrace, server: Server, attempt: Attempt
-    ) -> None:
-        """Record a lost response, or an answer, which shows that the server is alive.
-
-        A response that was lost because the caller left shows nothing.
-        """
-        if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.NOT_RUN):
-            self._crash_reports.record_alive(server)
-        is_lost = attempt.outcome is AttemptOutcome.LOST
-        if is_lost and req.is_disconnected:
-            return
-        if is_lost or not self._crash_reports.is_empty:
-            self._crash_reports.record_attempt(
-                _fingerprint(req, trace), server, attempt
-            )
+    def _choose_free_server(
+        self, ranked: list[Server], trace: RequestTrace, now: float
+    ) -> Server | None:
+        """Return a server that needs no lease, after the manager of one refused."""
+        trace.needs_lease = False
+        for server in ranked[:MAX_CANDIDATE_SERVERS]:
+            if not self._leases.is_contended(server, now):
+                return server
+        trace.reason = trace.lease_refusal
+        return None
 
     def _record_request(
         self, req: Request, trace: RequestTrace, response: Response
@@ -370,10 +386,3 @@
         if not answered:
             self._metrics.refusals.labels(trace.reason.value).inc()
         log_request(req, trace, response.status, self._view, self._loop.time())
-
-
-def _fingerprint(req: Request, trace: RequestTrace) -> str:
-    """Return the request's fingerprint, computed at its first use."""
-    if not trace.fingerprint:
-        trace.fingerprint = fingerprint_of(req, trace.customer)
-    return trace.fingerprint
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -1,7 +1,7 @@
 """Take in what backend servers report of themselves with their responses."""
 
 from asyncio import get_running_loop
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from damasktally.decisions.load import ServerLoads
 from damasktally.decisions.server_limits import ServerLimits
@@ -24,6 +24,8 @@
 class ServerReports:
     """Pass each report on to the decisions that depend on it, and log changes.
 
+    ``on_load`` is called with each server that reports running and waiting requests.
+
     :param view: receives which servers leave.
     :param loads: receives the numbers of running and waiting requests.
     :param limits: receives the rate limits.
@@ -38,6 +40,7 @@
         pauses: ServerPauses,
         metrics: EntryMetrics,
     ) -> None:
+        self.on_load: Callable[[Server, int, int], None] | None = None
         self._metrics = metrics
         self._view = view
         self._loads = loads
@@ -51,6 +54,8 @@
         now = self._loop.time()
         if report.running is not None and report.waiting is not None:
             self._loads.record_report(server.id, report.running, report.waiting, now)
+            if self.on_load is not None:
+                self.on_load(server, report.running, report.waiting)
         if report.is_leaving:
             self.record_leaving([(server.id, server.started_ms)], OWN_SOURCE)
         if report.pause_s is not None:
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -37,6 +37,8 @@
     :param peers: address for heartbeats (UDP) and for state transfer (TCP).
     :param forwarding: address, on the host of ``peers``, where this host takes callers'
         requests from other hosts that do not reach the servers; it takes none if empty.
+    :param leases: UDP address, on the host of ``peers``, for messages about leases of
+        backend servers; this host neither grants nor requests leases if empty.
     :param metrics_port: port of the metrics on the callers' address; 0 disables them.
     """
 
@@ -45,6 +47,7 @@
     directory: AddressText
     peers: AddressText
     forwarding: OptionalAddressText = ""
+    leases: OptionalAddressText = ""
     metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 9464
 
     @property
@@ -167,7 +170,7 @@
 
 def own_member(settings: EntrySettings) -> Member:
     """Return this host as other hosts know it, started now."""
-    forwarding = settings.listen.forwarding
+    forwarding, leases = settings.listen.forwarding, settings.listen.leases
     return Member(
         host=settings.host.name,
         started_ms=int(time() * 1000),
@@ -180,4 +183,5 @@
             settings.limits.link_mbps,
         ),
         forwarding_port=split_address(forwarding)[1] if forwarding else 0,
+        lease_port=split_address(leases)[1] if leases else 0,
     )
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -223,6 +223,20 @@
     "is not held against the request.",
     "Check this host's network.",
 )
+LEASE_WAIT_ENDED = Event(
+    523,
+    "lease-wait-ended",
+    "A request waited for room at a contended server; the fields show for how long, "
+    "behind how many others, and how the wait ended.",
+    "None, unless many waits end with waited-too-long: then the service needs servers.",
+)
+LEASE_MANAGER_SILENT = Event(
+    524,
+    "lease-manager-silent",
+    "The host that manages the leases of a server did not reply; requests are sent "
+    "without leases for the time in the fields.",
+    "If it repeats, check that host and the network to it.",
+)
 HANDLER_FAILED = Event(
     513,
     "handler-failed",
--- a/damasktally/events/explanation.py
+++ b/damasktally/events/explanation.py
@@ -5,6 +5,8 @@
 
 from damasktally.events.catalogue import (
     HOST_LEAVING,
+    LEASE_MANAGER_SILENT,
+    LEASE_WAIT_ENDED,
     LOSS_IGNORED,
     PEER_LOST,
     REQUEST_BLOCKED,
@@ -29,6 +31,7 @@
     event.number
     for event in (
         HOST_LEAVING,
+        LEASE_MANAGER_SILENT,
         LOSS_IGNORED,
         PEER_LOST,
         REQUEST_BLOCKED,
@@ -74,6 +77,9 @@
         is_request_end = number == REQUEST_ENDED.number
         if is_request_end and record.get("request") == request_id:
             return _explain_record(record, context)
+        is_own_wait = number == LEASE_WAIT_ENDED.number
+        if is_own_wait and record.get("request") == request_id:
+            context.append(record)
         if number in CONTEXT_EVENTS:
             context.append(record)
     return []
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -71,4 +71,8 @@
         "time-is-up",
         "the deadline passed before a server could take the request",
     )
+    WAITED_TOO_LONG = (
+        "waited-too-long",
+        "it waited for room, until more urgent requests or its latest start left none",
+    )
     UNKNOWN_KEY = ("unknown-key", "no customer of this configuration has this API key")
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -57,6 +57,7 @@
     :param forwarding_port: port where the sender takes callers' requests from other
         hosts, or 0.
     :param unreachable_services: services of which the sender reaches no server.
+    :param lease_port: port where the sender takes messages about leases, or 0.
     """
 
     host: str
@@ -81,6 +82,7 @@
     leaving_servers: tuple[tuple[str, int], ...] = ()
     forwarding_port: int = 0
     unreachable_services: tuple[str, ...] = ()
+    lease_port: int = 0
 
 
 @dataclass(slots=True)
@@ -318,4 +320,5 @@
         peer_address=(heartbeat.peer_host, heartbeat.peer_port),
         capacity=heartbeat.capacity,
         forwarding_port=heartbeat.forwarding_port,
+        lease_port=heartbeat.lease_port,
     )
--- a/damasktally/fleet/model.py
+++ b/damasktally/fleet/model.py
@@ -213,6 +213,8 @@
     :param capacity: capacity in cores, bounded by the network link.
     :param forwarding_port: port, at the address of ``peer_address``, where it takes
         callers' requests from other hosts; 0 if it takes none or is not known.
+    :param lease_port: UDP port at the same address for messages about leases; 0 if it
+        neither grants nor requests leases, or is not known.
     """
 
     host: str
@@ -223,6 +225,7 @@
     peer_address: tuple[str, int]
     capacity: float = 1.0
     forwarding_port: int = field(default=0, compare=False)
+    lease_port: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -32,6 +32,7 @@
     capacity: float
     forwarding_port: int = 0
     unreachable_services: tuple[str, ...] = ()
+    lease_port: int = 0
 
     def member_in(self, listing: "DataCentreHosts") -> Member:
         """Return the host as a member of the data centre that lists it."""
@@ -44,6 +45,7 @@
             peer_address=(self.peer_host, self.peer_port),
             capacity=self.capacity,
             forwarding_port=self.forwarding_port,
+            lease_port=self.lease_port,
         )
 
 
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -184,6 +184,7 @@
     path.write_text(render_template(TEMPLATE_FIELDS))
     settings = load_entry_settings(path)
     assert settings.listen.peers == "127.0.0.1:4"
+    assert settings.listen.leases == "127.0.0.1:26"
     assert settings.seeds == [("127.0.0.1", 5), ("127.0.0.1", 6)]
     assert settings.region_of == {"dc-1": "north"}
 
@@ -284,6 +285,7 @@
         "leaving_servers": (("s-2", 5),),
         "forwarding_port": 9,
         "unreachable_services": ("svc",),
+        "lease_port": 8,
     }
     values = msgspec.msgpack.decode(
         msgspec.msgpack.encode(make_heartbeat(**later_fields))
@@ -457,7 +459,7 @@
 @then("each reason has a word and a meaning and is used in the code")
 def then_reasons_described(context):
     """Check that every reason is described and that none is unused."""
-    modules = (ROOT / "damasktally" / "entry").glob("*.py")
+    modules = (ROOT / "damasktally" / "entry").rglob("*.py")
     source = "".join(module.read_text() for module in modules)
     for reason in Reason:
         assert reason.meaning and reason.value == reason.value.lower()
