--- a/damasktally/decisions/server_leases.py
+++ b/damasktally/decisions/server_leases.py
@@ -71,7 +71,7 @@
         decisions += self._expire(state, now) + self._fill(state, now)
         self._holders.get(terms.key).live[terms.key[2]] = terms.server
         if not state.queue and state.has_room(now):
-            state.grant(terms.key, terms.customer, terms.run_s, now)
+            state.grant(terms.key, terms.priority, terms.customer, terms.run_s, now)
             return [*decisions, LeaseDecision(terms.key, LeaseOutcome.GRANTED)]
         decisions += self._enqueue(terms, state, now)
         return decisions + self._fill(state, now)
@@ -214,7 +214,7 @@
         if item is None:
             return LeaseDecision(terms.key, LeaseOutcome.GRANTED)
         position = state.queue.ordered(state.in_progress).index(item)
-        wait_s = state.expected_wait_s(position, now)
+        wait_s = state.expected_wait_s(position, item.priority, now)
         return LeaseDecision(terms.key, LeaseOutcome.QUEUED, wait_s, item.ahead)
 
     def _add_server(self, terms: LeaseTerms, now: float) -> ServerSlots:
@@ -245,13 +245,16 @@
         state.queue.add(item)
         ordered = state.queue.ordered(state.in_progress)
         position = ordered.index(item)
-        wait_s = state.expected_wait_s(position, now)
+        wait_s = state.expected_wait_s(position, item.priority, now)
         if wait_s > terms.wait_s or position >= MAX_WAITING:
             return [self._refuse_waiting(item, state, position, now)]
         state.queue.add(replace(item, ahead=position))
         decisions = [LeaseDecision(terms.key, LeaseOutcome.QUEUED, wait_s, position)]
         overtaken = find_hopeless(
-            ordered, position + 1, lambda place: state.expected_wait_s(place, now), now
+            ordered,
+            position + 1,
+            lambda *place: state.expected_wait_s(*place, now),
+            now,
         )
         overtaken = overtaken or ordered[MAX_WAITING:]
         for hopeless in overtaken:
@@ -268,7 +271,7 @@
                 decisions.append(self._refuse_waiting(item, state, 0, now))
                 continue
             state.queue.remove(item.key)
-            state.grant(item.key, item.customer, item.run_s, now)
+            state.grant(item.key, item.priority, item.customer, item.run_s, now)
             waited_s = now - item.queued_at
             decisions.append(
                 LeaseDecision(item.key, LeaseOutcome.GRANTED, waited_s, item.ahead)
@@ -287,7 +290,7 @@
         self, item: WaitingRequest, state: ServerSlots, position: int, now: float
     ) -> LeaseDecision:
         state.queue.remove(item.key)
-        wait_s = state.expected_wait_s(position, now)
+        wait_s = state.expected_wait_s(position, item.priority, now)
         return self._refuse(item.key, wait_s, item.ahead)
 
     def _refuse(self, key: LeaseKey, wait_s: float, ahead: int = 0) -> LeaseDecision:
--- a/damasktally/decisions/server_slots.py
+++ b/damasktally/decisions/server_slots.py
@@ -17,6 +17,10 @@
 """A lease lasts for this many expected run times."""
 MOVING_AVERAGE_WEIGHT = 0.1
 """Weight of one lease in the moving average of the times that leases last."""
+SHARE_WEIGHT = 1 / 32
+"""Weight of one lease in the moving average of the parts of the priorities."""
+MIN_REMAINING_SHARE = 0.05
+"""Least part of the room that a priority is expected to get."""
 MIN_RUN_S = 0.005
 """Lower bound on a run time, so that every wait is estimated to take some time."""
 MESSAGE_SKEW_S = 0.03
@@ -40,6 +44,7 @@
     :param run_s: moving average of the time that a lease lasts.
     :param beyond: requests without a lease that the last report showed.
     :param reported_at: when the server sent the last report.
+    :param shares: moving average of the part of the leases that each priority got.
     :param ended: when each recent lease was granted and when it ended.
     """
 
@@ -51,6 +56,7 @@
     queue: WaitQueue = field(default_factory=WaitQueue)
     beyond: float = 0.0
     reported_at: float = -inf
+    shares: dict[int, float] = field(default_factory=dict)
     ended: list[tuple[float, float]] = field(default_factory=list)
 
     def others(self, now: float) -> float:
@@ -63,13 +69,26 @@
         # A rest of less than half a request is a report that has nearly expired.
         return len(self.leases) + self.others(now) + 1 <= self.slots + 0.5
 
-    def expected_wait_s(self, position: int, now: float) -> float:
-        """Return when a request at a position of the queue is expected to start."""
+    def expected_wait_s(self, position: int, priority: int, now: float) -> float:
+        """Return when a request at a position of the queue is expected to start.
+
+        More urgent requests that arrive later will take their part of the room.
+        """
         excess = max(0.0, len(self.leases) + self.others(now) - self.slots)
-        return (position + 1 + excess) * self.run_s / self.slots
+        more_urgent = sum(
+            share for item, share in self.shares.items() if item < priority
+        )
+        remaining_share = max(MIN_REMAINING_SHARE, 1.0 - more_urgent)
+        wait_s = (position + 1 + excess) * self.run_s / self.slots
+        return wait_s / remaining_share
 
-    def grant(self, key: LeaseKey, customer: str, run_s: float, now: float) -> None:
+    def grant(
+        self, key: LeaseKey, priority: int, customer: str, run_s: float, now: float
+    ) -> None:
         """Add a lease for a request that is expected to run for a while."""
+        for item in self.shares:
+            self.shares[item] *= 1.0 - SHARE_WEIGHT
+        self.shares[priority] = self.shares.get(priority, 0.0) + SHARE_WEIGHT
         lifetime_s = min(MAX_LEASE_S, max(MIN_LEASE_S, RUNS_PER_LEASE * run_s))
         self.leases[key] = Lease(customer, now, now + lifetime_s)
         self.in_progress[customer] += 1
--- a/damasktally/decisions/wait_queue.py
+++ b/damasktally/decisions/wait_queue.py
@@ -93,7 +93,7 @@
 def find_hopeless(
     ordered: list[WaitingRequest],
     first: int,
-    expected_wait_s: Callable[[int], float],
+    expected_wait_s: Callable[[int, int], float],
     now: float,
 ) -> list[WaitingRequest]:
     """Return the requests that will not get room before their latest start.
@@ -102,11 +102,12 @@
 
     :param ordered: waiting requests, the one that is served next first.
     :param first: position from which on requests are examined.
-    :param expected_wait_s: returns the time until a request at a position is served.
+    :param expected_wait_s: returns the time until a request at a position, and of a
+        priority, is served.
     """
     hopeless = []
     for position, item in enumerate(ordered[first:], first):
-        wait_s = expected_wait_s(position - len(hopeless))
+        wait_s = expected_wait_s(position - len(hopeless), item.priority)
         if now + wait_s > item.start_by:
             hopeless.append(item)
     return hopeless
--- a/damasktally/entry/leases/client.py
+++ b/damasktally/entry/leases/client.py
@@ -236,10 +236,11 @@
         """
         reply = await self._first_reply(question, message)
         while reply is not None and reply.outcome is LeaseOutcome.QUEUED:
-            left_s = question.ends_at - self._loop.time()
-            if left_s <= 0:
-                return LeaseResult.WAITED_TOO_LONG, reply.wait_ms / MS_PER_S
+            room_after_s = reply.wait_ms / MS_PER_S
+            left_s = max(0.0, question.ends_at - self._loop.time())
             reply = await question.next_reply(min(left_s, ASK_AGAIN_INTERVAL_S))
+            if reply is None and self._loop.time() >= question.ends_at:
+                return LeaseResult.WAITED_TOO_LONG, room_after_s
             if reply is None:
                 reply = await self._first_reply(question, message)
         if reply is None or reply.outcome is LeaseOutcome.NOT_MANAGER:
