--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -267,11 +267,7 @@
                 return host
         affinity_key = req.header(AFFINITY_KEY) if trace.route.affinity else None
         ranked = self._candidates.rank_servers(
-            trace.service,
-            home_regions,
-            affinity_key,
-            tried_servers + trace.servers_refused,
-            now,
+            trace.service, home_regions, affinity_key, tried_servers, now
         )
         if trace.lease_refusal is not None:
             return self._choose_free_server(ranked, trace, now)
@@ -374,12 +370,12 @@
     def _choose_free_server(
         self, ranked: list[Server], trace: RequestTrace, now: float
     ) -> Server | None:
-        """Return a server that looks free, after the manager of another one refused."""
+        """Return a candidate that looks free, after the manager of another refused."""
         trace.needs_lease = False
-        if len(trace.servers_refused) < MAX_CANDIDATE_SERVERS:
-            for server in ranked[:MAX_CANDIDATE_SERVERS]:
-                if not self._leases.is_contended(server, now):
-                    return server
+        for server in ranked[:MAX_CANDIDATE_SERVERS]:
+            is_refused = server.id in trace.servers_refused
+            if not is_refused and not self._leases.is_contended(server, now):
+                return server
         trace.reason = trace.lease_refusal
         return None
 
--- a/features/entry/lease_decisions.feature
+++ b/features/entry/lease_decisions.feature
@@ -75,6 +75,7 @@
   Scenario: The load that reports show beyond the leases is counted once, while it is new
     Then load that a report shows beyond the leases takes slots for 1 s at most
     And a report that is old, of another start or from the future changes nothing
+    And the end of a lease brings the load that the server's response reported
     And a report that counts a lease that has ended since does not take its slot
 
   Scenario: Repeated, replayed and old messages change nothing
--- a/features/entry/leases.feature
+++ b/features/entry/leases.feature
@@ -51,6 +51,21 @@
     And the server says in the store that it drains
     Then nothing waits any more within 0.4 s, and none of them is run
 
+  # Guards against requests that are sent although what hosts check changed while they
+  # waited; the manager does not check evacuations.
+  Scenario: An evacuation that begins during a wait holds after the grant
+    Given 3 hosts with leases and 1 servers with 2 slots
+    When one host's requests fill the only server, and 2 more wait
+    And its data centre is evacuated
+    Then nothing waits any more within 4 s, and none of them is run
+
+  # Guards against a wait that the caller's host cannot explain.
+  Scenario: The wait of a request is in its explanation
+    Given 3 hosts with leases and 1 servers with 2 slots
+    When one host's requests fill the only server, and 2 more wait
+    And the server says in the store that it drains
+    Then the explanation of a request that waited says how long and behind how many
+
   # Guards against requests that are held up by a manager that does not reply.
   Scenario: Without replies, hosts send as they do without leases
     Given 4 hosts with leases and 2 servers with 4 slots
--- a/features/steps/lease_fleet_steps.py
+++ b/features/steps/lease_fleet_steps.py
@@ -9,8 +9,10 @@
 )
 from collections import Counter
 from dataclasses import dataclass
+from json import dumps
 
 from behave import given, then, when
+from eliot import add_destinations, remove_destination
 from entry_harness import (
     LoopThread,
     StandInStore,
@@ -24,6 +26,7 @@
 from relay_steps import gather_all, numbered_settings
 from slot_server import SlotServer
 
+from damasktally.events.explanation import explain_request
 from damasktally.standins.ports import free_port
 
 OBJECTIVE = {"TargetLatency": "900ms", "Timeout": "1500ms"}
@@ -86,6 +89,9 @@
     """
     context.hosts, context.servers, context.tries = [], [], []
     context.store = StandInStore()
+    context.events = []
+    add_destinations(context.events.append)
+    context.add_cleanup(remove_destination, context.events.append)
 
     async def begin():
         await context.store.start()
@@ -439,3 +445,34 @@
             assert item.took_s <= longest, item
     counts = lease_counts(context)
     assert counts["granted"] == 0 and counts["no-reply"], counts
+
+
+@when("its data centre is evacuated")
+def when_zone_evacuated(context):
+    """Evacuate the data centre of the only server, once all hosts know its requests."""
+    zone = context.server.zone
+
+    async def evacuate():
+        await context.store.write("evacuations", zone, {})
+        await wait_until(
+            lambda: all(zone in host._view.evacuated for host in context.hosts)
+        )
+
+    context.loop_thread.run(evacuate())
+
+
+@then("the explanation of a request that waited says how long and behind how many")
+def then_wait_explained(context):
+    """Explain a request from the lines that its host logged."""
+
+    async def finish():
+        await wait_until(lambda: waiting_count(context) == 0)
+        await gather(*context.fillers)
+        await sleep(0.2)
+
+    context.loop_thread.run(finish())
+    lines = [dumps(event) for event in context.events]
+    explained = " ".join(explain_request("w-1", lines))
+    assert "ended with 503" in explained and "waited-too-long" in explained, explained
+    assert "lease-wait-ended" in explained and "waited_ms" in explained, explained
+    assert "behind 1" in explained and "waited for a lease" in explained, explained
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -319,6 +319,21 @@
     assert outcomes_of(decisions) == {2: LeaseOutcome.GRANTED}, decisions
 
 
+@then("the end of a lease brings the load that the server's response reported")
+def then_end_reports(context):
+    """End a lease with a report of a full server, and with one of an idle server."""
+    for outstanding, expected in (
+        (4, LeaseOutcome.QUEUED),
+        (3, LeaseOutcome.GRANTED),
+        (0, LeaseOutcome.GRANTED),
+    ):
+        leases = make_leases()
+        leases.request(make_terms(1), 0.0)
+        leases.end(("h-1", 1, 1), 0.1, outstanding)
+        decisions = leases.request(make_terms(2), 0.11)
+        assert outcomes_of(decisions) == {2: expected}, (outstanding, decisions)
+
+
 @then("a report that counts a lease that has ended since does not take its slot")
 def then_report_not_counted_twice(context):
     """Let a lease end while a report from before its end is on the way."""
