Merged the leases of servers with the choice by load.

Change: the selection of the next target moved from entry/requests.py to entry/target_selection.py; if no candidate has room by its estimate, the manager of the preferred one decides. A server that no run could end at in time is not asked for.

--- a/damasktally/decisions/response_times.py
+++ b/damasktally/decisions/response_times.py
@@ -48,6 +48,10 @@
         """
         return self._fast_s.get(service, 0.0)
 
+    def average_s(self, service: str) -> float:
+        """Return the seconds that a request to a service is expected to take."""
+        return self._average_s.get(service, DEFAULT_RESPONSE_TIME_S)
+
     def expected_wait_s(self, service: str) -> float:
         """Return the seconds after which a full service is expected to have room."""
         average_s = self._average_s.get(service, DEFAULT_RESPONSE_TIME_S)
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -198,6 +198,7 @@
             forwarding_port=own.forwarding_port,
             unreachable_services=state.unreachable_services,
             server_loads=self._load_reports.take(loads, ReportScope.OWN, now),
+            lease_port=own.lease_port,
         )
 
     def build_data_centre_summary(self, now: float) -> RelaySummary:
@@ -378,6 +379,7 @@
         member.capacity,
         member.forwarding_port,
         unreachable_services,
+        member.lease_port,
     )
 
 
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -1,48 +1,42 @@
 """Handle callers' requests: admission control, server selection and retries."""
 
 from asyncio import get_running_loop
-from math import inf
 from random import Random
 
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.response_times import ResponseTimes
-from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS, choose_server
 from damasktally.decisions.weighted_round_robin import WeightedRoundRobin
 from damasktally.entry.candidates import ServerCandidates
-from damasktally.entry.crash_reports import CrashReports
+from damasktally.entry.crash_guard import CrashGuard
 from damasktally.entry.final_responses import FinalResponses
-from damasktally.entry.fingerprint import fingerprint_of
-from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.host_forwarder import HostForwarder
 from damasktally.entry.host_headers import REFUSAL, ForwardedRequest
+from damasktally.entry.leases import NO_LEASE_NEEDED, LeaseGate
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.outcome import Attempt, AttemptOutcome, RequestTrace
 from damasktally.entry.reachability_monitor import ReachabilityMonitor
 from damasktally.entry.refusals import retry_later_response, text_response
 from damasktally.entry.request_log import log_request
 from damasktally.entry.request_rules import (
-    allowed_regions,
+    MIN_REMAINING_TIME_S,
     deadline_of,
     find_route,
-    priority_of,
     settles_request,
 )
 from damasktally.entry.retries import Retries
+from damasktally.entry.server_sender import ServerSender
+from damasktally.entry.target_selection import TargetSelector
 from damasktally.events.reasons import Reason
-from damasktally.fleet.model import Member, RetryPolicy, Server
+from damasktally.fleet.model import Member, RetryPolicy
 from damasktally.fleet.view import FleetView
 from damasktally.http1.messages import Request, Response
-from damasktally.platform.headers import AFFINITY_KEY, API_KEY, REQUEST_ID
+from damasktally.platform.headers import API_KEY, REQUEST_ID
 
-MIN_REMAINING_TIME_S = 0.02
-"""A request with fewer seconds than this until its deadline is not sent."""
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 """Retry delay that a host without a configuration sends, before jitter."""
 ROOM_RETRY_AFTER_S = 0.1
 """Retry delay for a caller whose request may not be sent to another server although one
 has room: the caller's own next attempt counts as a new request."""
-RETURN_MEMORY_S = 5.0
-"""A service that was regained so recently may not have room for all requests yet."""
 NOT_SENT_OUTCOMES = frozenset(
     {
         AttemptOutcome.NOT_SENT,
@@ -58,38 +52,47 @@
 
     :param view: configuration, evacuations and servers.
     :param candidates: ranks the servers for a request.
-    :param forwarder: sends a request to one server.
+    :param sender: sends a request to one server.
     :param host_forwarder: sends a request to another host.
     :param reachability: tells which services this host reaches.
-    :param crash_reports: decides which requests are blocked, since they end servers.
+    :param crash_guard: decides which requests are blocked, since they end servers.
     :param quotas: rate limits of the customers.
     :param retries: decides whether a request may be sent once more.
+    :param leases: decides which requests may be sent to contended servers.
     """
 
     def __init__(
         self,
         view: FleetView,
         candidates: ServerCandidates,
-        forwarder: Forwarder,
+        sender: ServerSender,
         host_forwarder: HostForwarder,
         reachability: ReachabilityMonitor,
-        crash_reports: CrashReports,
+        crash_guard: CrashGuard,
         quotas: CustomerQuotas,
         retries: Retries,
+        leases: LeaseGate,
         metrics: EntryMetrics,
         rng: Random,
     ) -> None:
         self._view = view
-        self._candidates = candidates
-        self._forwarder = forwarder
+        self._sender = sender
         self._host_forwarder = host_forwarder
         self._reachability = reachability
-        self._crash_reports = crash_reports
+        self._crash_guard = crash_guard
         self._quotas = quotas
         self._retries = retries
         self._metrics = metrics
         self._round_robin = WeightedRoundRobin()
         self._response_times = ResponseTimes()
+        self._targets = TargetSelector(
+            candidates,
+            host_forwarder,
+            reachability,
+            leases,
+            self._response_times,
+            metrics,
+        )
         self._final_responses = FinalResponses(self._response_times, rng)
         self._loop = get_running_loop()
 
@@ -202,13 +205,24 @@
             if deadline - now < MIN_REMAINING_TIME_S:
                 trace.reason = Reason.TIME_IS_UP
                 return self._final_responses.from_failure(trace)
-            if self._is_blocked(req, trace):
+            if self._crash_guard.is_blocked(req, trace):
                 return self._final_responses.from_failure(trace)
-            target = self._select_target(req, trace, tried_servers, now)
+            target = self._targets.select(req, trace, tried_servers, now)
             if target is None:
                 trace.reason = trace.reason or Reason.NO_ROOM
                 return self._final_responses.from_failure(trace)
-            if send_count and not self._retries.take(trace, send_count, now):
+            permit = NO_LEASE_NEEDED
+            if self._targets.needs_lease(trace, target, now):
+                run_s = self._response_times.average_s(trace.service)
+                permit = await self._sender.acquire_permit(
+                    req, trace, target, deadline, run_s
+                )
+            if permit is None:
+                continue
+            if send_count and not self._retries.take(
+                trace, send_count, self._loop.time()
+            ):
+                self._sender.withdraw(permit)
                 # The target has room, so the caller need not wait for any.
                 trace.retry_after_s = ROOM_RETRY_AFTER_S
                 return self._final_responses.from_failure(trace)
@@ -218,11 +232,8 @@
                     req, trace, target, deadline, send_count
                 )
             else:
-                attempt = await self._forwarder.send(
-                    req, target, trace.customer, deadline, at_most_once
-                )
+                attempt = await self._sender.send(req, trace, target, permit, deadline)
                 tried_servers.append(target.id)
-                self._record_possible_crash(req, trace, target, attempt)
             trace.attempts.append(attempt)
             if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
                 self._response_times.record(trace.service, attempt.duration_s)
@@ -230,56 +241,6 @@
             if settles_request(attempt, at_most_once):
                 return self._final_responses.from_attempt(attempt, trace)
 
-    def _select_target(
-        self, req: Request, trace: RequestTrace, tried_servers: list[str], now: float
-    ) -> Server | Member | None:
-        """Return the server, or else the host, for the next attempt.
-
-        A host is chosen if this one does not reach the service, or does not reach the
-        servers that would have room.
-        """
-        home_regions = allowed_regions(trace.route, trace.customer)
-        if home_regions is None:
-            trace.reason = Reason.NO_COMMON_HOME
-            return None
-        if not self._reachability.is_reachable(trace.service):
-            host = self._select_host(trace, home_regions)
-            if host is not None:
-                return host
-        affinity_key = req.header(AFFINITY_KEY) if trace.route.affinity else None
-        ranked = self._candidates.rank_servers(
-            trace.service, home_regions, affinity_key, tried_servers, now
-        )
-        if ranked:
-            return self._choose_server(ranked, trace, now)
-        if self._are_servers_missing(trace.service, home_regions, now):
-            host = self._select_host(trace, home_regions)
-            if host is not None:
-                return host
-        self._explain_missing_servers(trace, home_regions, tried_servers, now)
-        return None
-
-    def _select_host(
-        self, trace: RequestTrace, home_regions: frozenset[str]
-    ) -> Member | None:
-        """Return another host for a request that no host forwarded yet, if any."""
-        if trace.forwarded:
-            return None
-        return self._host_forwarder.choose(
-            trace.service, home_regions, trace.hosts_tried
-        )
-
-    def _are_servers_missing(
-        self, service: str, home_regions: frozenset[str], now: float
-    ) -> bool:
-        """Return whether other hosts may have servers to use that this one lacks.
-
-        It may not reach some of them, or treat them as restarted after a return.
-        """
-        if self._reachability.was_regained_within(service, RETURN_MEMORY_S, now):
-            return True
-        return self._candidates.has_unreachable_server(service, home_regions)
-
     async def _send_to_host(
         self,
         req: Request,
@@ -300,83 +261,6 @@
             req, member, trace.route, forwarded, deadline
         )
 
-    def _explain_missing_servers(
-        self,
-        trace: RequestTrace,
-        home_regions: frozenset[str],
-        tried_servers: list[str],
-        now: float,
-    ) -> None:
-        """Set why no server is usable, and when one may be."""
-        trace.retry_after_s = self._candidates.pause_end_s(
-            trace.service, home_regions, now
-        )
-        if trace.retry_after_s is not None:
-            trace.reason = Reason.SERVERS_PAUSED
-        elif not tried_servers:
-            trace.reason = Reason.NO_SERVER
-
-    def _choose_server(
-        self, ranked: list[Server], trace: RequestTrace, now: float
-    ) -> Server | None:
-        """Return the server with room among the first ranked ones, or ``None``."""
-        estimated_load = self._candidates.loads.estimate
-        slowdown = self._candidates.loads.slowdown
-        fast_s = self._response_times.fast_response_s(trace.service)
-        selected = choose_server(
-            ranked,
-            lambda server: estimated_load(server.id, now),
-            priority_of(trace.route, trace.customer),
-            slowdown=lambda server: slowdown(server.id, now),
-            max_relative_time=(trace.deadline - now) / fast_s if fast_s else inf,
-            is_service_full=self._candidates.diversions.is_service_full(trace.service),
-        )
-        if selected is None:
-            trace.inputs = {
-                f"held by {server.id}": round(estimated_load(server.id, now), 1)
-                for server in ranked[:MAX_CANDIDATE_SERVERS]
-            }
-        else:
-            self._observe_report_age(selected, now)
-        return selected
-
-    def _observe_report_age(self, server: Server, now: float) -> None:
-        age_s = self._candidates.loads.report_age_s(server.id, now)
-        if age_s is not None:
-            self._metrics.load_report_age.observe(age_s)
-
-    def _is_blocked(self, req: Request, trace: RequestTrace) -> bool:
-        """Return whether the request is one that ends servers, and explain it."""
-        if self._crash_reports.is_empty:
-            return False
-        blocked_s = self._crash_reports.blocked_s(_fingerprint(req, trace))
-        if blocked_s <= 0:
-            return False
-        if self._crash_reports.take_trial(trace.fingerprint):
-            trace.inputs = {"tried though blocked for s": round(blocked_s, 1)}
-            return False
-        trace.reason = Reason.ENDS_SERVERS
-        trace.retry_after_s = blocked_s
-        trace.inputs = {"blocked for s": round(blocked_s, 1)}
-        return True
-
-    def _record_possible_crash(
-        self, req: Request, trace: RequestTrace, server: Server, attempt: Attempt
-    ) -> None:
-        """Record a lost response, or an answer, which shows that the server is alive.
-
-        A response that was lost because the caller left shows nothing.
-        """
-        if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.NOT_RUN):
-            self._crash_reports.record_alive(server)
-        is_lost = attempt.outcome is AttemptOutcome.LOST
-        if is_lost and req.is_disconnected:
-            return
-        if is_lost or not self._crash_reports.is_empty:
-            self._crash_reports.record_attempt(
-                _fingerprint(req, trace), server, attempt
-            )
-
     def _record_request(
         self, req: Request, trace: RequestTrace, response: Response
     ) -> None:
@@ -388,10 +272,3 @@
         if not answered:
             self._metrics.refusals.labels(trace.reason.value).inc()
         log_request(req, trace, response.status, self._view, self._loop.time())
-
-
-def _fingerprint(req: Request, trace: RequestTrace) -> str:
-    """Return the request's fingerprint, computed at its first use."""
-    if not trace.fingerprint:
-        trace.fingerprint = fingerprint_of(req, trace.customer)
-    return trace.fingerprint
--- /dev/null
+++ b/damasktally/entry/target_selection.py
@@ -0,0 +1,187 @@
+"""Select the server, or the other host, to which a request is sent next."""
+
+from math import inf
+
+from damasktally.decisions.response_times import ResponseTimes
+from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS, choose_server
+from damasktally.entry.candidates import ServerCandidates
+from damasktally.entry.host_forwarder import HostForwarder
+from damasktally.entry.leases import LeaseGate
+from damasktally.entry.metrics import EntryMetrics
+from damasktally.entry.outcome import RequestTrace
+from damasktally.entry.reachability_monitor import ReachabilityMonitor
+from damasktally.entry.request_rules import allowed_regions, priority_of
+from damasktally.events.reasons import Reason
+from damasktally.fleet.model import Member, Server
+from damasktally.http1.messages import Request
+from damasktally.platform.headers import AFFINITY_KEY
+
+RETURN_MEMORY_S = 5.0
+"""A service that was regained so recently may not have room for all requests yet."""
+
+
+class TargetSelector:
+    """Select targets, and explain in the trace why there is none.
+
+    :param candidates: ranks the servers for a request.
+    :param host_forwarder: chooses another host if this one lacks servers.
+    :param reachability: tells which services this host reaches.
+    :param leases: decides which servers are contended.
+    :param response_times: response times of each service.
+    """
+
+    def __init__(
+        self,
+        candidates: ServerCandidates,
+        host_forwarder: HostForwarder,
+        reachability: ReachabilityMonitor,
+        leases: LeaseGate,
+        response_times: ResponseTimes,
+        metrics: EntryMetrics,
+    ) -> None:
+        self._candidates = candidates
+        self._host_forwarder = host_forwarder
+        self._reachability = reachability
+        self._leases = leases
+        self._response_times = response_times
+        self._metrics = metrics
+
+    def select(
+        self, req: Request, trace: RequestTrace, tried_servers: list[str], now: float
+    ) -> Server | Member | None:
+        """Return the server, or else the host, for the next attempt.
+
+        A host is chosen if this one does not reach the service, or does not reach the
+        servers that would have room.
+        """
+        home_regions = allowed_regions(trace.route, trace.customer)
+        if home_regions is None:
+            trace.reason = Reason.NO_COMMON_HOME
+            return None
+        if not self._reachability.is_reachable(trace.service):
+            host = self._select_host(trace, home_regions)
+            if host is not None:
+                return host
+        affinity_key = req.header(AFFINITY_KEY) if trace.route.affinity else None
+        ranked = self._candidates.rank_servers(
+            trace.service, home_regions, affinity_key, tried_servers, now
+        )
+        if trace.lease_refusal is not None:
+            return self._choose_free_server(ranked, trace, now)
+        if ranked:
+            return self._choose_server(ranked, trace, now)
+        if self._are_servers_missing(trace.service, home_regions, now):
+            host = self._select_host(trace, home_regions)
+            if host is not None:
+                return host
+        self._explain_missing_servers(trace, home_regions, tried_servers, now)
+        return None
+
+    def _select_host(
+        self, trace: RequestTrace, home_regions: frozenset[str]
+    ) -> Member | None:
+        """Return another host for a request that no host forwarded yet, if any."""
+        if trace.forwarded:
+            return None
+        return self._host_forwarder.choose(
+            trace.service, home_regions, trace.hosts_tried
+        )
+
+    def _are_servers_missing(
+        self, service: str, home_regions: frozenset[str], now: float
+    ) -> bool:
+        """Return whether other hosts may have servers to use that this one lacks.
+
+        It may not reach some of them, or treat them as restarted after a return.
+        """
+        if self._reachability.was_regained_within(service, RETURN_MEMORY_S, now):
+            return True
+        return self._candidates.has_unreachable_server(service, home_regions)
+
+    def _explain_missing_servers(
+        self,
+        trace: RequestTrace,
+        home_regions: frozenset[str],
+        tried_servers: list[str],
+        now: float,
+    ) -> None:
+        """Set why no server is usable, and when one may be."""
+        trace.retry_after_s = self._candidates.pause_end_s(
+            trace.service, home_regions, now
+        )
+        if trace.retry_after_s is not None:
+            trace.reason = Reason.SERVERS_PAUSED
+        elif not tried_servers:
+            trace.reason = Reason.NO_SERVER
+
+    def _choose_server(
+        self, ranked: list[Server], trace: RequestTrace, now: float
+    ) -> Server | None:
+        """Return the server with room among the first ranked ones, or ``None``.
+
+        If all of them look full, the manager of the preferred one decides, if there is
+        time for a run.
+        """
+        trace.needs_lease = False
+        estimated_load = self._candidates.loads.estimate
+        slowdown = self._candidates.loads.slowdown
+        fast_s = self._response_times.fast_response_s(trace.service)
+        selected = choose_server(
+            ranked,
+            lambda server: estimated_load(server.id, now),
+            priority_of(trace.route, trace.customer),
+            slowdown=lambda server: slowdown(server.id, now),
+            max_relative_time=(trace.deadline - now) / fast_s if fast_s else inf,
+            is_service_full=self._candidates.diversions.is_service_full(trace.service),
+        )
+        if selected is None:
+            trace.inputs = {
+                f"held by {server.id}": round(estimated_load(server.id, now), 1)
+                for server in ranked[:MAX_CANDIDATE_SERVERS]
+            }
+            return self._first_to_lease(ranked, trace, now)
+        self._observe_report_age(selected, now)
+        return selected
+
+    def _observe_report_age(self, server: Server, now: float) -> None:
+        age_s = self._candidates.loads.report_age_s(server.id, now)
+        if age_s is not None:
+            self._metrics.load_report_age.observe(age_s)
+
+    def _first_to_lease(
+        self, ranked: list[Server], trace: RequestTrace, now: float
+    ) -> Server | None:
+        """Return the preferred server if its lease manager may find room in time."""
+        fast_s = self._response_times.fast_response_s(trace.service)
+        run_s = fast_s * self._candidates.loads.slowdown(ranked[0].id, now)
+        if not self._leases.is_enabled or now + run_s > trace.deadline:
+            return None
+        trace.needs_lease = True
+        return ranked[0]
+
+    def _choose_free_server(
+        self, ranked: list[Server], trace: RequestTrace, now: float
+    ) -> Server | None:
+        """Return a candidate that looks free, after the manager of another refused."""
+        trace.needs_lease = False
+        for server in ranked[:MAX_CANDIDATE_SERVERS]:
+            is_refused = server.id in trace.servers_refused
+            if not is_refused and not self._leases.is_contended(server, now):
+                return server
+        trace.reason = trace.lease_refusal
+        return None
+
+    def needs_lease(
+        self, trace: RequestTrace, target: Server | Member, now: float
+    ) -> bool:
+        """Return whether a lease is needed before the request is sent.
+
+        After a refusal, the service is contended, and an estimate by which another
+        server is free may be old. Without this, 40 percent of the requests at twice
+        the servers' capacity were sent without a lease.
+        """
+        if isinstance(target, Member):
+            return False
+        if trace.needs_lease or trace.lease_refusal is not None:
+            return True
+        return self._leases.is_contended(target, now)
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -59,6 +59,7 @@
         hosts, or 0.
     :param unreachable_services: services of which the sender reaches no server.
     :param server_loads: loads of busy servers, from responses to the sender.
+    :param lease_port: port where the sender takes messages about leases, or 0.
     """
 
     host: str
@@ -84,6 +85,7 @@
     forwarding_port: int = 0
     unreachable_services: tuple[str, ...] = ()
     server_loads: tuple[ServerLoadReport, ...] = ()
+    lease_port: int = 0
 
 
 @dataclass(slots=True)
@@ -321,4 +323,5 @@
         peer_address=(heartbeat.peer_host, heartbeat.peer_port),
         capacity=heartbeat.capacity,
         forwarding_port=heartbeat.forwarding_port,
+        lease_port=heartbeat.lease_port,
     )
