Forwarded large responses as they arrive.

Large bodies were received whole before they were forwarded, so that a host with slow readers held all of them.

--- a/damasktally/entry/checks.py
+++ b/damasktally/entry/checks.py
@@ -11,6 +11,10 @@
 from damasktally.platform.bounds import decode_bounds
 from damasktally.platform.codec import MalformedObject
 
+MIN_MEMORY_MB = 16
+MAX_MEMORY_MB = 1_000_000
+"""A larger number is most likely stated in bytes or kB."""
+
 Check = Callable[[EntrySettings], Iterator[CheckMessage]]
 
 
@@ -81,12 +85,24 @@
         )
 
 
+def memory_is_in_range(settings: EntrySettings) -> Iterator[CheckMessage]:
+    """Check that the memory has room for bodies, and is stated in MB."""
+    if not MIN_MEMORY_MB <= settings.limits.memory_mb <= MAX_MEMORY_MB:
+        yield CheckMessage(
+            "entry.E207",
+            f"[limits] memory_mb is {settings.limits.memory_mb:g}, not between "
+            f"{MIN_MEMORY_MB} and {MAX_MEMORY_MB}.",
+            "Set the memory of the host in MB, such as 200.",
+        )
+
+
 CHECKS: tuple[Check, ...] = (
     ports_differ,
     forwarding_is_on_peer_address,
     data_centre_is_in_fleet,
     bounds_can_be_decoded,
     seeds_name_another_host,
+    memory_is_in_range,
 )
 
 
--- a/damasktally/entry/final_responses.py
+++ b/damasktally/entry/final_responses.py
@@ -66,9 +66,14 @@
     def from_attempt(self, attempt: Attempt, trace: RequestTrace) -> Response:
         """Return the response for an attempt that settles its request.
 
+        A response that was forwarded as it arrived is returned as the caller got it.
+
         A response with a ``Content-Encoding`` gets a 502: servers do not encode, so
         it is not the server's own.
         """
+        if attempt.is_streamed:
+            trace.reason = _reason_of_stream(attempt, trace)
+            return attempt.response
         if attempt.outcome is AttemptOutcome.TIMED_OUT:
             trace.reason = Reason.SERVER_TOO_SLOW
             return text_response(504, trace.reason.value)
@@ -80,14 +85,32 @@
             trace.reason = Reason.ENCODED_ANSWER
             return text_response(502, trace.reason.value)
         trace.reason = _refusal_of(response) or trace.reason or Reason.ANSWERED
-        headers = end_to_end_headers(response.headers, EXCLUDED_RESPONSE_HEADERS)
-        return Response(response.status, headers, response.body)
+        return forwarded_response(response)
 
     def jitter(self, wait_s: float) -> float:
         """Vary a retry delay, so that refused callers do not return all at once."""
         return wait_s * self._rng.uniform(MIN_JITTER, MAX_JITTER)
 
 
+def forwarded_response(response: Response) -> Response:
+    """Return a server's response with the headers that callers get."""
+    headers = end_to_end_headers(response.headers, EXCLUDED_RESPONSE_HEADERS)
+    return Response(response.status, headers, response.body)
+
+
+def _reason_of_stream(attempt: Attempt, trace: RequestTrace) -> Reason:
+    """Return why a response that was forwarded as it arrived ended."""
+    if attempt.outcome is AttemptOutcome.ANSWERED:
+        return trace.reason or Reason.ANSWERED
+    if attempt.response.stream.is_discarded:
+        return Reason.CALLER_GONE
+    if attempt.outcome is AttemptOutcome.CALLER_TOO_SLOW:
+        return Reason.CALLER_TOO_SLOW
+    if attempt.outcome is AttemptOutcome.TIMED_OUT:
+        return Reason.SERVER_TOO_SLOW
+    return Reason.ANSWER_LOST
+
+
 def _refusal_of(response: Response) -> Reason | None:
     """Return the reason for which another host refused a request, if it did."""
     word = response.header(REFUSAL)
--- a/damasktally/entry/forwarder.py
+++ b/damasktally/entry/forwarder.py
@@ -3,6 +3,7 @@
 from asyncio import get_running_loop
 from functools import partial
 
+from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.host_headers import HOST_HEADERS
@@ -46,6 +47,7 @@
     :param reports: receives what servers report of themselves.
     :param pool: idle connections to servers.
     :param reachability: receives which servers answered, and which were not reached.
+    :param streams: responses that are forwarded as they arrive.
     """
 
     def __init__(
@@ -55,13 +57,14 @@
         reports: ServerReports,
         pool: ConnectionPool,
         reachability: ReachabilityMonitor,
+        streams: BodyStreams,
     ) -> None:
         self._view = view
         self._reachability = reachability
         self._reports = reports
         self._candidates = candidates
         self._pool = pool
-        self._sender = RequestSender(pool)
+        self._sender = RequestSender(pool, streams)
         self._loop = get_running_loop()
 
     async def send(
@@ -111,14 +114,18 @@
             deadline,
             at_most_once,
             partial(self._candidates.wants_requests, server),
+            partial(self._record_report, server),
         )
         outcome, response = await self._sender.send(req, options)
-        if response is None:
-            return outcome, None
-        if response.status != MISDIRECTED_STATUS:
-            self._reports.record(server, decode_server_report(response))
+        if outcome is not AttemptOutcome.ANSWERED:
+            return outcome, response
         return _classify_response(response), response
 
+    def _record_report(self, server: Server, head: Response) -> None:
+        """Record what a server reports of itself, unless it is another server."""
+        if head.status != MISDIRECTED_STATUS:
+            self._reports.record(server, decode_server_report(head))
+
     def _record_outcome(
         self, server: Server, outcome: AttemptOutcome, response: Response | None
     ) -> None:
@@ -145,10 +152,15 @@
         """Record what an attempt shows of the connection to the server.
 
         A deadline that passed shows nothing, as a server that is busy causes it, too.
+        The same holds for a response that broke off as its caller read too slowly.
         """
         if outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.LOST):
             self._reachability.record_failure(server, outcome.value)
-        elif outcome not in (AttemptOutcome.TIMED_OUT, AttemptOutcome.ABANDONED):
+        elif outcome not in (
+            AttemptOutcome.TIMED_OUT,
+            AttemptOutcome.CALLER_TOO_SLOW,
+            AttemptOutcome.ABANDONED,
+        ):
             self._reachability.record_answered(server)
 
     def _record_failure(
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -16,6 +16,7 @@
 from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
 from damasktally.entry.blocked_requests import BlockedRequests
+from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.confirmations import Confirmations
@@ -59,10 +60,7 @@
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.bounds import decode_bounds
-from damasktally.platform.codec import (
-    decode_configuration,
-    decode_server,
-)
+from damasktally.platform.codec import decode_configuration, decode_server
 from damasktally.platform.store import CONFIGURATION_NAME, StoreClient
 
 TICK_INTERVAL_S = 0.25
@@ -180,12 +178,14 @@
         self._reachability = ReachabilityMonitor(
             self._candidates, self._connection_pool, self._rng
         )
+        self._streams = BodyStreams.from_config(settings.limits, self._metrics)
         forwarder = Forwarder(
             self._view,
             self._candidates,
             self._server_reports,
             self._connection_pool,
             self._reachability,
+            self._streams,
         )
         self._host_pool = ConnectionPool(response_memory, LinkBreaks())
         self._requests = RequestHandler(
@@ -193,7 +193,12 @@
             self._candidates,
             forwarder,
             HostForwarder(
-                self._own, self._topology, self._host_pool, self._metrics, self._rng
+                self._own,
+                self._topology,
+                self._host_pool,
+                self._streams,
+                self._metrics,
+                self._rng,
             ),
             self._reachability,
             crash_reports,
@@ -231,7 +236,6 @@
     ) -> "EntryHost":
         """Return a host for the given settings.
 
-        :param settings: the host's settings.
         :param output: writes log lines, or ``None`` if their loss is not reported.
         """
         return cls(settings, output)
@@ -355,6 +359,7 @@
         if self._output is not None:
             report_dropped_lines(self._output, self._metrics)
         metrics = self._metrics
+        metrics.body_bytes_held.set(self._streams.held_bytes)
         metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
         metrics.paused_servers.set(self._candidates.pauses.paused_count(now))
--- a/damasktally/entry/host_forwarder.py
+++ b/damasktally/entry/host_forwarder.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from damasktally.decisions.host_selection import MAX_HOSTS_TRIED, choose_host
+from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.host_headers import HOST_HEADERS, REFUSAL, ForwardedRequest
 from damasktally.entry.metrics import EntryMetrics
@@ -44,6 +45,7 @@
     :param own: this host.
     :param topology: lists the other hosts, and what they do not reach.
     :param pool: idle connections to other hosts.
+    :param streams: responses that are forwarded as they arrive.
     :param rng: chooses among hosts.
     """
 
@@ -52,12 +54,13 @@
         own: Member,
         topology: FleetTopology,
         pool: ConnectionPool,
+        streams: BodyStreams,
         metrics: EntryMetrics,
         rng: Random,
     ) -> None:
         self._own = own
         self._topology = topology
-        self._sender = RequestSender(pool)
+        self._sender = RequestSender(pool, streams)
         self._metrics = metrics
         self._rng = rng
         self._in_flight: Counter[str] = Counter()
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -78,6 +78,22 @@
             "Responses of the store with a missing, unreadable or earlier era.",
             registry=self.registry,
         )
+        self.body_bytes_held = Gauge(
+            "damasktally_entry_body_bytes_held",
+            "Bytes of bodies that are forwarded as they arrive, and wait in the host.",
+            registry=self.registry,
+        )
+        self.streamed_bodies = Counter(
+            "damasktally_entry_streamed_bodies",
+            "Bodies that were forwarded as they arrived, by direction.",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.delayed_bodies = Counter(
+            "damasktally_entry_delayed_bodies",
+            "Responses that had to wait until the host had memory to forward them.",
+            registry=self.registry,
+        )
         self.log_lines_left_out = Gauge(
             "damasktally_entry_log_lines_left_out",
             "Log lines that were dropped to bound the log volume.",
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -30,6 +30,9 @@
     """The request was sent, but no complete response arrived: it may have run."""
     TIMED_OUT = "timed-out"
     """The deadline passed after the request was sent: it may have run."""
+    CALLER_TOO_SLOW = "caller-too-slow"
+    """The response broke off while it was forwarded, or its deadline passed, as the
+    caller read too slowly. It may have run."""
     REFUSED_BY_HOST = "refused-by-host"
     """The other host to which the request was forwarded refused it; it did not run."""
 
@@ -41,7 +44,8 @@
     :param target: id of the server, or ``host`` and the name of the host to which it
         was forwarded.
     :param duration_s: seconds from the start of the attempt to its outcome.
-    :param response: the response, if one was received.
+    :param response: the response, if one was received, or the head of one that was
+        being forwarded as it arrived.
     :param is_final: whether no other attempt follows, whatever the outcome.
     """
 
@@ -51,6 +55,29 @@
     response: Response | None = None
     is_final: bool = False
 
+    @property
+    def is_streamed(self) -> bool:
+        """Return whether a response was forwarded to the caller as it arrived."""
+        return self.response is not None and self.response.stream is not None
+
+    @property
+    def server_duration_s(self) -> float:
+        """Return the duration without the time for which the caller held it up."""
+        if not self.is_streamed:
+            return self.duration_s
+        return self.duration_s - self.response.stream.held_up_s
+
+
+MAY_HAVE_RUN_OUTCOMES = frozenset(
+    {
+        AttemptOutcome.ANSWERED,
+        AttemptOutcome.LOST,
+        AttemptOutcome.TIMED_OUT,
+        AttemptOutcome.CALLER_TOO_SLOW,
+    }
+)
+"""Outcomes after which a server may have run the request."""
+
 
 @dataclass(slots=True)
 class RequestTrace:
--- a/damasktally/entry/request_rules.py
+++ b/damasktally/entry/request_rules.py
@@ -52,9 +52,10 @@
 
     Errors of a server (5xx) and lost responses are retried, unless the request may
     run at most once. What another host responds is final, as it made the attempts
-    that were left, unless it had no server either.
+    that were left, unless it had no server either. A response that was being forwarded
+    as it arrived is final, as the caller has a part of it.
     """
-    if attempt.is_final:
+    if attempt.is_final or attempt.is_streamed:
         return True
     if attempt.outcome is AttemptOutcome.ANSWERED:
         return at_most_once or attempt.response.status < 500
--- a/damasktally/entry/request_sender.py
+++ b/damasktally/entry/request_sender.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.outcome import AttemptOutcome
 from damasktally.http1.messages import Request, Response
 from damasktally.http1.outbound import AnswerLost, ConnectFailed, ServerConnection
+from damasktally.http1.response_stream import ResponseStream
 from damasktally.platform.headers import NOT_RUN, REQUEST_ID
 
 CONNECT_TIMEOUT_S = 0.35
@@ -21,6 +23,11 @@
 """
 
 
+MAX_HELD_UP_S = 1.0
+"""Seconds for which a caller may hold up a server before the loss of the response is
+no longer the server's failure: a server may cut off what is not read."""
+
+
 @dataclass(frozen=True, slots=True)
 class SendOptions:
     """How one attempt to send a request is made.
@@ -32,6 +39,8 @@
     :param at_most_once: whether the request must not run more than once.
     :param is_wanted: returns whether the request may still be sent, once there is a
         connection for it.
+    :param on_head: called with the response, or with the head of one that is forwarded
+        as it arrives.
     """
 
     target: str
@@ -40,16 +49,19 @@
     deadline: float
     at_most_once: bool
     is_wanted: Callable[[], bool] = lambda: True
+    on_head: Callable[[Response], None] = lambda response: None
 
 
 class RequestSender:
     """Send requests on connections of a pool.
 
     :param pool: opens connections, and keeps idle ones.
+    :param streams: responses that are forwarded as they arrive.
     """
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionPool, streams: BodyStreams) -> None:
         self._pool = pool
+        self._streams = streams
         self._loop = get_running_loop()
 
     async def send(
@@ -57,7 +69,8 @@
     ) -> tuple[AttemptOutcome, Response | None]:
         """Acquire a connection, then send the request unless it is abandoned.
 
-        :returns: the outcome, ``ANSWERED`` for any response, and the response.
+        :returns: the outcome, ``ANSWERED`` for any response, and the response. A
+            response that broke off while it was forwarded has another outcome.
         """
         remaining_s = options.deadline - self._loop.time()
         max_idle_s = MAX_IDLE_AT_MOST_ONCE_S if options.at_most_once else MAX_IDLE_S
@@ -86,10 +99,22 @@
         """
         remaining_ms = max(1, int((options.deadline - self._loop.time()) * 1000))
         request_id = req.header(REQUEST_ID)
+        streamed_head: Response | None = None
+
+        def open_stream(head: Response, length: int) -> ResponseStream | None:
+            nonlocal streamed_head
+            stream = self._streams.open(req, head, length)
+            if stream is not None:
+                options.on_head(head)
+                streamed_head = stream.head
+                streamed_head.stream = stream
+            return stream
+
         pending_response = conn.send(
             options.encode(remaining_ms),
             lambda response: _matches_request(response, request_id),
             req.method == b"HEAD",
+            open_stream,
         )
         if not options.at_most_once:
             req.on_disconnect = conn.close
@@ -98,15 +123,40 @@
                 response = await pending_response
         except TimeoutError:
             conn.close()
-            return AttemptOutcome.TIMED_OUT, None
+            return _outcome_at_deadline(streamed_head), streamed_head
         except AnswerLost:
-            return AttemptOutcome.LOST, None
+            return _outcome_of_loss(streamed_head), streamed_head
         finally:
             req.on_disconnect = None
+            if streamed_head is not None:
+                self._streams.close(streamed_head.stream)
         self._pool.release(options.target, conn)
+        if streamed_head is not None:
+            return AttemptOutcome.ANSWERED, streamed_head
+        options.on_head(response)
         return AttemptOutcome.ANSWERED, response
 
 
+def _outcome_at_deadline(streamed_head: Response | None) -> AttemptOutcome:
+    """Return the outcome of a request whose deadline passed.
+
+    :param streamed_head: head of the response that was being forwarded, if any.
+    """
+    if streamed_head is not None and streamed_head.stream.is_held_up:
+        return AttemptOutcome.CALLER_TOO_SLOW
+    return AttemptOutcome.TIMED_OUT
+
+
+def _outcome_of_loss(streamed_head: Response | None) -> AttemptOutcome:
+    """Return the outcome of a request whose response was lost.
+
+    :param streamed_head: head of the response that was being forwarded, if any.
+    """
+    if streamed_head is not None and streamed_head.stream.held_up_s > MAX_HELD_UP_S:
+        return AttemptOutcome.CALLER_TOO_SLOW
+    return AttemptOutcome.LOST
+
+
 def _matches_request(response: Response, request_id: bytes | None) -> bool:
     """Return whether a response is for a request, and not a late one for another.
 
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -15,7 +15,12 @@
 from damasktally.entry.host_forwarder import HostForwarder
 from damasktally.entry.host_headers import REFUSAL, ForwardedRequest
 from damasktally.entry.metrics import EntryMetrics
-from damasktally.entry.outcome import Attempt, AttemptOutcome, RequestTrace
+from damasktally.entry.outcome import (
+    MAY_HAVE_RUN_OUTCOMES,
+    Attempt,
+    AttemptOutcome,
+    RequestTrace,
+)
 from damasktally.entry.reachability_monitor import ReachabilityMonitor
 from damasktally.entry.refusals import retry_later_response, text_response
 from damasktally.entry.request_log import log_request
@@ -167,9 +172,7 @@
         deadline = deadline_of(req, trace.route)
         response = await self._forward_with_retries(req, trace, deadline)
         may_have_run = any(
-            attempt.outcome
-            in (AttemptOutcome.ANSWERED, AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT)
-            for attempt in trace.attempts
+            attempt.outcome in MAY_HAVE_RUN_OUTCOMES for attempt in trace.attempts
         )
         if not may_have_run and trace.customer is not None and not trace.forwarded:
             self._quotas.refund(trace.customer)
@@ -219,7 +222,7 @@
                 self._record_possible_crash(req, trace, target, attempt)
             trace.attempts.append(attempt)
             if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
-                self._response_times.record(trace.service, attempt.duration_s)
+                self._response_times.record(trace.service, attempt.server_duration_s)
             send_count += attempt.outcome not in NOT_SENT_OUTCOMES
             if settles_request(attempt, at_most_once):
                 return self._final_responses.from_attempt(attempt, trace)
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -61,12 +61,16 @@
 
     :param cores: processor cores of the machine.
     :param core_share: fraction of the cores that this host may use.
-    :param link_mbps: bandwidth of the host's network link, in Mbit/s.
+    :param link_mbps: bandwidth of the host's network link, in Mbit/s. Bodies that take
+        10 ms or longer on it are forwarded as they arrive.
+    :param memory_mb: memory that this host may use, in MB, from 16 to 1,000,000. Bodies
+        that are forwarded as they arrive take at most a quarter of it.
     """
 
     cores: Annotated[float, Meta(gt=0)] = 1.0
     core_share: Annotated[float, Meta(gt=0)] = 1.0
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
+    memory_mb: float = 200.0
 
 
 class FleetSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -23,6 +23,10 @@
     )
     ATTEMPTS_USED = ("attempts-used", "the route allows no further attempt")
     CALLER_GONE = ("caller-gone", "the caller closed its connection first")
+    CALLER_TOO_SLOW = (
+        "caller-too-slow",
+        "the caller read the response too slowly to get all of it",
+    )
     ENCODED_ANSWER = (
         "encoded-answer",
         "the response was encoded, so it did not come from the server itself",
--- /dev/null
+++ b/damasktally/http1/caller_output.py
@@ -0,0 +1,104 @@
+"""Write to a caller's connection responses that are forwarded as they arrive."""
+
+from asyncio import AbstractEventLoop, Future, Transport
+from asyncio import timeout as async_timeout
+from collections.abc import Callable
+from contextlib import suppress
+
+from damasktally.http1.messages import Response
+from damasktally.http1.response_stream import ResponseStream
+
+
+class CallerOutput:
+    """The writing side of a caller's connection.
+
+    :param transport: the caller's connection.
+    :param loop: event loop of the connection.
+    :param idle_timeout_s: returns the seconds for which a caller may read nothing of
+        the last bytes of a response.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        loop: AbstractEventLoop,
+        idle_timeout_s: Callable[[], float],
+    ) -> None:
+        self._transport = transport
+        self._idle_timeout_s = idle_timeout_s
+        self._loop = loop
+        self._stream: ResponseStream | None = None
+        self._is_writable = True
+        self._flushed: Future[None] | None = None
+
+    @property
+    def has_stream(self) -> bool:
+        """Return whether a response was begun that is not ended yet."""
+        return self._stream is not None
+
+    def pause(self) -> None:
+        """Hold up the response, as the connection has too many unsent bytes."""
+        self._is_writable = False
+        if self._stream is not None:
+            self._stream.hold()
+
+    def resume(self) -> None:
+        """Let the response go on, or let the wait for its last bytes end."""
+        self._is_writable = True
+        if self._stream is not None:
+            self._stream.proceed()
+        if self._flushed is not None and not self._flushed.done():
+            self._flushed.set_result(None)
+
+    def begin_stream(self, head: Response, length: int, close: bool) -> ResponseStream:
+        """Write the head of a response, and return the stream that takes its body.
+
+        :param length: bytes of the body.
+        :param close: whether the head announces that the connection is closed.
+        """
+        self._stream = ResponseStream(
+            self._transport, head, length, close, self._loop.time
+        )
+        self._stream.begin()
+        if not self._is_writable:
+            self._stream.hold()
+        return self._stream
+
+    def discard_stream(self) -> None:
+        """Forward nothing more, as the caller has left."""
+        if self._stream is not None:
+            self._stream.discard()
+
+    async def end_stream(self) -> bool:
+        """Wait until the response was sent, or abort the connection if it broke off.
+
+        :returns: whether the connection may be used for another response.
+        """
+        stream, self._stream = self._stream, None
+        is_open = not self._transport.is_closing()
+        if not (stream.is_complete and is_open and await self._flush()):
+            self._transport.abort()
+            return False
+        return not stream.closes_connection
+
+    async def _flush(self) -> bool:
+        """Wait until all bytes were passed to the kernel.
+
+        A planned stop thereby waits for them, too. A caller that reads nothing for the
+        idle timeout is given up.
+
+        :returns: whether they were.
+        """
+        transport = self._transport
+        transport.set_write_buffer_limits(0)
+        while unsent_bytes := transport.get_write_buffer_size():
+            self._flushed = self._loop.create_future()
+            with suppress(TimeoutError):
+                async with async_timeout(self._idle_timeout_s()):
+                    await self._flushed
+            self._flushed = None
+            if transport.is_closing():
+                return False
+            if transport.get_write_buffer_size() >= unsent_bytes:
+                return False
+        return True
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from traceback import format_exc
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -11,8 +12,10 @@
 from damasktally.events import emit
 from damasktally.events.catalogue import HANDLER_FAILED
 from damasktally.fleet.model import CallerLimits
+from damasktally.http1.caller_output import CallerOutput
 from damasktally.http1.framing import FramingCounter
 from damasktally.http1.messages import Headers, Request, Response, encode_response
+from damasktally.http1.response_stream import ResponseStream
 
 LINGERING_CLOSE_S = 1.0
 """Seconds for which a connection is still read after its last response.
@@ -96,6 +99,7 @@
         self._queue: deque[Request] = deque()
         self._queue_task: Task | None = None
         self._active_request: Request | None = None
+        self._output: CallerOutput | None = None
         self._closing = False
         self._linger_timer: TimerHandle | None = None
         self._buffered_bytes = 0
@@ -121,6 +125,9 @@
     def connection_made(self, transport: Transport) -> None:
         """Register the connection, or abort it if the port is closed."""
         self._transport = transport
+        self._output = CallerOutput(
+            transport, self._loop, lambda: self._port.limits().idle_timeout_s
+        )
         if self._port.closed:
             # The process is about to exit and would not wait for the request.
             transport.abort()
@@ -134,6 +141,15 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._handle_disconnect()
+        self.resume_writing()
+
+    def pause_writing(self) -> None:
+        """Hold up the response that is being forwarded, if there is one."""
+        self._output.pause()
+
+    def resume_writing(self) -> None:
+        """Let that response go on."""
+        self._output.resume()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as disconnected.
@@ -149,6 +165,7 @@
         req = self._active_request
         if req is not None and not req.is_disconnected:
             req.is_disconnected = True
+            self._output.discard_stream()
             if req.on_disconnect is not None:
                 req.on_disconnect()
 
@@ -251,6 +268,7 @@
             last_byte_at=self._last_byte_at,
             keep_alive=self._parser.should_keep_alive(),
         )
+        req.begin_stream = partial(self._begin_stream, req)
         self._reset_message()
         self._queue.append(req)
         if len(self._queue) > MAX_QUEUED_REQUESTS:
@@ -267,6 +285,11 @@
                 response = await self._handle(req)
                 self._active_request = None
                 self._adjust_buffered_bytes(-len(req.body))
+                if self._output.has_stream:
+                    if not await self._output.end_stream():
+                        self._close_after_response()
+                        return
+                    continue
                 if req.is_disconnected:
                     return
                 if not self._write_response(req, response):
@@ -288,6 +311,18 @@
             emit(HANDLER_FAILED, error=repr(exc), traceback=format_exc())
             return Response(500, [], b"")
 
+    def _begin_stream(
+        self, req: Request, head: Response, length: int
+    ) -> ResponseStream | None:
+        """Begin a response whose body is forwarded as it arrives.
+
+        :returns: the stream that takes the body, or ``None`` if the caller has left.
+        """
+        if req.is_disconnected or self._transport.is_closing():
+            return None
+        close = self._port.draining or not req.keep_alive
+        return self._output.begin_stream(head, length, close)
+
     def _resume_reading(self) -> None:
         """Read from the connection again if reading was paused."""
         if self._transport.is_closing():
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -3,6 +3,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damasktally.http1.response_stream import ResponseStream
 
 Headers = list[tuple[bytes, bytes]]
 """Pairs of a header's name, in lower case, and its value."""
@@ -37,8 +41,12 @@
         clock.
     :param last_byte_at: when the last byte arrived, on the same clock.
     :param keep_alive: whether the caller allows more requests on the connection.
-    :param on_disconnect: called if the caller disconnects before the response.
-    :param is_disconnected: whether the caller disconnected before the response.
+    :param on_disconnect: called if the caller disconnects before the response is
+        complete.
+    :param is_disconnected: whether the caller disconnected before that.
+    :param begin_stream: begins a response whose body is forwarded as it arrives, given
+        its head and the length of its body. It returns ``None`` if the caller has left,
+        and is ``None`` if the request's connection cannot forward such a response.
     """
 
     method: bytes
@@ -50,6 +58,7 @@
     keep_alive: bool
     on_disconnect: Callable[[], None] | None = None
     is_disconnected: bool = False
+    begin_stream: "Callable[[Response, int], ResponseStream | None] | None" = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower-case name."""
@@ -58,11 +67,16 @@
 
 @dataclass(slots=True)
 class Response:
-    """A complete response."""
+    """A complete response, or the head of one that is forwarded as it arrives.
+
+    :param body: empty if the response is forwarded as it arrives.
+    :param stream: forwards the body as it arrives, or ``None``.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    stream: "ResponseStream | None" = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower-case name."""
@@ -120,12 +134,21 @@
     :param close: whether to announce that the connection is closed afterwards.
     :param head_only: whether to leave the body out, as for a HEAD request.
     """
+    head = encode_response_head(response, len(response.body), close)
+    return head if head_only else head + response.body
+
+
+def encode_response_head(response: Response, length: int, close: bool) -> bytes:
+    """Encode the status and the headers of a response.
+
+    :param length: bytes of the body.
+    :param close: whether to announce that the connection is closed afterwards.
+    """
     reason = REASON_PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (response.status, reason)]
     lines += [key + b": " + value for key, value in response.headers]
     if response.status not in BODYLESS_STATUSES:
-        lines.append(b"content-length: %d" % len(response.body))
+        lines.append(b"content-length: %d" % length)
     if close:
         lines.append(b"connection: close")
-    body = b"" if head_only else response.body
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -2,8 +2,8 @@
 
 from asyncio import (
     AbstractEventLoop,
+    BufferedProtocol,
     Future,
-    Protocol,
     Transport,
     get_running_loop,
     timeout,
@@ -24,8 +24,14 @@
 
 from damasktally.errors import DamasktallyError
 from damasktally.http1.framing import FramingCounter
-from damasktally.http1.messages import BODYLESS_STATUSES, Headers, Response
+from damasktally.http1.messages import (
+    BODYLESS_STATUSES,
+    Headers,
+    Response,
+    find_header,
+)
 from damasktally.http1.response_memory import ResponseMemory
+from damasktally.http1.response_stream import ResponseStream
 
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 """Responses with a longer body fail, as they are held in memory."""
@@ -40,9 +46,13 @@
 """Time for which sent bytes may stay unacknowledged before the kernel gives up."""
 MIN_FINAL_STATUS = 200
 """Lower status codes are interim responses, which a final one follows."""
+MAX_SUCCESS_STATUS = 299
 
 ResponseMatcher = Callable[[Response], bool]
 """Returns whether a response belongs to the pending request."""
+StreamOpener = Callable[[Response, int], ResponseStream | None]
+"""Decides whether a response is forwarded as it arrives, given its head and the length
+of its body. Returns the stream that takes the body, or ``None``."""
 
 
 class ConnectFailed(DamasktallyError):
@@ -53,7 +63,7 @@
     """A request was sent, but no complete response was received."""
 
 
-class ServerConnection(Protocol):
+class ServerConnection(BufferedProtocol):
     """Protocol of a connection that carries one request at a time.
 
     A response that does not match the pending request is dropped: it belongs to an
@@ -80,6 +90,8 @@
         self._parser = HttpResponseParser(self)
         self._pending_response: Future[Response] | None = None
         self._matches: ResponseMatcher | None = None
+        self._open_stream: StreamOpener | None = None
+        self._stream: ResponseStream | None = None
         self._head_only = False
         self._headers: Headers = []
         self._body = bytearray()
@@ -109,17 +121,24 @@
         )
 
     def send(
-        self, data: bytes, matches: ResponseMatcher, head_only: bool = False
+        self,
+        data: bytes,
+        matches: ResponseMatcher,
+        head_only: bool = False,
+        open_stream: StreamOpener | None = None,
     ) -> Future[Response]:
         """Send an encoded request.
 
         :param matches: returns whether a response belongs to this request.
         :param head_only: whether the response has no body, as for a HEAD request.
+        :param open_stream: decides whether the response is forwarded as it arrives;
+            without it, the response is received whole.
         :returns: a future of the response; it fails with :class:`AnswerLost`.
         """
         self._pending_response = self._loop.create_future()
         self._matches = matches
         self._head_only = head_only
+        self._open_stream = open_stream
         self._framing = FramingCounter()
         self._skipped_count = 0
         self._transport.write(data)
@@ -131,7 +150,15 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which is never empty."""
+        return self._memory.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes that a read has put into the buffer."""
+        self.data_received(self._memory.read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Feed received bytes to the parser; close if no request is pending."""
         if self._pending_response is None:
             self.close()
@@ -184,14 +211,38 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Record that the body follows."""
+        """Record that the body follows, and begin to forward it if it is large."""
         self._in_body = True
+        if self._open_stream is None or self._pending_response is None:
+            return
+        length = self._parse_length()
+        head = Response(self._parser.get_status_code(), self._headers, b"")
+        if length is None or self._pending_response.done() or not self._matches(head):
+            return
+        self._stream = self._open_stream(head, length)
+        if self._stream is not None:
+            transport = self._transport
+            self._stream.attach(transport.pause_reading, transport.resume_reading)
+
+    def _parse_length(self) -> int | None:
+        """Return the length of the body of a successful response if it is stated."""
+        status = self._parser.get_status_code()
+        is_success = MIN_FINAL_STATUS <= status <= MAX_SUCCESS_STATUS
+        if not is_success or status in BODYLESS_STATUSES or self._head_only:
+            return None
+        if find_header(self._headers, b"transfer-encoding") is not None:
+            return None
+        text = find_header(self._headers, b"content-length")
+        return int(text) if text is not None and text.isdigit() else None
 
     def on_body(self, data: bytes) -> None:
-        """Append a part of the body and enforce the size limits."""
+        """Forward a part of the body, or append it and enforce the size limits."""
         if self._pending_response is None:
             return
         self._framing.add_body(len(data))
+        if self._stream is not None:
+            self._stream.write(data)
+            return
         self._body += data
         if len(self._body) > MAX_RESPONSE_BODY_BYTES:
             self._fail("the body is too large")
@@ -220,7 +271,8 @@
         if status < MIN_FINAL_STATUS:
             self._skip_response()
             return
-        response = Response(status, self._headers, bytes(self._body))
+        stream, self._stream = self._stream, None
+        response = Response(status, self._headers, bytes(self._body), stream)
         self._discard_body()
         keep_alive = self._parser.should_keep_alive() and not self._received_eof
         if not self._matches(response):
@@ -233,6 +285,8 @@
         self._reusable = self._reusable and keep_alive and flushed
         self.idle_since = self._loop.time()
         self.keep_alive_timeout_s = _parse_keep_alive_timeout(response)
+        if stream is not None:
+            stream.finish()
         pending_response, self._pending_response = self._pending_response, None
         if not pending_response.done():
             pending_response.set_result(response)
@@ -255,6 +309,7 @@
     def _fail(self, cause: str) -> None:
         """Close the connection and fail the pending response."""
         pending_response, self._pending_response = self._pending_response, None
+        self._stream = None
         self._discard_body()
         self._headers = []
         self.close()
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -172,7 +172,7 @@
     "Bootstrap": True,
     "Seeds": ["127.0.0.1:5", "127.0.0.1:6"],
     "Provider": {"Addr": "127.0.0.1:7"},
-    "Limits": {"Cores": 3, "CpuShare": 0.5, "LinkMbps": 200.0},
+    "Limits": {"Cores": 3, "CpuShare": 0.5, "LinkMbps": 200.0, "MemoryMb": 152},
     "Bounds": BOUNDS,
 }
 
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -23,7 +23,7 @@
     start_server,
     wait_for,
 )
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from copy import deepcopy
 from dataclasses import dataclass, field
@@ -277,7 +277,9 @@
     """Stand-in for a backend server.
 
     ``respond`` returns the bytes to send for a request, or ``None`` to close the
-    connection; without it, each request gets the default answer. ``early_disconnects``
+    connection; without it, each request gets the default answer. ``converse`` instead
+    takes the connection once it has the head of a request, and returns whether the
+    connection may carry another one. ``early_disconnects``
     counts connections that were closed while the server worked on a request.
     """
 
@@ -286,6 +288,7 @@
     zone: str = "dc-1"
     slots: int = 4
     respond: Callable[[ReceivedRequest], bytes | None] | None = None
+    converse: Callable[..., Awaitable[bool]] | None = None
     delay_s: float = 0.0
     received: list[ReceivedRequest] = field(default_factory=list)
     connections: int = 0
@@ -332,6 +335,11 @@
         self.open_writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
+                if self.converse is not None:
+                    self.received.append(ReceivedRequest(head[0], head[1], b""))
+                    if await self.converse(self.received[-1], reader, writer):
+                        continue
+                    return
                 request = ReceivedRequest(
                     head[0], head[1], await read_body(reader, head[1])
                 )
