Tested responses that are forwarded as they arrive, and mended HEAD.

The scenarios cover responses that break off, end early, or have bytes after them, slow servers and slow readers, callers that leave, pipelining, planned stops and the bound on memory. A response to a HEAD request that states a length was waited for in vain, as the parser expects its body: it is now delivered at the end of its head, with that length.

--- a/damasktally/entry/final_responses.py
+++ b/damasktally/entry/final_responses.py
@@ -95,7 +95,12 @@
 def forwarded_response(response: Response) -> Response:
     """Return a server's response with the headers that callers get."""
     headers = end_to_end_headers(response.headers, EXCLUDED_RESPONSE_HEADERS)
-    return Response(response.status, headers, response.body)
+    return Response(
+        response.status,
+        headers,
+        response.body,
+        stated_length=response.stated_length,
+    )
 
 
 def _reason_of_stream(attempt: Attempt, trace: RequestTrace) -> Reason:
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -71,12 +71,14 @@
 
     :param body: empty if the response is forwarded as it arrives.
     :param stream: forwards the body as it arrives, or ``None``.
+    :param stated_length: length that the response to a HEAD request states, if any.
     """
 
     status: int
     headers: Headers
     body: bytes
     stream: "ResponseStream | None" = None
+    stated_length: int | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower-case name."""
@@ -134,8 +136,12 @@
     :param close: whether to announce that the connection is closed afterwards.
     :param head_only: whether to leave the body out, as for a HEAD request.
     """
-    head = encode_response_head(response, len(response.body), close)
-    return head if head_only else head + response.body
+    length = len(response.body)
+    if not head_only:
+        return encode_response_head(response, length, close) + response.body
+    if response.stated_length is not None:
+        length = response.stated_length
+    return encode_response_head(response, length, close)
 
 
 def encode_response_head(response: Response, length: int, close: bool) -> bytes:
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -213,6 +213,8 @@
     def on_headers_complete(self) -> None:
         """Record that the body follows, and begin to forward it if it is large."""
         self._in_body = True
+        if self._head_only and self._parser.get_status_code() >= MIN_FINAL_STATUS:
+            self._complete_head()
         if self._open_stream is None or self._pending_response is None:
             return
         length = self._parse_length()
@@ -224,6 +226,16 @@
             transport = self._transport
             self._stream.attach(transport.pause_reading, transport.resume_reading)
 
+    def _complete_head(self) -> None:
+        """Deliver a response to a HEAD request, which has a length but no body.
+
+        The parser expects a body, so that the connection is not reused.
+        """
+        has_no_body = self._parser.get_status_code() in BODYLESS_STATUSES
+        if not has_no_body and find_header(self._headers, b"content-length") != b"0":
+            self._reusable = False
+            self._complete_response()
+
     def _parse_length(self) -> int | None:
         """Return the length of the body of a successful response if it is stated."""
         status = self._parser.get_status_code()
@@ -232,6 +244,9 @@
             return None
         if find_header(self._headers, b"transfer-encoding") is not None:
             return None
+        return self._stated_length()
+
+    def _stated_length(self) -> int | None:
         text = find_header(self._headers, b"content-length")
         return int(text) if text is not None and text.isdigit() else None
 
@@ -273,6 +288,8 @@
             return
         stream, self._stream = self._stream, None
         response = Response(status, self._headers, bytes(self._body), stream)
+        if self._head_only:
+            response.stated_length = self._stated_length()
         self._discard_body()
         keep_alive = self._parser.should_keep_alive() and not self._received_eof
         if not self._matches(response):
--- /dev/null
+++ b/features/steps/streaming_servers.py
@@ -0,0 +1,166 @@
+"""Conversations of stand-in servers that send large responses."""
+
+from asyncio import Event, StreamReader, StreamWriter, sleep
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from features.steps.entry_harness import ReceivedRequest
+
+Converse = Callable[[ReceivedRequest, StreamReader, StreamWriter], Awaitable[bool]]
+
+
+PART_BYTES = 64 * 1024
+
+
+def body_of(size: int) -> bytes:
+    """Return a body in which a part that is missing or repeated is noticed."""
+    block = b"".join(b"%07d\n" % n for n in range(8191))
+    return (block * (size // len(block) + 1))[:size]
+
+
+def head_of(
+    request: ReceivedRequest, length: int | None, status: int = 200, extra: str = ""
+) -> bytes:
+    """Return the head of a response.
+
+    :param extra: more header lines, each with its line end.
+    """
+    line = "" if length is None else f"Content-Length: {length}\r\n"
+    request_id = request.headers["request-id"]
+    return (
+        f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\nServer-Load: 0,0,4\r\n"
+        f"X-Kept: yes\r\n{extra}{line}\r\n"
+    ).encode()
+
+
+@dataclass
+class Conversations:
+    """Create conversations, and record how far they got.
+
+    ``sent_all`` counts the responses that a server could send completely, ``gone`` the
+    connections that ended before.
+    """
+
+    signal: Event = field(default_factory=Event)
+    sent_all: int = 0
+    gone: int = 0
+
+    async def _send(self, writer: StreamWriter, data: bytes) -> None:
+        writer.write(data)
+        await writer.drain()
+
+    def whole(self, size: int) -> Converse:
+        """Send the whole body as fast as it is taken."""
+        body = body_of(size)
+
+        async def converse(request, reader, writer) -> bool:
+            await self._send(writer, head_of(request, size))
+            for start in range(0, size, PART_BYTES):
+                await self._send(writer, body[start : start + PART_BYTES])
+            self.sent_all += 1
+            return True
+
+        return converse
+
+    def paused(self, first: int, size: int) -> Converse:
+        """Send a part, and the rest after the signal."""
+
+        async def converse(request, reader, writer) -> bool:
+            body = body_of(size)
+            await self._send(writer, head_of(request, size) + body[:first])
+            while not self.signal.is_set():
+                if reader.at_eof() or reader.exception() is not None:
+                    self.gone += 1
+                    return False
+                await sleep(0.02)
+            await self._send(writer, body[first:])
+            self.sent_all += 1
+            return True
+
+        return converse
+
+    def broken(self, first: int, size: int, fault: str) -> Converse:
+        """Send a part and then fail."""
+
+        async def converse(request, reader, writer) -> bool:
+            await self._send(writer, head_of(request, size) + body_of(size)[:first])
+            if fault == "resets the connection":
+                await sleep(0.1)
+                writer.transport.abort()
+            elif fault == "closes the connection":
+                writer.close()
+            else:
+                await sleep(5.0)
+            return False
+
+        return converse
+
+    def cut(self, size: int, after_s: float) -> Converse:
+        """Send as much as is taken within a time, then cut the connection."""
+
+        async def converse(request, reader, writer) -> bool:
+            writer.write(head_of(request, size) + body_of(size))
+            await sleep(after_s)
+            writer.transport.abort()
+            return False
+
+        return converse
+
+    def slow(self, size: int, parts: int, pause_s: float) -> Converse:
+        """Send the body in parts."""
+
+        async def converse(request, reader, writer) -> bool:
+            await self._send(writer, head_of(request, size))
+            step = size // parts
+            for start in range(0, size, step):
+                await self._send(writer, body_of(size)[start : start + step])
+                await sleep(pause_s)
+            return True
+
+        return converse
+
+    def twice(self, size: int) -> Converse:
+        """Send a second response right after the first one."""
+
+        async def converse(request, reader, writer) -> bool:
+            head = head_of(request, size)
+            await self._send(writer, (head + body_of(size)) + head + b"x" * size)
+            return True
+
+        return converse
+
+    def other_first(self, size: int) -> Converse:
+        """Send a large response to another request, and then the right one."""
+
+        async def converse(request, reader, writer) -> bool:
+            other = ReceivedRequest("", {"request-id": "other"}, b"")
+            await self._send(writer, head_of(other, size) + b"x" * size)
+            await self._send(writer, head_of(request, size) + body_of(size))
+            return False
+
+        return converse
+
+    def special(self, case: str, size: int) -> Converse:
+        """Send a large response of which nothing may be forwarded early."""
+
+        async def converse(request, reader, writer) -> bool:
+            await reader.readexactly(int(request.headers.get("content-length", "0")))
+            await self._send(writer, _special(request, case, body_of(size)))
+            return False
+
+        return converse
+
+
+def _special(request: ReceivedRequest, case: str, body: bytes) -> bytes:
+    if case.startswith("status 204"):
+        return head_of(request, None, 204)
+    if case.startswith("status"):
+        return head_of(request, len(body), int(case.split()[1])) + body
+    if case == "an encoded body":
+        return head_of(request, len(body), extra="Content-Encoding: gzip\r\n") + body
+    if case == "a chunked body":
+        head = head_of(request, None, extra="Transfer-Encoding: chunked\r\n")
+        return head + b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+    if case == "a head alone":
+        return head_of(request, len(body))
+    return head_of(request, None) + body
