Forwarded large request bodies as they arrive.

Bodies were received whole before a request was admitted. A body with a stated length that takes 10 ms or longer on the host's link now follows the head of its request to the server, with at most 64 KiB in the host; admission uses the head alone. Another attempt follows only while no byte of the body was forwarded. Beyond a quarter of the host's memory, large bodies get a 503. A refusal of a pipelined request now comes after the responses to the earlier ones, as it would otherwise get into a streamed body.

--- a/damasktally/entry/body_streams.py
+++ b/damasktally/entry/body_streams.py
@@ -5,6 +5,7 @@
 from damasktally.entry.settings import LimitsSection
 from damasktally.http1.body_memory import BodyMemory
 from damasktally.http1.messages import Request, Response
+from damasktally.http1.request_body import RequestBody
 from damasktally.http1.response_stream import ResponseStream
 from damasktally.platform.headers import NOT_RUN
 
@@ -18,7 +19,7 @@
 
 
 class BodyStreams:
-    """Begin and end the responses that are forwarded as they arrive.
+    """Begin and end the bodies that are forwarded as they arrive.
 
     :param min_bytes: length from which on a body is forwarded as it arrives.
     :param memory: bounds the bytes of these bodies in the host.
@@ -31,6 +32,7 @@
         self._memory = memory
         self._metrics = metrics
         self._active: set[ResponseStream] = set()
+        self._uploads: set[RequestBody] = set()
 
     @classmethod
     def from_config(cls, limits: LimitsSection, metrics: EntryMetrics) -> "BodyStreams":
@@ -46,7 +48,7 @@
         :param length: bytes of its body.
         :returns: the stream that takes the body, or ``None`` if it is received whole.
         """
-        if length < self._min_bytes or req.begin_stream is None:
+        if not self.is_large(length) or req.begin_stream is None:
             return None
         if head.header(NOT_RUN) is not None:
             return None
@@ -55,6 +57,9 @@
         stream = req.begin_stream(forwarded_response(head), length)
         if stream is None:
             return None
+        if req.upload is not None:
+            # Bodies that wait must not hold the memory that they wait for.
+            self.end(req.upload)
         self._metrics.streamed_bodies.labels("response").inc()
         self._active.add(stream)
         self._memory.request(stream.grant)
@@ -67,7 +72,29 @@
         self._active.discard(stream)
         self._memory.release(stream.grant)
 
+    def is_large(self, length: int) -> bool:
+        """Return whether a body of this length is forwarded as it arrives."""
+        return length >= self._min_bytes
+
+    def admit(self, body: RequestBody) -> bool:
+        """Reserve memory for the body of a request.
+
+        :returns: whether there was enough; otherwise the request is refused.
+        """
+        if not self._memory.try_reserve(body):
+            self._metrics.refused_for_memory.inc()
+            return False
+        self._uploads.add(body)
+        self._metrics.streamed_bodies.labels("request").inc()
+        return True
+
+    def end(self, body: RequestBody) -> None:
+        """Release the memory of a request's body; more calls have no effect."""
+        self._uploads.discard(body)
+        self._memory.release(body)
+
     @property
     def held_bytes(self) -> int:
         """Return the bytes of streamed bodies that wait in the host."""
-        return sum(stream.unsent_bytes for stream in self._active)
+        response_bytes = sum(stream.unsent_bytes for stream in self._active)
+        return response_bytes + sum(body.waiting_bytes for body in self._uploads)
--- a/damasktally/entry/final_responses.py
+++ b/damasktally/entry/final_responses.py
@@ -4,11 +4,21 @@
 
 from damasktally.decisions.response_times import ResponseTimes
 from damasktally.entry.host_headers import REFUSAL
-from damasktally.entry.outcome import Attempt, AttemptOutcome, RequestTrace
+from damasktally.entry.outcome import (
+    MAY_HAVE_RUN_OUTCOMES,
+    Attempt,
+    AttemptOutcome,
+    RequestTrace,
+)
 from damasktally.entry.refusals import retry_later_response, text_response
 from damasktally.events.reasons import Reason
-from damasktally.http1.messages import Response, end_to_end_headers
-from damasktally.platform.headers import SERVER_LEAVING, SERVER_LIMIT, SERVER_LOAD
+from damasktally.http1.messages import Request, Response, end_to_end_headers
+from damasktally.platform.headers import (
+    RETRY_AFTER,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
+    SERVER_LOAD,
+)
 
 NO_SERVER_RETRY_AFTER_S = 0.5
 """Retry delay if a service has no usable server, before jitter."""
@@ -77,6 +87,9 @@
         if attempt.outcome is AttemptOutcome.TIMED_OUT:
             trace.reason = Reason.SERVER_TOO_SLOW
             return text_response(504, trace.reason.value)
+        if attempt.outcome is AttemptOutcome.CALLER_TOO_SLOW:
+            trace.reason = Reason.CALLER_TOO_SLOW
+            return text_response(504, trace.reason.value)
         if attempt.outcome is AttemptOutcome.LOST:
             trace.reason = Reason.ANSWER_LOST
             return text_response(502, trace.reason.value)
@@ -87,6 +100,27 @@
         trace.reason = _refusal_of(response) or trace.reason or Reason.ANSWERED
         return forwarded_response(response)
 
+    def from_upload(
+        self, req: Request, attempt: Attempt, trace: RequestTrace
+    ) -> Response:
+        """Return the response for an attempt that took a part of the request's body.
+
+        No other attempt follows, as that part is not in the host any more.
+        """
+        if attempt.outcome is AttemptOutcome.LOST and req.is_disconnected:
+            trace.reason = Reason.CALLER_GONE
+            return self.from_failure(trace)
+        if attempt.outcome in MAY_HAVE_RUN_OUTCOMES:
+            return self.from_attempt(attempt, trace)
+        trace.reason = Reason.BODY_SENT
+        if attempt.response is None or attempt.outcome is AttemptOutcome.REPLACED:
+            return self.from_failure(trace)
+        response = self.from_attempt(attempt, trace)
+        if response.header(RETRY_AFTER) is None:
+            wait_s = self._retry_after_s(trace)
+            response.headers.append((RETRY_AFTER, b"%.3f" % wait_s))
+        return response
+
     def jitter(self, wait_s: float) -> float:
         """Vary a retry delay, so that refused callers do not return all at once."""
         return wait_s * self._rng.uniform(MIN_JITTER, MAX_JITTER)
--- a/damasktally/entry/fingerprint.py
+++ b/damasktally/entry/fingerprint.py
@@ -13,10 +13,13 @@
 def fingerprint_of(req: Request, customer: Customer | None) -> str:
     """Return a hash of what a server gets: method, host, target, customer and body.
 
+    The length stands for a body that is forwarded as it arrives.
+
     :param customer: the caller's customer, or None if the route needs no key.
     """
     name = customer.name.encode() if customer is not None else b""
     head = (req.method, req.header(b"host") or b"", req.target, name)
     digest = blake2b(SEPARATOR.join(head), digest_size=FINGERPRINT_BYTES)
-    digest.update(SEPARATOR + req.body)
+    body = req.body if req.upload is None else b"%d" % req.upload.length
+    digest.update(SEPARATOR + body)
     return digest.hexdigest()
--- a/damasktally/entry/forwarder.py
+++ b/damasktally/entry/forwarder.py
@@ -188,7 +188,7 @@
     headers.append((EXPECTED_SERVER, server.id.encode()))
     if customer is not None:
         headers.append((CUSTOMER, customer.name.encode()))
-    return encode_request(req.method, req.target, headers, req.body)
+    return encode_request(req.method, req.target, headers, req.body, req.upload)
 
 
 def _classify_response(response: Response) -> AttemptOutcome:
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -146,9 +146,7 @@
         self._crash_suspects = CrashSuspects(self._own.host)
         self._link_breaks = LinkBreaks()
         crash_reports = self._crash_reports = CrashReports(
-            self._crash_suspects,
-            self._link_breaks,
-            self._view.servers.is_registered,
+            self._crash_suspects, self._link_breaks, self._view.servers.is_registered
         )
         self._blocked_requests = BlockedRequests(self._store, crash_reports, self._rng)
         crash_reports.on_blocked = self._blocked_requests.save
@@ -224,6 +222,7 @@
             self._requests.handle,
             forwarded.handle,
             handlers,
+            self._streams,
         )
         self._tasks: list[Task] = []
         self._is_stopping = False
--- a/damasktally/entry/host_forwarder.py
+++ b/damasktally/entry/host_forwarder.py
@@ -141,4 +141,4 @@
     headers: Headers = end_to_end_headers(req.headers, excluded)
     headers.append((REMAINING_MS, b"%d" % remaining_ms))
     headers += forwarded.encode()
-    return encode_request(req.method, req.target, headers, req.body)
+    return encode_request(req.method, req.target, headers, req.body, req.upload)
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -89,6 +89,11 @@
             ["direction"],
             registry=self.registry,
         )
+        self.refused_for_memory = Counter(
+            "damasktally_entry_refused_for_memory",
+            "Requests that were refused, as the host had no memory for their bodies.",
+            registry=self.registry,
+        )
         self.delayed_bodies = Counter(
             "damasktally_entry_delayed_bodies",
             "Responses that had to wait until the host had memory to forward them.",
--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -31,8 +31,8 @@
     TIMED_OUT = "timed-out"
     """The deadline passed after the request was sent: it may have run."""
     CALLER_TOO_SLOW = "caller-too-slow"
-    """The response broke off while it was forwarded, or its deadline passed, as the
-    caller read too slowly. It may have run."""
+    """The caller sent its body, or read the response, so slowly that the deadline
+    passed or the server gave up. The request may have run."""
     REFUSED_BY_HOST = "refused-by-host"
     """The other host to which the request was forwarded refused it; it did not run."""
 
--- a/damasktally/entry/ports.py
+++ b/damasktally/entry/ports.py
@@ -7,7 +7,9 @@
 from damasktally.entry.host_handlers import HostHandlers
 from damasktally.entry.settings import ListenSection
 from damasktally.fleet.model import CallerLimits
-from damasktally.http1.inbound import CallerPort, Handler
+from damasktally.http1.inbound import CallerPort
+from damasktally.http1.port_state import Handler
+from damasktally.http1.request_body import UploadAdmission
 
 LISTEN_BACKLOG = 512
 """Maximum number of connections of a port that wait to be accepted."""
@@ -40,13 +42,15 @@
         handle_request: Handler,
         handle_forwarded: Handler,
         handlers: HostHandlers,
+        uploads: UploadAdmission,
     ) -> "HostPorts":
         """Return the ports for a host's settings.
 
         :param limits: returns the limits that hold for callers' requests.
+        :param uploads: decides which request bodies are forwarded as they arrive.
         """
-        callers = CallerPort(handle_request, limits)
-        forwarding = CallerPort(handle_forwarded, CallerLimits)
+        callers = CallerPort(handle_request, limits, uploads)
+        forwarding = CallerPort(handle_forwarded, CallerLimits, uploads)
         others = {
             listen.forwarding: forwarding,
             listen.readiness: CallerPort(handlers.handle_readiness, CallerLimits),
--- a/damasktally/entry/request_rules.py
+++ b/damasktally/entry/request_rules.py
@@ -59,6 +59,6 @@
         return True
     if attempt.outcome is AttemptOutcome.ANSWERED:
         return at_most_once or attempt.response.status < 500
-    if attempt.outcome is AttemptOutcome.TIMED_OUT:
+    if attempt.outcome in (AttemptOutcome.TIMED_OUT, AttemptOutcome.CALLER_TOO_SLOW):
         return True
     return attempt.outcome is AttemptOutcome.LOST and at_most_once
--- a/damasktally/entry/request_sender.py
+++ b/damasktally/entry/request_sender.py
@@ -3,6 +3,7 @@
 from asyncio import get_running_loop, timeout_at
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.connection_pool import ConnectionPool
@@ -25,7 +26,7 @@
 
 MAX_HELD_UP_S = 1.0
 """Seconds for which a caller may hold up a server before the loss of the response is
-no longer the server's failure: a server may cut off what is not read."""
+no longer the server's failure: a server may cut off a caller that is too slow."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +96,7 @@
         """Send the request on a connection and wait for its response.
 
         If the caller disconnects, the connection is closed and the response is lost,
-        unless the request may run at most once.
+        unless the request was sent completely and may run at most once.
         """
         remaining_ms = max(1, int((options.deadline - self._loop.time()) * 1000))
         request_id = req.header(REQUEST_ID)
@@ -115,19 +116,21 @@
             lambda response: _matches_request(response, request_id),
             req.method == b"HEAD",
             open_stream,
+            req.upload,
         )
-        if not options.at_most_once:
-            req.on_disconnect = conn.close
+        req.on_disconnect = partial(_close_if_left, req, conn, options.at_most_once)
         try:
             async with timeout_at(options.deadline):
                 response = await pending_response
         except TimeoutError:
             conn.close()
-            return _outcome_at_deadline(streamed_head), streamed_head
+            return _outcome_at_deadline(req, streamed_head), streamed_head
         except AnswerLost:
-            return _outcome_of_loss(streamed_head), streamed_head
+            return _outcome_of_loss(req, streamed_head), streamed_head
         finally:
             req.on_disconnect = None
+            if req.upload is not None:
+                req.upload.detach()
             if streamed_head is not None:
                 self._streams.close(streamed_head.stream)
         self._pool.release(options.target, conn)
@@ -137,22 +140,39 @@
         return AttemptOutcome.ANSWERED, response
 
 
-def _outcome_at_deadline(streamed_head: Response | None) -> AttemptOutcome:
+def _close_if_left(req: Request, conn: ServerConnection, at_most_once: bool) -> None:
+    """Close a server's connection, as the caller has left.
+
+    A request that may run at most once goes on if the server gets all of it.
+    """
+    is_incomplete = req.upload is not None and not req.upload.is_complete
+    if is_incomplete or not at_most_once:
+        conn.close()
+
+
+def _outcome_at_deadline(
+    req: Request, streamed_head: Response | None
+) -> AttemptOutcome:
     """Return the outcome of a request whose deadline passed.
 
     :param streamed_head: head of the response that was being forwarded, if any.
     """
+    if req.upload is not None and req.upload.is_awaited:
+        return AttemptOutcome.CALLER_TOO_SLOW
     if streamed_head is not None and streamed_head.stream.is_held_up:
         return AttemptOutcome.CALLER_TOO_SLOW
     return AttemptOutcome.TIMED_OUT
 
 
-def _outcome_of_loss(streamed_head: Response | None) -> AttemptOutcome:
+def _outcome_of_loss(req: Request, streamed_head: Response | None) -> AttemptOutcome:
     """Return the outcome of a request whose response was lost.
 
     :param streamed_head: head of the response that was being forwarded, if any.
     """
-    if streamed_head is not None and streamed_head.stream.held_up_s > MAX_HELD_UP_S:
+    held_up_s = req.upload.awaited_s if req.upload is not None else 0.0
+    if streamed_head is not None:
+        held_up_s = max(held_up_s, streamed_head.stream.held_up_s)
+    if held_up_s > MAX_HELD_UP_S:
         return AttemptOutcome.CALLER_TOO_SLOW
     return AttemptOutcome.LOST
 
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -224,6 +224,8 @@
             if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
                 self._response_times.record(trace.service, attempt.server_duration_s)
             send_count += attempt.outcome not in NOT_SENT_OUTCOMES
+            if req.upload is not None and req.upload.is_started:
+                return self._final_responses.from_upload(req, attempt, trace)
             if settles_request(attempt, at_most_once):
                 return self._final_responses.from_attempt(attempt, trace)
 
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -22,10 +22,14 @@
         "the server received the request and sent no complete response",
     )
     ATTEMPTS_USED = ("attempts-used", "the route allows no further attempt")
+    BODY_SENT = (
+        "body-sent",
+        "a part of the body was forwarded already, so that no other attempt follows",
+    )
     CALLER_GONE = ("caller-gone", "the caller closed its connection first")
     CALLER_TOO_SLOW = (
         "caller-too-slow",
-        "the caller read the response too slowly to get all of it",
+        "the caller sent its body, or read the response, too slowly",
     )
     ENCODED_ANSWER = (
         "encoded-answer",
--- a/damasktally/http1/body_memory.py
+++ b/damasktally/http1/body_memory.py
@@ -1,6 +1,6 @@
 """Bound the bytes of the bodies that a host forwards as they arrive."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 WINDOW_BYTES = 64 * 1024
 """Bytes of one body that may be in the host, received and not yet sent on."""
@@ -17,7 +17,7 @@
 
     def __init__(self, max_bytes: int) -> None:
         self._free_count = max_bytes // WINDOW_BYTES
-        self._granted: set[Callable[[], None]] = set()
+        self._granted: set[Hashable] = set()
         self._waiting: dict[Callable[[], None], None] = {}
 
     @property
@@ -41,12 +41,24 @@
         self._granted.add(grant)
         grant()
 
-    def release(self, grant: Callable[[], None]) -> None:
+    def try_reserve(self, body: Hashable) -> bool:
+        """Reserve a window for a body that does not wait.
+
+        :param body: identifies the body.
+        :returns: whether there was one.
+        """
+        if self._free_count <= 0:
+            return False
+        self._free_count -= 1
+        self._granted.add(body)
+        return True
+
+    def release(self, body: Hashable) -> None:
         """End a body, and pass its window on if it has one."""
-        self._waiting.pop(grant, None)
-        if grant not in self._granted:
+        self._waiting.pop(body, None)
+        if body not in self._granted:
             return
-        self._granted.remove(grant)
+        self._granted.remove(body)
         self._free_count += 1
         if self._waiting:
             first = next(iter(self._waiting))
--- a/damasktally/http1/caller_output.py
+++ b/damasktally/http1/caller_output.py
@@ -1,6 +1,6 @@
 """Write to a caller's connection responses that are forwarded as they arrive."""
 
-from asyncio import AbstractEventLoop, Future, Transport
+from asyncio import AbstractEventLoop, Future, TimerHandle, Transport
 from asyncio import timeout as async_timeout
 from collections.abc import Callable
 from contextlib import suppress
@@ -8,6 +8,13 @@
 from damasktally.http1.messages import Response
 from damasktally.http1.response_stream import ResponseStream
 
+LINGERING_CLOSE_S = 1.0
+"""Seconds for which a connection is still read after its last response.
+
+Closing a socket that holds unread bytes resets the connection, and the caller could
+lose the response.
+"""
+
 
 class CallerOutput:
     """The writing side of a caller's connection.
@@ -30,6 +37,7 @@
         self._stream: ResponseStream | None = None
         self._is_writable = True
         self._flushed: Future[None] | None = None
+        self._abort_timer: TimerHandle | None = None
 
     @property
     def has_stream(self) -> bool:
@@ -81,6 +89,21 @@
             return False
         return not stream.closes_connection
 
+    def end(self) -> None:
+        """Close the writing side, and abort after :data:`LINGERING_CLOSE_S`."""
+        if self._transport.is_closing():
+            return
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._abort_timer = self._loop.call_later(
+            LINGERING_CLOSE_S, self._transport.abort
+        )
+
+    def cancel_abort(self) -> None:
+        """Cancel the abort, as the connection was lost."""
+        if self._abort_timer is not None:
+            self._abort_timer.cancel()
+
     async def _flush(self) -> bool:
         """Wait until all bytes were passed to the kernel.
 
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -1,9 +1,8 @@
 """Accept caller connections, parse HTTP/1.1 requests and write the responses."""
 
-from asyncio import Protocol, Task, TimerHandle, Transport, get_running_loop
+from asyncio import Task, Transport, get_running_loop
 from collections import deque
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from traceback import format_exc
 
@@ -14,15 +13,18 @@
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.caller_output import CallerOutput
 from damasktally.http1.framing import FramingCounter
-from damasktally.http1.messages import Headers, Request, Response, encode_response
+from damasktally.http1.messages import (
+    Headers,
+    Request,
+    Response,
+    encode_response,
+)
+from damasktally.http1.port_state import PortState
+from damasktally.http1.request_body import RequestBody
+from damasktally.http1.request_head import RequestHead
 from damasktally.http1.response_stream import ResponseStream
+from damasktally.http1.shared_reads import SharedReadProtocol
 
-LINGERING_CLOSE_S = 1.0
-"""Seconds for which a connection is still read after its last response.
-
-Closing a socket that holds unread bytes resets the connection, and the caller could
-lose the response.
-"""
 MAX_ARRIVAL_S = 60.0
 """Seconds from a request's first byte until all of it has to be received."""
 MAX_QUEUED_REQUESTS = 2
@@ -32,66 +34,25 @@
 OVERLOAD_RETRY_AFTER = (b"retry-after", b"0.5")
 """Header of that 503; the value is in seconds."""
 
-Handler = Callable[[Request], Awaitable[Response]]
-
 
 @dataclass(slots=True)
-class CallerPort:
-    """State shared by all connections of one listening port.
-
-    :param handle: coroutine function that returns the response to a request.
-    :param limits: returns the caller limits that are in force.
-    :param draining: whether each response closes its connection, so that the caller
-        connects to another host.
-    :param closed: whether new connections are aborted without being read.
-    :param buffered_bytes: bytes of request bodies that are in memory.
-    :param connections: open connections.
-    """
-
-    handle: Handler
-    limits: Callable[[], CallerLimits]
-    draining: bool = False
-    closed: bool = False
-    buffered_bytes: int = 0
-    connections: set["CallerConnection"] = field(default_factory=set)
+class CallerPort(PortState):
+    """A listening port for callers, or for other hosts that forward requests."""
 
     def create_protocol(self) -> "CallerConnection":
         """Create the protocol for a new connection."""
         return CallerConnection(self)
 
-    def enforce_timeouts(self, now: float) -> None:
-        """Close connections that exceeded the idle or the request head timeout.
-
-        :param now: time of the event loop's clock in seconds.
-        """
-        limits = self.limits()
-        for conn in list(self.connections):
-            conn.check_timeouts(now, limits)
-
-    def close_idle(self) -> None:
-        """Close the connections that have no request in flight."""
-        for conn in list(self.connections):
-            conn.close_if_idle()
-
-    def abort_all(self) -> None:
-        """Close every connection immediately, whatever its state."""
-        for conn in list(self.connections):
-            conn.abort()
 
-    @property
-    def busy_connection_count(self) -> int:
-        """Return the number of connections with a request in flight."""
-        return sum(conn.is_busy for conn in self.connections)
-
-
-class CallerConnection(Protocol):
+class CallerConnection(SharedReadProtocol):
     """Protocol of one caller connection.
 
-    Requests are read whole and handled one at a time, in the order of arrival, as
-    pipelining requires.
+    Requests are handled one at a time, in the order of arrival, as pipelining requires.
+    They are read whole, unless the port forwards large bodies as they arrive.
     """
 
     def __init__(self, port: CallerPort) -> None:
+        super().__init__(port.read_buffer)
         self._port = port
         self._loop = get_running_loop()
         self._parser = HttpRequestParser(self)
@@ -100,16 +61,16 @@
         self._queue_task: Task | None = None
         self._active_request: Request | None = None
         self._output: CallerOutput | None = None
+        self._upload: RequestBody | None = None
+        self._refusal: Response | None = None
         self._closing = False
-        self._linger_timer: TimerHandle | None = None
         self._buffered_bytes = 0
         self._last_byte_at = self._loop.time()
         self._reset_message()
 
     def _reset_message(self) -> None:
         """Clear what was read of the current request."""
-        self._target = b""
-        self._headers: Headers = []
+        self._head = RequestHead()
         self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
@@ -138,8 +99,7 @@
         """Release the buffered bytes and cancel the connection's requests."""
         self._port.connections.discard(self)
         self._adjust_buffered_bytes(-self._buffered_bytes)
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        self._output.cancel_abort()
         self._handle_disconnect()
         self.resume_writing()
 
@@ -161,6 +121,8 @@
 
     def _handle_disconnect(self) -> None:
         """Drop the queued requests and notify the one that is being handled."""
+        for req in self._queue:
+            self._end_upload(req)
         self._queue.clear()
         req = self._active_request
         if req is not None and not req.is_disconnected:
@@ -169,7 +131,7 @@
             if req.on_disconnect is not None:
                 req.on_disconnect()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Feed received bytes to the parser and check the head size.
 
         The head is limited while it arrives, too, so that an endless one does not
@@ -203,7 +165,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._target += url
+        self._head.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header with its name in lower case; drop a trailer.
@@ -212,31 +174,44 @@
         and are dropped, which HTTP allows.
         """
         if self._in_head:
-            self._headers.append((name.lower(), value))
+            self._head.headers.append((name.lower(), value))
         else:
             self._framing.add_header(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
-        """Enforce the size limits and answer ``Expect: 100-continue``."""
+        """Enforce the size limits, and begin to receive the body."""
         self._in_head = False
-        head_bytes = len(self._target) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
-        if head_bytes > self._port.limits().head_bytes:
+        head, limits = self._head, self._port.limits()
+        if head.byte_count > limits.head_bytes:
             self._refuse(431)
             return
-        for name, value in self._headers:
-            if name == b"content-length" and value.isdigit():
-                if int(value) > self._port.limits().body_bytes:
-                    self._refuse(413)
-            if name == b"expect" and value.lower() == b"100-continue":
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if head.content_length > limits.body_bytes:
+            self._refuse(413)
+            return
+        uploads = self._port.uploads
+        if uploads is not None and uploads.is_large(head.content_length):
+            self._begin_upload()
+        elif head.is_continue_awaited and not self._output.has_stream:
+            # It must not get into the body of an earlier response.
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _begin_upload(self) -> None:
+        """Queue a request whose body is forwarded as it arrives."""
+        body = RequestBody(self._head, self._transport, self._loop)
+        if not self._port.uploads.admit(body):
+            self._refuse(503, [OVERLOAD_RETRY_AFTER])
+            return
+        self._upload = body
+        self._queue_request(self._make_request())
 
     def on_body(self, data: bytes) -> None:
-        """Append a part of the body and enforce the body limits."""
+        """Forward a part of the body, or append it and enforce the body limits."""
         if self._closing:
             return
         self._framing.add_body(len(data))
+        if self._upload is not None:
+            self._upload.feed(data)
+            return
         self._body += data
         self._body_bytes += len(data)
         self._adjust_buffered_bytes(len(data))
@@ -256,20 +231,34 @@
         self._port.buffered_bytes += delta
 
     def on_message_complete(self) -> None:
-        """Queue the request, and start the queue task unless it is running."""
+        """Queue the request, unless it was queued before its body arrived."""
         if self._closing:
             return
+        req = self._make_request() if self._upload is None else None
+        if self._upload is not None:
+            self._upload.finish()
+            self._upload = None
+        self._reset_message()
+        if req is not None:
+            self._queue_request(req)
+
+    def _make_request(self) -> Request:
+        """Return the request whose head, and body if it has one, were read."""
         req = Request(
             method=self._parser.get_method(),
-            target=self._target,
-            headers=self._headers,
+            target=self._head.target,
+            headers=self._head.headers,
             body=bytes(self._body),
             first_byte_at=self._request_started_at or self._last_byte_at,
             last_byte_at=self._last_byte_at,
             keep_alive=self._parser.should_keep_alive(),
+            upload=self._upload,
         )
         req.begin_stream = partial(self._begin_stream, req)
-        self._reset_message()
+        return req
+
+    def _queue_request(self, req: Request) -> None:
+        """Queue a request, and start the queue task unless it is running."""
         self._queue.append(req)
         if len(self._queue) > MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
@@ -285,6 +274,7 @@
                 response = await self._handle(req)
                 self._active_request = None
                 self._adjust_buffered_bytes(-len(req.body))
+                self._end_upload(req)
                 if self._output.has_stream:
                     if not await self._output.end_stream():
                         self._close_after_response()
@@ -294,6 +284,7 @@
                     return
                 if not self._write_response(req, response):
                     return
+            self._write_refusal()
         finally:
             self._active_request = None
             self._queue_task = None
@@ -320,7 +311,7 @@
         """
         if req.is_disconnected or self._transport.is_closing():
             return None
-        close = self._port.draining or not req.keep_alive
+        close = self._closes_after(req)
         return self._output.begin_stream(head, length, close)
 
     def _resume_reading(self) -> None:
@@ -335,31 +326,48 @@
 
         :returns: whether the connection stays open.
         """
-        close = self._port.draining or not req.keep_alive
+        close = self._closes_after(req)
         self._transport.write(encode_response(response, close, req.method == b"HEAD"))
         if close:
             self._close_after_response()
         return not close
 
+    def _closes_after(self, req: Request) -> bool:
+        """Return whether the connection is closed after the response to a request.
+
+        The rest of a body that nobody takes would have to be read before the next one.
+        """
+        is_unread = req.upload is not None and not req.upload.is_complete
+        return self._port.draining or not req.keep_alive or is_unread
+
+    def _end_upload(self, req: Request) -> None:
+        """Release the memory of a request's body."""
+        if req.upload is not None:
+            self._port.uploads.end(req.upload)
+
     def _refuse(self, status: int, headers: Headers | None = None) -> None:
-        """Respond with an error status and close the connection."""
+        """Respond with an error status and close the connection.
+
+        The responses to earlier requests on the connection come first.
+        """
         if self._closing:
             return
         self._closing = True
-        response = Response(status, headers or [], b"")
-        self._transport.write(encode_response(response, True, False))
+        self._refusal = Response(status, headers or [], b"")
+        if self._queue_task is None:
+            self._write_refusal()
+
+    def _write_refusal(self) -> None:
+        """Write the refusal that waits, if there is one."""
+        if self._refusal is None or self._transport.is_closing():
+            return
+        self._transport.write(encode_response(self._refusal, True, False))
         self._close_after_response()
 
     def _close_after_response(self) -> None:
-        """Close the write side, and abort after :data:`LINGERING_CLOSE_S`."""
+        """Take no more requests, and close the connection."""
         self._closing = True
-        if self._transport.is_closing():
-            return
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self._linger_timer = self._loop.call_later(
-            LINGERING_CLOSE_S, self._transport.abort
-        )
+        self._output.end()
 
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
         """Close the connection if it exceeded a timeout.
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from damasktally.http1.request_body import RequestBody
     from damasktally.http1.response_stream import ResponseStream
 
 Headers = list[tuple[bytes, bytes]]
@@ -34,7 +35,7 @@
 
 @dataclass(slots=True)
 class Request:
-    """A caller's complete request.
+    """A caller's complete request, or the head of one with a large body.
 
     :param target: path and query as the caller sent them.
     :param first_byte_at: when the first byte arrived, in seconds on the event loop's
@@ -44,6 +45,7 @@
     :param on_disconnect: called if the caller disconnects before the response is
         complete.
     :param is_disconnected: whether the caller disconnected before that.
+    :param upload: the body, if it is forwarded as it arrives; ``body`` is then empty.
     :param begin_stream: begins a response whose body is forwarded as it arrives, given
         its head and the length of its body. It returns ``None`` if the caller has left,
         and is ``None`` if the request's connection cannot forward such a response.
@@ -58,6 +60,7 @@
     keep_alive: bool
     on_disconnect: Callable[[], None] | None = None
     is_disconnected: bool = False
+    upload: "RequestBody | None" = None
     begin_stream: "Callable[[Response, int], ResponseStream | None] | None" = None
 
     def header(self, name: bytes) -> bytes | None:
@@ -120,12 +123,21 @@
 
 
 def encode_request(
-    method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
+    method: bytes,
+    target: bytes,
+    headers: Sequence[tuple[bytes, bytes]],
+    body: bytes,
+    upload: "RequestBody | None" = None,
 ) -> bytes:
-    """Encode a request, with its ``Content-Length``."""
+    """Encode a request, with its ``Content-Length``.
+
+    :param upload: the body, if it follows as it arrives; ``body`` is then empty.
+    """
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines += [key + b": " + value for key, value in headers]
-    if body or method not in (b"GET", b"HEAD"):
+    if upload is not None:
+        lines.append(b"content-length: %d" % upload.length)
+    elif body or method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -2,7 +2,6 @@
 
 from asyncio import (
     AbstractEventLoop,
-    BufferedProtocol,
     Future,
     Transport,
     get_running_loop,
@@ -30,8 +29,10 @@
     Response,
     find_header,
 )
+from damasktally.http1.request_body import RequestBody
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.http1.response_stream import ResponseStream
+from damasktally.http1.shared_reads import SharedReadProtocol
 
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 """Responses with a longer body fail, as they are held in memory."""
@@ -63,7 +64,7 @@
     """A request was sent, but no complete response was received."""
 
 
-class ServerConnection(BufferedProtocol):
+class ServerConnection(SharedReadProtocol):
     """Protocol of a connection that carries one request at a time.
 
     A response that does not match the pending request is dropped: it belongs to an
@@ -84,6 +85,7 @@
     """
 
     def __init__(self, memory: ResponseMemory) -> None:
+        super().__init__(memory.read_buffer)
         self._memory = memory
         self._loop: AbstractEventLoop = get_running_loop()
         self._transport: Transport | None = None
@@ -92,6 +94,7 @@
         self._matches: ResponseMatcher | None = None
         self._open_stream: StreamOpener | None = None
         self._stream: ResponseStream | None = None
+        self._upload: RequestBody | None = None
         self._head_only = False
         self._headers: Headers = []
         self._body = bytearray()
@@ -126,6 +129,7 @@
         matches: ResponseMatcher,
         head_only: bool = False,
         open_stream: StreamOpener | None = None,
+        upload: RequestBody | None = None,
     ) -> Future[Response]:
         """Send an encoded request.
 
@@ -133,6 +137,7 @@
         :param head_only: whether the response has no body, as for a HEAD request.
         :param open_stream: decides whether the response is forwarded as it arrives;
             without it, the response is received whole.
+        :param upload: the body of the request, if it is forwarded as it arrives.
         :returns: a future of the response; it fails with :class:`AnswerLost`.
         """
         self._pending_response = self._loop.create_future()
@@ -141,23 +146,28 @@
         self._open_stream = open_stream
         self._framing = FramingCounter()
         self._skipped_count = 0
+        self._upload = upload
         self._transport.write(data)
+        if upload is not None:
+            upload.attach(self._transport)
         return self._pending_response
 
+    def pause_writing(self) -> None:
+        """Hold up the body that is being forwarded to the server, if there is one."""
+        if self._upload is not None:
+            self._upload.hold()
+
+    def resume_writing(self) -> None:
+        """Let that body go on."""
+        if self._upload is not None:
+            self._upload.proceed()
+
     def close(self) -> None:
         """Close the connection immediately; a pending response is lost."""
         self._reusable = False
         if self._transport is not None:
             self._transport.abort()
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer for the next read, which is never empty."""
-        return self._memory.read_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Handle the bytes that a read has put into the buffer."""
-        self.data_received(self._memory.read_buffer[:nbytes])
-
     def data_received(self, data: bytes | memoryview) -> None:
         """Feed received bytes to the parser; close if no request is pending."""
         if self._pending_response is None:
@@ -218,8 +228,10 @@
         if self._open_stream is None or self._pending_response is None:
             return
         length = self._parse_length()
+        if length is None or self._pending_response.done():
+            return
         head = Response(self._parser.get_status_code(), self._headers, b"")
-        if length is None or self._pending_response.done() or not self._matches(head):
+        if not self._matches(head):
             return
         self._stream = self._open_stream(head, length)
         if self._stream is not None:
@@ -298,7 +310,9 @@
             return
         # A response may arrive before the request was sent completely. The server
         # then still expects the rest of the body, so the connection is not reused.
-        flushed = self._transport.get_write_buffer_size() == 0
+        upload, self._upload = self._upload, None
+        is_written = upload is None or upload.is_forwarded
+        flushed = is_written and self._transport.get_write_buffer_size() == 0
         self._reusable = self._reusable and keep_alive and flushed
         self.idle_since = self._loop.time()
         self.keep_alive_timeout_s = _parse_keep_alive_timeout(response)
@@ -326,7 +340,7 @@
     def _fail(self, cause: str) -> None:
         """Close the connection and fail the pending response."""
         pending_response, self._pending_response = self._pending_response, None
-        self._stream = None
+        self._stream = self._upload = None
         self._discard_body()
         self._headers = []
         self.close()
--- /dev/null
+++ b/damasktally/http1/port_state.py
@@ -0,0 +1,62 @@
+"""State shared by all connections of one listening port."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from damasktally.fleet.model import CallerLimits
+from damasktally.http1.messages import Request, Response
+from damasktally.http1.request_body import UploadAdmission
+from damasktally.http1.shared_reads import make_read_buffer
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+@dataclass(slots=True)
+class PortState:
+    """State shared by all connections of one listening port.
+
+    :param handle: coroutine function that returns the response to a request.
+    :param limits: returns the caller limits that are in force.
+    :param uploads: decides which request bodies are forwarded as they arrive; without
+        it, all are received whole.
+    :param draining: whether each response closes its connection, so that the caller
+        connects to another host.
+    :param closed: whether new connections are aborted without being read.
+    :param buffered_bytes: bytes of request bodies that are in memory.
+    :param connections: open connections.
+    :param read_buffer: for the reads of all connections.
+    """
+
+    handle: Handler
+    limits: Callable[[], CallerLimits]
+    uploads: UploadAdmission | None = None
+    draining: bool = False
+    closed: bool = False
+    buffered_bytes: int = 0
+    connections: set[Any] = field(default_factory=set)
+    read_buffer: memoryview = field(default_factory=make_read_buffer)
+
+    def enforce_timeouts(self, now: float) -> None:
+        """Close connections that exceeded the idle or the request head timeout.
+
+        :param now: time of the event loop's clock in seconds.
+        """
+        limits = self.limits()
+        for conn in list(self.connections):
+            conn.check_timeouts(now, limits)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request in flight."""
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    def abort_all(self) -> None:
+        """Close every connection immediately, whatever its state."""
+        for conn in list(self.connections):
+            conn.abort()
+
+    @property
+    def busy_connection_count(self) -> int:
+        """Return the number of connections with a request in flight."""
+        return sum(conn.is_busy for conn in self.connections)
--- /dev/null
+++ b/damasktally/http1/request_body.py
@@ -0,0 +1,145 @@
+"""Forward the body of a request to a server while it arrives from the caller."""
+
+from asyncio import AbstractEventLoop, Transport
+from typing import Protocol
+
+from damasktally.http1.request_head import RequestHead
+
+MAX_WAITING_BYTES = 32 * 1024
+"""Bytes that wait in the host beyond which reading from the caller pauses.
+
+One more read from the caller may follow, so that twice as many can be in the host.
+"""
+RESUME_WAITING_BYTES = 16 * 1024
+"""Unsent bytes at the server's connection at which reading goes on."""
+
+
+class RequestBody:
+    """Pass the body of a request on to the server that was chosen for it.
+
+    Until there is a server, the first bytes wait, and reading from the caller pauses.
+
+    A caller that waits for a ``100 Continue`` gets it once there is a server.
+
+    :param head: head of the request, which states the length of the body.
+    :param source: the caller's connection.
+
+    ``length`` is the stated length in bytes. ``is_complete`` is whether the whole body
+    was received, and ``is_started`` whether a server may have got a part of it.
+    """
+
+    def __init__(
+        self, head: RequestHead, source: Transport, loop: AbstractEventLoop
+    ) -> None:
+        self._source = source
+        self._is_continue_awaited = head.is_continue_awaited
+        self._loop = loop
+        self._waiting = bytearray()
+        self._server: Transport | None = None
+        self._is_server_ready = True
+        self._is_scheduled = False
+        self._forwarded_bytes = 0
+        self._forwarded_at = 0.0
+        self.length = head.content_length
+        self.is_complete = False
+        self.is_started = False
+
+    @property
+    def is_forwarded(self) -> bool:
+        """Return whether the whole body was written to the server's connection."""
+        return self._forwarded_bytes == self.length
+
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether a server waits for bytes that the caller has not sent."""
+        is_empty = not self._waiting and not self.is_complete
+        return self._server is not None and self._is_server_ready and is_empty
+
+    @property
+    def awaited_s(self) -> float:
+        """Return the seconds for which a server has waited for more bytes."""
+        return self._loop.time() - self._forwarded_at if self.is_awaited else 0.0
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Return the bytes that wait in the host."""
+        server = self._server
+        unsent_bytes = 0 if server is None else server.get_write_buffer_size()
+        return len(self._waiting) + unsent_bytes
+
+    def feed(self, data: bytes) -> None:
+        """Accept a part of the body from the caller."""
+        self._waiting += data
+        self._schedule()
+        if len(self._waiting) >= MAX_WAITING_BYTES:
+            self._source.pause_reading()
+
+    def finish(self) -> None:
+        """Record that the whole body was received."""
+        self.is_complete = True
+
+    def attach(self, server: Transport) -> None:
+        """Begin to forward the body to a server."""
+        server.set_write_buffer_limits(MAX_WAITING_BYTES, RESUME_WAITING_BYTES)
+        self._server = server
+        if self._is_continue_awaited and not self.is_complete:
+            self._source.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._is_continue_awaited = False
+        self._forwarded_at = self._loop.time()
+        self._source.resume_reading()
+        self._schedule()
+
+    def detach(self) -> None:
+        """Forward nothing more, as the attempt has ended."""
+        self._server = None
+        self._is_server_ready = True
+
+    def hold(self) -> None:
+        """Pause, as the server takes the body more slowly than the caller sends."""
+        self._is_server_ready = False
+        self._source.pause_reading()
+
+    def proceed(self) -> None:
+        """Go on, as the server has taken most of what was sent."""
+        self._is_server_ready = True
+        self._source.resume_reading()
+        self._schedule()
+
+    def _schedule(self) -> None:
+        """Forward what waits, after the events that have arrived were handled.
+
+        One of them may be the server's early response. A write to a connection that
+        the server has reset would lose it.
+        """
+        if self._server is None or self._is_scheduled or not self._waiting:
+            return
+        self._is_scheduled = True
+        self._loop.call_soon(self._forward)
+
+    def _forward(self) -> None:
+        """Write what waits to the server's connection."""
+        self._is_scheduled = False
+        is_ready = self._server is not None and self._is_server_ready
+        if not is_ready or not self._waiting or self._server.is_closing():
+            return
+        self.is_started = True
+        data = bytes(self._waiting)
+        self._waiting.clear()
+        self._forwarded_bytes += len(data)
+        self._forwarded_at = self._loop.time()
+        self._server.write(data)
+        if self._is_server_ready:
+            self._source.resume_reading()
+
+
+class UploadAdmission(Protocol):
+    """Decides which request bodies are forwarded as they arrive."""
+
+    def is_large(self, length: int) -> bool:
+        """Return whether a body of this length is forwarded as it arrives."""
+
+    def admit(self, body: RequestBody) -> bool:
+        """Return whether there is memory for a body, and reserve it."""
+
+    def end(self, body: RequestBody) -> None:
+        """Release the memory of a body; more calls have no effect."""
--- /dev/null
+++ b/damasktally/http1/request_head.py
@@ -0,0 +1,38 @@
+"""The head of a request, collected while it is parsed."""
+
+from damasktally.http1.messages import Headers, find_header
+
+HEADER_SEPARATOR_BYTES = 4
+"""A colon, a space and a line end."""
+
+
+class RequestHead:
+    """Target and headers of a request.
+
+    ``target`` holds path and query as the caller sent them; names in ``headers`` are in
+    lower case.
+    """
+
+    def __init__(self) -> None:
+        self.target = b""
+        self.headers: Headers = []
+
+    @property
+    def byte_count(self) -> int:
+        """Return the bytes of the target and of all headers."""
+        return len(self.target) + sum(
+            len(name) + len(value) + HEADER_SEPARATOR_BYTES
+            for name, value in self.headers
+        )
+
+    @property
+    def content_length(self) -> int:
+        """Return the length of the body that the head states, or 0."""
+        text = find_header(self.headers, b"content-length") or b""
+        return int(text) if text.isdigit() else 0
+
+    @property
+    def is_continue_awaited(self) -> bool:
+        """Return whether the caller waits for a ``100 Continue``."""
+        expectation = find_header(self.headers, b"expect") or b""
+        return expectation.lower() == b"100-continue"
--- a/damasktally/http1/response_memory.py
+++ b/damasktally/http1/response_memory.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-READ_BYTES = 32 * 1024
-"""Bytes that one read from a server takes at most."""
+from damasktally.http1.shared_reads import make_read_buffer
+
 MAX_RECEIVED_BYTES = 32 * 1024 * 1024
 """Bytes of all incomplete response bodies together; small hosts have 200 MB."""
 
@@ -16,12 +16,11 @@
 
     :param max_bytes: limit on the bytes of all incomplete responses together.
 
-    ``read_buffer`` is shared by all connections of an event loop: each read is parsed
-    before the next one begins.
+    ``read_buffer`` is for the reads of all these connections.
     """
 
     def __init__(self, max_bytes: int = MAX_RECEIVED_BYTES) -> None:
-        self.read_buffer = memoryview(bytearray(READ_BYTES))
+        self.read_buffer = make_read_buffer()
         self._max_bytes = max_bytes
         self._sizes: dict[Callable[[], None], int] = {}
         self._total_bytes = 0
--- a/features/steps/streaming_servers.py
+++ b/features/steps/streaming_servers.py
@@ -38,12 +38,15 @@
     """Create conversations, and record how far they got.
 
     ``sent_all`` counts the responses that a server could send completely, ``gone`` the
-    connections that ended before.
+    connections that ended before. ``received_bytes`` are those of requests' bodies, and
+    ``bodies`` those that arrived completely.
     """
 
     signal: Event = field(default_factory=Event)
     sent_all: int = 0
     gone: int = 0
+    received_bytes: int = 0
+    bodies: list[bytes] = field(default_factory=list)
 
     async def _send(self, writer: StreamWriter, data: bytes) -> None:
         writer.write(data)
@@ -140,6 +143,57 @@
 
         return converse
 
+    def take(self, pause_s: float = 0.0, answer_bytes: int = 2) -> Converse:
+        """Receive a body, the first part only after a pause, and answer."""
+
+        async def converse(request, reader, writer) -> bool:
+            length = int(request.headers["content-length"])
+            await sleep(pause_s)
+            body = await self._receive(reader, length)
+            if len(body) < length:
+                self.gone += 1
+                return False
+            self.bodies.append(body)
+            await self._send(writer, head_of(request, answer_bytes))
+            await self._send(writer, body_of(answer_bytes))
+            return True
+
+        return converse
+
+    async def _receive(self, reader: StreamReader, size: int) -> bytes:
+        """Receive bytes of a body, or as many as come."""
+        body = bytearray()
+        while len(body) < size and (data := await reader.read(size - len(body))):
+            body += data
+            self.received_bytes += len(data)
+        return bytes(body)
+
+    def answer_early(self, first: int, status: int, extra: str, fault: str) -> Converse:
+        """Answer after a part of the body, then read on or close the connection."""
+
+        async def converse(request, reader, writer) -> bool:
+            await self._receive(reader, first)
+            await self._send(writer, head_of(request, 5, status, extra) + b"early")
+            if fault == "closes":
+                writer.close()
+                return False
+            while await reader.read(PART_BYTES):
+                pass
+            self.gone += 1
+            return False
+
+        return converse
+
+    def leave(self, first: int) -> Converse:
+        """Reset the connection after a part of the body."""
+
+        async def converse(request, reader, writer) -> bool:
+            await self._receive(reader, first)
+            writer.transport.abort()
+            return False
+
+        return converse
+
     def special(self, case: str, size: int) -> Converse:
         """Send a large response of which nothing may be forwarded early."""
 
--- a/features/steps/streaming_steps.py
+++ b/features/steps/streaming_steps.py
@@ -48,12 +48,14 @@
 
 @dataclass
 class Caller:
-    """A caller's connection, with what it has read."""
+    """A caller's connection, with what it has read and sent."""
 
     reader: StreamReader
     writer: StreamWriter
     head: str = ""
     body: bytes = b""
+    upload: bytes = b""
+    sent: int = 0
 
     async def read_head(self) -> int:
         """Read a head; return the length that it states."""
@@ -145,7 +147,13 @@
 
     async def begin():
         context.conversations = Conversations()
-        cfg = make_configuration(2, ROUTES)
+        limits = {
+            "MaxHeaderBytes": 4096,
+            "MaxBodyBytes": 60_000_000,
+            "HeaderTimeout": "500ms",
+            "IdleTimeout": "2000ms",
+        }
+        cfg = make_configuration(2, ROUTES, Limits=limits)
         await context.store.write("config", "main", cfg)
         host = await start_host(context, context.settings)
         await wait_until(lambda: host.is_ready)
