Kept the cost of small requests, and answered stalled uploads with 408.

A caller that stops in the middle of a large body held a slot of a server until the deadline; it now gets a 408 after the idle timeout, as with small bodies. The decisions on large bodies are reached only by bodies that are large.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,6 +1,6 @@
 """Run every benchmark: ``python -m benchmarks``."""
 
-from benchmarks import control, decisions, loans, relays, requests
+from benchmarks import control, decisions, loans, relays, requests, slow_readers
 
 
 def main() -> None:
@@ -15,6 +15,8 @@
     requests.measure()
     print("# control, no callers")
     control.main()
+    print("# slow readers, one host")
+    slow_readers.main()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/slow_readers.py
@@ -0,0 +1,186 @@
+"""Measure the memory of a host whose callers read large responses slowly.
+
+Usage: ``python -m benchmarks.slow_readers [CALLERS]``. The host runs in a process of
+its own; store, servers and callers are stand-ins in this one. The callers' segments are
+as short as on Ethernet, as the kernel's send buffers on loopback hold whole responses
+otherwise.
+"""
+
+import json
+import socket
+import sys
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    create_subprocess_exec,
+    gather,
+    open_connection,
+    run,
+    sleep,
+)
+from asyncio.subprocess import Process
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from damasktally.standins.ports import free_port
+from features.steps.endless_client import KIB_PER_MB
+from features.steps.entry_harness import (
+    BOUNDS,
+    StandInServer,
+    StandInStore,
+    make_configuration,
+    make_route,
+)
+from features.steps.streaming_servers import Conversations, body_of
+
+DEFAULT_CALLERS = 200
+RESPONSE_BYTES = 540_000
+UNREAD_S = 3.0
+"""Seconds for which the callers read nothing."""
+SEGMENT_BYTES = 1400
+RECEIVE_BUFFER_BYTES = 4096
+MAX_MEMORY_MB = 64
+LINKS_MBPS = (100, 1000)
+"""On the slower link, the responses are forwarded as they arrive; on the faster one,
+they are received whole."""
+SETTINGS = """
+[host]
+name = host-1
+region = north
+data_centre = dc-1
+[listen]
+callers = 127.0.0.1:{callers}
+readiness = 127.0.0.1:{readiness}
+directory = 127.0.0.1:{directory}
+peers = 127.0.0.1:{peers}
+metrics_port = 0
+[fleet]
+data_centres = {{"dc-1": "north"}}
+first_start = true
+[store]
+address = 127.0.0.1:{store}
+[bounds]
+agreed = {bounds}
+[limits]
+link_mbps = {link_mbps}
+"""
+
+
+async def start_platform(callers: int) -> StandInStore:
+    """Start a store with two servers that have room for all callers."""
+    store = StandInStore()
+    await store.start()
+    routes = [make_route("big", "/big/", Timeout="30000ms")]
+    await store.write("config", "main", make_configuration(1, routes))
+    converse = Conversations().whole(RESPONSE_BYTES)
+    for number in range(2):
+        server = StandInServer(f"s-{number}", slots=callers, converse=converse)
+        await server.start()
+        await store.write("servers", server.id, server.registration())
+    return store
+
+
+async def start_host(directory: str, store_port: int, link_mbps: int):
+    """Start a host and wait until it is ready.
+
+    :returns: its process, and its port for callers.
+    """
+    names = ("callers", "readiness", "directory", "peers")
+    ports = {name: free_port() for name in names}
+    text = SETTINGS.format(
+        **ports, store=store_port, bounds=json.dumps(BOUNDS), link_mbps=link_mbps
+    )
+    path = Path(directory) / f"host-{link_mbps}.ini"
+    path.write_text(text, encoding="utf-8")
+    log = (Path(directory) / f"host-{link_mbps}.log").open("wb")
+    process = await create_subprocess_exec(
+        sys.executable, "-m", "damasktally.entry", str(path), stdout=log, stderr=log
+    )
+    while not await is_ready(ports["readiness"]):
+        await sleep(0.1)
+    return process, ports["callers"]
+
+
+async def is_ready(port: int) -> bool:
+    """Return whether the host says that it is ready."""
+    try:
+        reader, writer = await open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+    line = await reader.readline()
+    writer.close()
+    return b" 200 " in line
+
+
+async def begin(port: int, number: int) -> tuple[StreamReader, StreamWriter]:
+    """Send a request on a connection that takes few bytes unread."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock.connect(("127.0.0.1", port))
+    sock.setblocking(False)
+    reader, writer = await open_connection(sock=sock, limit=RECEIVE_BUFFER_BYTES)
+    writer.write(
+        b"GET /big/%d HTTP/1.1\r\nHost: shop.example\r\nKey: k-1\r\n"
+        b"Request-Id: r-%d\r\nAffinity-Key: %d\r\n\r\n" % (number, number, number)
+    )
+    return reader, writer
+
+
+async def is_whole(reader: StreamReader, writer: StreamWriter) -> bool:
+    """Read a response and return whether it is complete and right."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    if b" 200 " not in head:
+        return False
+    body = await reader.readexactly(RESPONSE_BYTES)
+    writer.close()
+    return body == body_of(RESPONSE_BYTES)
+
+
+def read_memory_mb(process: Process, key: str) -> float:
+    """Return a figure of a process's memory in MB.
+
+    :param key: its name in the process's status file.
+    """
+    text = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+    line = next(line for line in text.splitlines() if line.startswith(key + ":"))
+    return int(line.split()[1]) / KIB_PER_MB
+
+
+async def measure(directory: str, callers: int, link_mbps: int) -> None:
+    """Print the memory of one host before and during the slow responses."""
+    store = await start_platform(callers)
+    process, port = await start_host(directory, store.port, link_mbps)
+    try:
+        await sleep(1.0)
+        before_mb = read_memory_mb(process, "VmRSS")
+        connections = await gather(*(begin(port, n) for n in range(callers)))
+        await sleep(UNREAD_S)
+        unread_mb = read_memory_mb(process, "VmRSS")
+        results = await gather(*(is_whole(*item) for item in connections))
+        print(
+            f"link {link_mbps:5} Mbit/s  before {before_mb:6.1f} MB  "
+            f"unread {unread_mb:6.1f} MB  "
+            f"peak {read_memory_mb(process, 'VmHWM'):6.1f} MB (bound {MAX_MEMORY_MB})  "
+            f"whole {sum(results)} of {callers}"
+        )
+    finally:
+        process.terminate()
+        await process.wait()
+
+
+async def measure_all(callers: int) -> None:
+    """Measure a host that forwards responses as they arrive, and one that does not."""
+    with TemporaryDirectory() as directory:
+        for link_mbps in LINKS_MBPS:
+            await measure(directory, callers, link_mbps)
+
+
+def main(callers: int = DEFAULT_CALLERS) -> None:
+    """Measure with a number of callers."""
+    run(measure_all(callers))
+
+
+if __name__ == "__main__":
+    main(*(int(argument) for argument in sys.argv[1:]))
--- a/damasktally/entry/body_streams.py
+++ b/damasktally/entry/body_streams.py
@@ -28,7 +28,7 @@
     def __init__(
         self, min_bytes: float, memory: BodyMemory, metrics: EntryMetrics
     ) -> None:
-        self._min_bytes = min_bytes
+        self.min_bytes = min_bytes
         self._memory = memory
         self._metrics = metrics
         self._active: set[ResponseStream] = set()
@@ -48,13 +48,13 @@
         :param length: bytes of its body.
         :returns: the stream that takes the body, or ``None`` if it is received whole.
         """
-        if not self.is_large(length) or req.begin_stream is None:
+        if length < self.min_bytes or req.begin_stream is None:
             return None
         if head.header(NOT_RUN) is not None:
             return None
         if head.header(CONTENT_ENCODING) is not None:
             return None
-        stream = req.begin_stream(forwarded_response(head), length)
+        stream = req.begin_stream(req, forwarded_response(head), length)
         if stream is None:
             return None
         if req.upload is not None:
@@ -72,10 +72,6 @@
         self._active.discard(stream)
         self._memory.release(stream.grant)
 
-    def is_large(self, length: int) -> bool:
-        """Return whether a body of this length is forwarded as it arrives."""
-        return length >= self._min_bytes
-
     def admit(self, body: RequestBody) -> bool:
         """Reserve memory for the body of a request.
 
--- a/damasktally/entry/request_sender.py
+++ b/damasktally/entry/request_sender.py
@@ -116,6 +116,7 @@
             lambda response: _matches_request(response, request_id),
             req.method == b"HEAD",
             open_stream,
+            self._streams.min_bytes,
             req.upload,
         )
         req.on_disconnect = partial(_close_if_left, req, conn, options.at_most_once)
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -3,7 +3,6 @@
 from asyncio import Task, Transport, get_running_loop
 from collections import deque
 from dataclasses import dataclass
-from functools import partial
 from traceback import format_exc
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -86,9 +85,7 @@
     def connection_made(self, transport: Transport) -> None:
         """Register the connection, or abort it if the port is closed."""
         self._transport = transport
-        self._output = CallerOutput(
-            transport, self._loop, lambda: self._port.limits().idle_timeout_s
-        )
+        self._output = CallerOutput(transport, self._loop, self._port.idle_timeout_s)
         if self._port.closed:
             # The process is about to exit and would not wait for the request.
             transport.abort()
@@ -152,10 +149,8 @@
         except (HttpParserError, HttpParserUpgrade):
             self._refuse(400)
             return
-        is_head_too_long = (
-            self._in_head and self._head_bytes > self._port.limits().head_bytes
-        )
-        if is_head_too_long or self._framing.is_exceeded():
+        is_too_long = self._head_bytes > self._port.limits().head_bytes
+        if (self._in_head and is_too_long) or self._framing.is_exceeded():
             self._refuse(431)
 
     def on_message_begin(self) -> None:
@@ -185,11 +180,12 @@
         if head.byte_count > limits.head_bytes:
             self._refuse(431)
             return
-        if head.content_length > limits.body_bytes:
+        length = head.content_length
+        if length > limits.body_bytes:
             self._refuse(413)
             return
         uploads = self._port.uploads
-        if uploads is not None and uploads.is_large(head.content_length):
+        if uploads is not None and length >= uploads.min_bytes:
             self._begin_upload()
         elif head.is_continue_awaited and not self._output.has_stream:
             # It must not get into the body of an earlier response.
@@ -234,17 +230,16 @@
         """Queue the request, unless it was queued before its body arrived."""
         if self._closing:
             return
-        req = self._make_request() if self._upload is None else None
-        if self._upload is not None:
+        if self._upload is None:
+            self._queue_request(self._make_request())
+        else:
             self._upload.finish()
             self._upload = None
         self._reset_message()
-        if req is not None:
-            self._queue_request(req)
 
     def _make_request(self) -> Request:
         """Return the request whose head, and body if it has one, were read."""
-        req = Request(
+        return Request(
             method=self._parser.get_method(),
             target=self._head.target,
             headers=self._head.headers,
@@ -253,9 +248,8 @@
             last_byte_at=self._last_byte_at,
             keep_alive=self._parser.should_keep_alive(),
             upload=self._upload,
+            begin_stream=self._begin_stream,
         )
-        req.begin_stream = partial(self._begin_stream, req)
-        return req
 
     def _queue_request(self, req: Request) -> None:
         """Queue a request, and start the queue task unless it is running."""
@@ -274,13 +268,15 @@
                 response = await self._handle(req)
                 self._active_request = None
                 self._adjust_buffered_bytes(-len(req.body))
-                self._end_upload(req)
+                if req.upload is not None:
+                    self._end_upload(req)
                 if self._output.has_stream:
                     if not await self._output.end_stream():
                         self._close_after_response()
                         return
                     continue
                 if req.is_disconnected:
+                    self._write_refusal()
                     return
                 if not self._write_response(req, response):
                     return
@@ -376,16 +372,20 @@
 
         :param now: time of the event loop's clock in seconds.
         """
-        if self._queue_task is not None or self._closing:
+        if self._closing:
+            return
+        is_idle = now - self._last_byte_at > limits.idle_timeout_s
+        if is_idle and self._upload is not None and self._upload.is_awaited:
+            self._refuse(408)
+            self._handle_disconnect()
+        if self._queue_task is not None:
             return
         if self._request_started_at is None:
-            if now - self._last_byte_at > limits.idle_timeout_s:
+            if is_idle:
                 self._transport.close()
         elif self._in_head and now - self._request_started_at > limits.head_timeout_s:
             self._refuse(408)
-        elif now - self._last_byte_at > limits.idle_timeout_s:
-            self._refuse(408)
-        elif now - self._request_started_at > MAX_ARRIVAL_S:
+        elif is_idle or now - self._request_started_at > MAX_ARRIVAL_S:
             self._refuse(408)
 
     def abort(self) -> None:
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -29,6 +29,10 @@
 )
 """Headers that apply to one connection only, or that are generated for each."""
 
+StreamBeginner = Callable[["Request", "Response", int], "ResponseStream | None"]
+"""Begins a response whose body is forwarded as it arrives, given the request, the head
+of the response and the length of its body. Returns ``None`` if the caller has left."""
+
 BODYLESS_STATUSES = frozenset({204, 304})
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -46,9 +50,8 @@
         complete.
     :param is_disconnected: whether the caller disconnected before that.
     :param upload: the body, if it is forwarded as it arrives; ``body`` is then empty.
-    :param begin_stream: begins a response whose body is forwarded as it arrives, given
-        its head and the length of its body. It returns ``None`` if the caller has left,
-        and is ``None`` if the request's connection cannot forward such a response.
+    :param begin_stream: begins a response whose body is forwarded as it arrives, or
+        ``None`` if the request's connection cannot forward such a response.
     """
 
     method: bytes
@@ -61,7 +64,7 @@
     on_disconnect: Callable[[], None] | None = None
     is_disconnected: bool = False
     upload: "RequestBody | None" = None
-    begin_stream: "Callable[[Response, int], ResponseStream | None] | None" = None
+    begin_stream: StreamBeginner | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower-case name."""
@@ -170,3 +173,15 @@
     if close:
         lines.append(b"connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def parse_keep_alive_timeout(response: Response) -> float | None:
+    """Return the ``timeout`` of a ``Keep-Alive`` header in seconds, or ``None``."""
+    value = response.header(b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        key, _, timeout = part.strip().partition(b"=")
+        if key.lower() == b"timeout" and timeout.isdigit():
+            return float(timeout)
+    return None
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -28,6 +28,7 @@
     Headers,
     Response,
     find_header,
+    parse_keep_alive_timeout,
 )
 from damasktally.http1.request_body import RequestBody
 from damasktally.http1.response_memory import ResponseMemory
@@ -93,6 +94,7 @@
         self._pending_response: Future[Response] | None = None
         self._matches: ResponseMatcher | None = None
         self._open_stream: StreamOpener | None = None
+        self._min_stream_bytes = 0.0
         self._stream: ResponseStream | None = None
         self._upload: RequestBody | None = None
         self._head_only = False
@@ -129,6 +131,7 @@
         matches: ResponseMatcher,
         head_only: bool = False,
         open_stream: StreamOpener | None = None,
+        min_stream_bytes: float = 0,
         upload: RequestBody | None = None,
     ) -> Future[Response]:
         """Send an encoded request.
@@ -137,6 +140,7 @@
         :param head_only: whether the response has no body, as for a HEAD request.
         :param open_stream: decides whether the response is forwarded as it arrives;
             without it, the response is received whole.
+        :param min_stream_bytes: length of a body from which on that is asked.
         :param upload: the body of the request, if it is forwarded as it arrives.
         :returns: a future of the response; it fails with :class:`AnswerLost`.
         """
@@ -144,6 +148,7 @@
         self._matches = matches
         self._head_only = head_only
         self._open_stream = open_stream
+        self._min_stream_bytes = min_stream_bytes
         self._framing = FramingCounter()
         self._skipped_count = 0
         self._upload = upload
@@ -227,8 +232,10 @@
             self._complete_head()
         if self._open_stream is None or self._pending_response is None:
             return
-        length = self._parse_length()
-        if length is None or self._pending_response.done():
+        length = self._stated_length()
+        if length is None or length < self._min_stream_bytes:
+            return
+        if not self._may_be_streamed():
             return
         head = Response(self._parser.get_status_code(), self._headers, b"")
         if not self._matches(head):
@@ -248,15 +255,16 @@
             self._reusable = False
             self._complete_response()
 
-    def _parse_length(self) -> int | None:
-        """Return the length of the body of a successful response if it is stated."""
+    def _may_be_streamed(self) -> bool:
+        """Return whether the response is successful and its length is certain."""
         status = self._parser.get_status_code()
-        is_success = MIN_FINAL_STATUS <= status <= MAX_SUCCESS_STATUS
-        if not is_success or status in BODYLESS_STATUSES or self._head_only:
-            return None
-        if find_header(self._headers, b"transfer-encoding") is not None:
-            return None
-        return self._stated_length()
+        return (
+            MIN_FINAL_STATUS <= status <= MAX_SUCCESS_STATUS
+            and status not in BODYLESS_STATUSES
+            and not self._head_only
+            and find_header(self._headers, b"transfer-encoding") is None
+            and not self._pending_response.done()
+        )
 
     def _stated_length(self) -> int | None:
         text = find_header(self._headers, b"content-length")
@@ -315,7 +323,7 @@
         flushed = is_written and self._transport.get_write_buffer_size() == 0
         self._reusable = self._reusable and keep_alive and flushed
         self.idle_since = self._loop.time()
-        self.keep_alive_timeout_s = _parse_keep_alive_timeout(response)
+        self.keep_alive_timeout_s = parse_keep_alive_timeout(response)
         if stream is not None:
             stream.finish()
         pending_response, self._pending_response = self._pending_response, None
@@ -382,15 +390,3 @@
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
     sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-def _parse_keep_alive_timeout(response: Response) -> float | None:
-    """Return the ``timeout`` of a ``Keep-Alive`` header in seconds, or ``None``."""
-    value = response.header(b"keep-alive")
-    if value is None:
-        return None
-    for part in value.split(b","):
-        key, _, timeout = part.strip().partition(b"=")
-        if key.lower() == b"timeout" and timeout.isdigit():
-            return float(timeout)
-    return None
--- a/damasktally/http1/port_state.py
+++ b/damasktally/http1/port_state.py
@@ -37,6 +37,10 @@
     connections: set[Any] = field(default_factory=set)
     read_buffer: memoryview = field(default_factory=make_read_buffer)
 
+    def idle_timeout_s(self) -> float:
+        """Return the seconds for which a connection may be idle."""
+        return self.limits().idle_timeout_s
+
     def enforce_timeouts(self, now: float) -> None:
         """Close connections that exceeded the idle or the request head timeout.
 
--- a/damasktally/http1/request_body.py
+++ b/damasktally/http1/request_body.py
@@ -135,8 +135,8 @@
 class UploadAdmission(Protocol):
     """Decides which request bodies are forwarded as they arrive."""
 
-    def is_large(self, length: int) -> bool:
-        """Return whether a body of this length is forwarded as it arrives."""
+    min_bytes: float
+    """Length from which on a body is forwarded as it arrives."""
 
     def admit(self, body: RequestBody) -> bool:
         """Return whether there is memory for a body, and reserve it."""
--- a/damasktally/http1/request_head.py
+++ b/damasktally/http1/request_head.py
@@ -13,6 +13,8 @@
     lower case.
     """
 
+    __slots__ = ("headers", "target")
+
     def __init__(self) -> None:
         self.target = b""
         self.headers: Headers = []
--- a/features/entry/streaming_uploads.feature
+++ b/features/entry/streaming_uploads.feature
@@ -54,6 +54,12 @@
     And none of the servers is paused
     And the host holds no memory for bodies
 
+  Scenario: A caller that stops in the middle gets a 408 after the idle timeout
+    When 2 uploads of 40000 bytes to /bigpay/1 begin with 20000 bytes
+    Then all uploads are answered with 408 and their connections closed
+    And none of the servers is paused
+    And the host holds no memory for bodies
+
   Scenario Outline: A server that answers early: <status>, <fault>
     Given every server answers <status> after 20000 bytes, with <extra>, and <fault>
     When an upload of 20000000 bytes to <path> is sent
