Let the request handler refuse large bodies for lack of memory.

The refusal came from the port, without a log line and without the request's id. Another host that forwarded the request dropped it as a response to another one, and its caller got a 502 instead of a 503 that says that the request did not run.

Checked: streaming_uploads 32 and boundary 22 scenarios pass.

--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -127,6 +127,8 @@
 
         Sets the route and the customer of the trace.
         """
+        if req.upload is not None and req.upload.is_refused:
+            return self._refuse_for_now(trace, Reason.NO_MEMORY)
         cfg = self._view.configuration
         if cfg is None:
             return self._refuse_for_now(trace, Reason.NO_CONFIGURATION)
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -47,6 +47,10 @@
         "no-configuration",
         "the host had received no configuration yet",
     )
+    NO_MEMORY = (
+        "no-memory",
+        "the host had no memory to forward a large body as it arrives",
+    )
     NO_ROOM = ("no-room", "the preferred servers for its object were at capacity")
     NO_ROUTE = ("no-route", "no route of this configuration matches the request")
     NO_SERVER = ("no-server", "the service has no usable server")
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -195,8 +195,7 @@
         """Queue a request whose body is forwarded as it arrives."""
         body = RequestBody(self._head, self._transport, self._loop)
         if not self._port.uploads.admit(body):
-            self._refuse(503, [OVERLOAD_RETRY_AFTER])
-            return
+            body.refuse()
         self._upload = body
         self._queue_request(self._make_request())
 
--- a/damasktally/http1/request_body.py
+++ b/damasktally/http1/request_body.py
@@ -25,7 +25,8 @@
     :param source: the caller's connection.
 
     ``length`` is the stated length in bytes. ``is_complete`` is whether the whole body
-    was received, and ``is_started`` whether a server may have got a part of it.
+    was received, ``is_started`` whether a server may have got a part of it, and
+    ``is_refused`` whether it is dropped for lack of memory.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.length = head.content_length
         self.is_complete = False
         self.is_started = False
+        self.is_refused = False
 
     @property
     def is_forwarded(self) -> bool:
@@ -69,11 +71,17 @@
 
     def feed(self, data: bytes) -> None:
         """Accept a part of the body from the caller."""
+        if self.is_refused:
+            return
         self._waiting += data
         self._schedule()
         if len(self._waiting) >= MAX_WAITING_BYTES:
             self._source.pause_reading()
 
+    def refuse(self) -> None:
+        """Drop the body, as the host has no memory for it."""
+        self.is_refused = True
+
     def finish(self) -> None:
         """Record that the whole body was received."""
         self.is_complete = True
--- a/features/entry/streaming_uploads.feature
+++ b/features/entry/streaming_uploads.feature
@@ -138,6 +138,13 @@
     And the servers got 1 request together
     And the host holds no memory for bodies
 
+  Scenario: A host that forwards a large body to one without memory for it
+    Given the host has memory for 1 body that is forwarded as it arrives
+    When an upload of 40000 bytes to /bigpay/1 begins with 20000 bytes
+    And another host forwards an upload of 400000 bytes
+    Then the upload is answered with 503 and the connection is closed
+    And the answer names the request and the refusal no-memory
+
   Scenario: A request with a large body and a large response needs memory for one
     Given the host has memory for 1 body that is forwarded as it arrives
     And every server receives bodies and answers with 300000 bytes
--- a/features/steps/streaming_upload_steps.py
+++ b/features/steps/streaming_upload_steps.py
@@ -289,6 +289,13 @@
     assert context.loop_thread.run(is_closed(context.caller, 2.0))
 
 
+@then("the answer names the request and the refusal {reason:S}")
+def then_refusal_named(context, reason):
+    """Check the headers by which another host recognises a refusal."""
+    assert f"\r\ndamasktally-refusal: {reason}\r\n" in context.caller.head
+    assert "\r\nrequest-id: r-1\r\n" in context.caller.head
+
+
 @then("the answer to the upload has a Retry-After header")
 def then_retry_after(context):
     """Check the header."""
