--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,6 +1,14 @@
 """Run every benchmark: ``python -m benchmarks``."""
 
-from benchmarks import control, decisions, loans, relays, requests, server_loads
+from benchmarks import (
+    control,
+    decisions,
+    loans,
+    relays,
+    requests,
+    server_loads,
+    slow_readers,
+)
 
 
 def main() -> None:
@@ -17,6 +25,8 @@
     requests.measure()
     print("# control, no callers")
     control.main()
+    print("# slow readers, one host")
+    slow_readers.main()
 
 
 if __name__ == "__main__":
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -14,6 +14,7 @@
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.decisions.quota import CustomerQuotas, excess_limit
+from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.confirmations import Confirmations
@@ -174,12 +175,14 @@
         self._reachability = ReachabilityMonitor(
             self._candidates, self._connection_pool, self._rng
         )
+        self._streams = BodyStreams.from_config(settings.limits, self._metrics)
         forwarder = Forwarder(
             self._view,
             self._candidates,
             self._server_reports,
             self._connection_pool,
             self._reachability,
+            self._streams,
         )
         self._leases = HostLeases(
             self._members,
@@ -196,7 +199,12 @@
             self._candidates,
             ServerSender(forwarder, self._candidates, self._leases.gate, crashes.guard),
             HostForwarder(
-                self._own, self._topology, self._host_pool, self._metrics, self._rng
+                self._own,
+                self._topology,
+                self._host_pool,
+                self._streams,
+                self._metrics,
+                self._rng,
             ),
             self._reachability,
             crashes.guard,
@@ -223,6 +231,7 @@
             self._requests.handle,
             forwarded.handle,
             handlers,
+            self._streams,
         )
         self._tasks: list[Task] = []
         self._is_stopping = False
@@ -235,7 +244,6 @@
     ) -> "EntryHost":
         """Return a host for the given settings.
 
-        :param settings: the host's settings.
         :param output: writes log lines, or ``None`` if their loss is not reported.
         """
         return cls(settings, output)
@@ -363,6 +371,7 @@
         if self._output is not None:
             report_dropped_lines(self._output, self._metrics)
         metrics = self._metrics
+        metrics.body_bytes_held.set(self._streams.held_bytes)
         metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
         metrics.paused_servers.set(self._candidates.pauses.paused_count(now))
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -13,7 +13,12 @@
 from damasktally.entry.host_headers import REFUSAL, ForwardedRequest
 from damasktally.entry.leases import NO_LEASE_NEEDED, LeaseGate
 from damasktally.entry.metrics import EntryMetrics
-from damasktally.entry.outcome import Attempt, AttemptOutcome, RequestTrace
+from damasktally.entry.outcome import (
+    MAY_HAVE_RUN_OUTCOMES,
+    Attempt,
+    AttemptOutcome,
+    RequestTrace,
+)
 from damasktally.entry.reachability_monitor import ReachabilityMonitor
 from damasktally.entry.refusals import retry_later_response, text_response
 from damasktally.entry.request_log import log_request
@@ -129,6 +134,8 @@
 
         Sets the route and the customer of the trace.
         """
+        if req.upload is not None and req.upload.is_refused:
+            return self._refuse_for_now(trace, Reason.NO_MEMORY)
         cfg = self._view.configuration
         if cfg is None:
             return self._refuse_for_now(trace, Reason.NO_CONFIGURATION)
@@ -174,9 +181,7 @@
         deadline = trace.deadline = deadline_of(req, trace.route)
         response = await self._forward_with_retries(req, trace, deadline)
         may_have_run = any(
-            attempt.outcome
-            in (AttemptOutcome.ANSWERED, AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT)
-            for attempt in trace.attempts
+            attempt.outcome in MAY_HAVE_RUN_OUTCOMES for attempt in trace.attempts
         )
         if not may_have_run and trace.customer is not None and not trace.forwarded:
             self._quotas.refund(trace.customer)
@@ -236,8 +241,10 @@
                 tried_servers.append(target.id)
             trace.attempts.append(attempt)
             if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
-                self._response_times.record(trace.service, attempt.duration_s)
+                self._response_times.record(trace.service, attempt.server_duration_s)
             send_count += attempt.outcome not in NOT_SENT_OUTCOMES
+            if req.upload is not None and req.upload.is_started:
+                return self._final_responses.from_upload(req, attempt, trace)
             if settles_request(attempt, at_most_once):
                 return self._final_responses.from_attempt(attempt, trace)
 
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -22,7 +22,15 @@
         "the server received the request and sent no complete response",
     )
     ATTEMPTS_USED = ("attempts-used", "the route allows no further attempt")
+    BODY_SENT = (
+        "body-sent",
+        "a part of the body was forwarded already, so that no other attempt follows",
+    )
     CALLER_GONE = ("caller-gone", "the caller closed its connection first")
+    CALLER_TOO_SLOW = (
+        "caller-too-slow",
+        "the caller sent its body, or read the response, too slowly",
+    )
     ENCODED_ANSWER = (
         "encoded-answer",
         "the response was encoded, so it did not come from the server itself",
@@ -39,6 +47,10 @@
         "no-configuration",
         "the host had received no configuration yet",
     )
+    NO_MEMORY = (
+        "no-memory",
+        "the host had no memory to forward a large body as it arrives",
+    )
     NO_ROOM = ("no-room", "the preferred servers for its object were at capacity")
     NO_ROUTE = ("no-route", "no route of this configuration matches the request")
     NO_SERVER = ("no-server", "the service has no usable server")
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -3,6 +3,11 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damasktally.http1.request_body import RequestBody
+    from damasktally.http1.response_stream import ResponseStream
 
 Headers = list[tuple[bytes, bytes]]
 """Pairs of a header's name, in lower case, and its value."""
@@ -24,21 +29,29 @@
 )
 """Headers that apply to one connection only, or that are generated for each."""
 
+StreamBeginner = Callable[["Request", "Response", int], "ResponseStream | None"]
+"""Begins a response whose body is forwarded as it arrives, given the request, the head
+of the response and the length of its body. Returns ``None`` if the caller has left."""
+
 BODYLESS_STATUSES = frozenset({204, 304})
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 @dataclass(slots=True)
 class Request:
-    """A caller's complete request.
+    """A caller's complete request, or the head of one with a large body.
 
     :param target: path and query as the caller sent them.
     :param first_byte_at: when the first byte arrived, in seconds on the event loop's
         clock.
     :param last_byte_at: when the last byte arrived, on the same clock.
     :param keep_alive: whether the caller allows more requests on the connection.
-    :param on_disconnect: called if the caller disconnects before the response.
-    :param is_disconnected: whether the caller disconnected before the response.
+    :param on_disconnect: called if the caller disconnects before the response is
+        complete.
+    :param is_disconnected: whether the caller disconnected before that.
+    :param upload: the body, if it is forwarded as it arrives; ``body`` is then empty.
+    :param begin_stream: begins a response whose body is forwarded as it arrives, or
+        ``None`` if the request's connection cannot forward such a response.
     """
 
     method: bytes
@@ -50,6 +63,8 @@
     keep_alive: bool
     on_disconnect: Callable[[], None] | None = None
     is_disconnected: bool = False
+    upload: "RequestBody | None" = None
+    begin_stream: StreamBeginner | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower-case name."""
@@ -58,11 +73,18 @@
 
 @dataclass(slots=True)
 class Response:
-    """A complete response."""
+    """A complete response, or the head of one that is forwarded as it arrives.
+
+    :param body: empty if the response is forwarded as it arrives.
+    :param stream: forwards the body as it arrives, or ``None``.
+    :param stated_length: length that the response to a HEAD request states, if any.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    stream: "ResponseStream | None" = None
+    stated_length: int | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower-case name."""
@@ -104,12 +126,21 @@
 
 
 def encode_request(
-    method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
+    method: bytes,
+    target: bytes,
+    headers: Sequence[tuple[bytes, bytes]],
+    body: bytes,
+    upload: "RequestBody | None" = None,
 ) -> bytes:
-    """Encode a request, with its ``Content-Length``."""
+    """Encode a request, with its ``Content-Length``.
+
+    :param upload: the body, if it follows as it arrives; ``body`` is then empty.
+    """
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines += [key + b": " + value for key, value in headers]
-    if body or method not in (b"GET", b"HEAD"):
+    if upload is not None:
+        lines.append(b"content-length: %d" % upload.length)
+    elif body or method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
@@ -120,12 +151,37 @@
     :param close: whether to announce that the connection is closed afterwards.
     :param head_only: whether to leave the body out, as for a HEAD request.
     """
+    length = len(response.body)
+    if not head_only:
+        return encode_response_head(response, length, close) + response.body
+    if response.stated_length is not None:
+        length = response.stated_length
+    return encode_response_head(response, length, close)
+
+
+def encode_response_head(response: Response, length: int, close: bool) -> bytes:
+    """Encode the status and the headers of a response.
+
+    :param length: bytes of the body.
+    :param close: whether to announce that the connection is closed afterwards.
+    """
     reason = REASON_PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %s" % (response.status, reason)]
     lines += [key + b": " + value for key, value in response.headers]
     if response.status not in BODYLESS_STATUSES:
-        lines.append(b"content-length: %d" % len(response.body))
+        lines.append(b"content-length: %d" % length)
     if close:
         lines.append(b"connection: close")
-    body = b"" if head_only else response.body
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def parse_keep_alive_timeout(response: Response) -> float | None:
+    """Return the ``timeout`` of a ``Keep-Alive`` header in seconds, or ``None``."""
+    value = response.header(b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        key, _, timeout = part.strip().partition(b"=")
+        if key.lower() == b"timeout" and timeout.isdigit():
+            return float(timeout)
+    return None
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -3,7 +3,6 @@
 from asyncio import (
     AbstractEventLoop,
     Future,
-    Protocol,
     Transport,
     get_running_loop,
     timeout,
@@ -24,8 +23,17 @@
 
 from damasktally.errors import DamasktallyError
 from damasktally.http1.framing import FramingCounter
-from damasktally.http1.messages import BODYLESS_STATUSES, Headers, Response
+from damasktally.http1.messages import (
+    BODYLESS_STATUSES,
+    Headers,
+    Response,
+    find_header,
+    parse_keep_alive_timeout,
+)
+from damasktally.http1.request_body import RequestBody
 from damasktally.http1.response_memory import ResponseMemory
+from damasktally.http1.response_stream import ResponseStream
+from damasktally.http1.shared_reads import SharedReadProtocol
 
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 """Responses with a longer body fail, as they are held in memory."""
@@ -40,9 +48,13 @@
 """Time for which sent bytes may stay unacknowledged before the kernel gives up."""
 MIN_FINAL_STATUS = 200
 """Lower status codes are interim responses, which a final one follows."""
+MAX_SUCCESS_STATUS = 299
 
 ResponseMatcher = Callable[[Response], bool]
 """Returns whether a response belongs to the pending request."""
+StreamOpener = Callable[[Response, int], ResponseStream | None]
+"""Decides whether a response is forwarded as it arrives, given its head and the length
+of its body. Returns the stream that takes the body, or ``None``."""
 
 
 class ConnectFailed(DamasktallyError):
@@ -53,7 +65,7 @@
     """A request was sent, but no complete response was received."""
 
 
-class ServerConnection(Protocol):
+class ServerConnection(SharedReadProtocol):
     """Protocol of a connection that carries one request at a time.
 
     A response that does not match the pending request is dropped: it belongs to an
@@ -74,12 +86,17 @@
     """
 
     def __init__(self, memory: ResponseMemory) -> None:
+        super().__init__(memory.read_buffer)
         self._memory = memory
         self._loop: AbstractEventLoop = get_running_loop()
         self._transport: Transport | None = None
         self._parser = HttpResponseParser(self)
         self._pending_response: Future[Response] | None = None
         self._matches: ResponseMatcher | None = None
+        self._open_stream: StreamOpener | None = None
+        self._min_stream_bytes = 0.0
+        self._stream: ResponseStream | None = None
+        self._upload: RequestBody | None = None
         self._head_only = False
         self._headers: Headers = []
         self._body = bytearray()
@@ -109,29 +126,54 @@
         )
 
     def send(
-        self, data: bytes, matches: ResponseMatcher, head_only: bool = False
+        self,
+        data: bytes,
+        matches: ResponseMatcher,
+        head_only: bool = False,
+        open_stream: StreamOpener | None = None,
+        min_stream_bytes: float = 0,
+        upload: RequestBody | None = None,
     ) -> Future[Response]:
         """Send an encoded request.
 
         :param matches: returns whether a response belongs to this request.
         :param head_only: whether the response has no body, as for a HEAD request.
+        :param open_stream: decides whether the response is forwarded as it arrives;
+            without it, the response is received whole.
+        :param min_stream_bytes: length of a body from which on that is asked.
+        :param upload: the body of the request, if it is forwarded as it arrives.
         :returns: a future of the response; it fails with :class:`AnswerLost`.
         """
         self._pending_response = self._loop.create_future()
         self._matches = matches
         self._head_only = head_only
+        self._open_stream = open_stream
+        self._min_stream_bytes = min_stream_bytes
         self._framing = FramingCounter()
         self._skipped_count = 0
+        self._upload = upload
         self._transport.write(data)
+        if upload is not None:
+            upload.attach(self._transport)
         return self._pending_response
 
+    def pause_writing(self) -> None:
+        """Hold up the body that is being forwarded to the server, if there is one."""
+        if self._upload is not None:
+            self._upload.hold()
+
+    def resume_writing(self) -> None:
+        """Let that body go on."""
+        if self._upload is not None:
+            self._upload.proceed()
+
     def close(self) -> None:
         """Close the connection immediately; a pending response is lost."""
         self._reusable = False
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Feed received bytes to the parser; close if no request is pending."""
         if self._pending_response is None:
             self.close()
@@ -184,14 +226,58 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Record that the body follows."""
+        """Record that the body follows, and begin to forward it if it is large."""
         self._in_body = True
+        if self._head_only and self._parser.get_status_code() >= MIN_FINAL_STATUS:
+            self._complete_head()
+        if self._open_stream is None or self._pending_response is None:
+            return
+        length = self._stated_length()
+        if length is None or length < self._min_stream_bytes:
+            return
+        if not self._may_be_streamed():
+            return
+        head = Response(self._parser.get_status_code(), self._headers, b"")
+        if not self._matches(head):
+            return
+        self._stream = self._open_stream(head, length)
+        if self._stream is not None:
+            transport = self._transport
+            self._stream.attach(transport.pause_reading, transport.resume_reading)
+
+    def _complete_head(self) -> None:
+        """Deliver a response to a HEAD request, which has a length but no body.
+
+        The parser expects a body, so that the connection is not reused.
+        """
+        has_no_body = self._parser.get_status_code() in BODYLESS_STATUSES
+        if not has_no_body and find_header(self._headers, b"content-length") != b"0":
+            self._reusable = False
+            self._complete_response()
+
+    def _may_be_streamed(self) -> bool:
+        """Return whether the response is successful and its length is certain."""
+        status = self._parser.get_status_code()
+        return (
+            MIN_FINAL_STATUS <= status <= MAX_SUCCESS_STATUS
+            and status not in BODYLESS_STATUSES
+            and not self._head_only
+            and find_header(self._headers, b"transfer-encoding") is None
+            and not self._pending_response.done()
+        )
+
+    def _stated_length(self) -> int | None:
+        text = find_header(self._headers, b"content-length")
+        return int(text) if text is not None and text.isdigit() else None
 
     def on_body(self, data: bytes) -> None:
-        """Append a part of the body and enforce the size limits."""
+        """Forward a part of the body, or append it and enforce the size limits."""
         if self._pending_response is None:
             return
         self._framing.add_body(len(data))
+        if self._stream is not None:
+            self._stream.write(data)
+            return
         self._body += data
         if len(self._body) > MAX_RESPONSE_BODY_BYTES:
             self._fail("the body is too large")
@@ -220,7 +306,10 @@
         if status < MIN_FINAL_STATUS:
             self._skip_response()
             return
-        response = Response(status, self._headers, bytes(self._body))
+        stream, self._stream = self._stream, None
+        response = Response(status, self._headers, bytes(self._body), stream)
+        if self._head_only:
+            response.stated_length = self._stated_length()
         self._discard_body()
         keep_alive = self._parser.should_keep_alive() and not self._received_eof
         if not self._matches(response):
@@ -229,10 +318,14 @@
             return
         # A response may arrive before the request was sent completely. The server
         # then still expects the rest of the body, so the connection is not reused.
-        flushed = self._transport.get_write_buffer_size() == 0
+        upload, self._upload = self._upload, None
+        is_written = upload is None or upload.is_forwarded
+        flushed = is_written and self._transport.get_write_buffer_size() == 0
         self._reusable = self._reusable and keep_alive and flushed
         self.idle_since = self._loop.time()
-        self.keep_alive_timeout_s = _parse_keep_alive_timeout(response)
+        self.keep_alive_timeout_s = parse_keep_alive_timeout(response)
+        if stream is not None:
+            stream.finish()
         pending_response, self._pending_response = self._pending_response, None
         if not pending_response.done():
             pending_response.set_result(response)
@@ -255,6 +348,7 @@
     def _fail(self, cause: str) -> None:
         """Close the connection and fail the pending response."""
         pending_response, self._pending_response = self._pending_response, None
+        self._stream = self._upload = None
         self._discard_body()
         self._headers = []
         self.close()
@@ -296,15 +390,3 @@
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
     sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-def _parse_keep_alive_timeout(response: Response) -> float | None:
-    """Return the ``timeout`` of a ``Keep-Alive`` header in seconds, or ``None``."""
-    value = response.header(b"keep-alive")
-    if value is None:
-        return None
-    for part in value.split(b","):
-        key, _, timeout = part.strip().partition(b"=")
-        if key.lower() == b"timeout" and timeout.isdigit():
-            return float(timeout)
-    return None
