Kept large reads for bodies that are received whole.

Reads of 32 KiB left more whole bodies incomplete at once, so that the limit on all of them aborted more.

Checked: streaming_uploads 32, streaming 37 and endless_messages 43 scenarios pass.

--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -128,6 +128,11 @@
             if req.on_disconnect is not None:
                 req.on_disconnect()
 
+    @property
+    def is_body_received_whole(self) -> bool:
+        """Return whether a body is being received that is not forwarded yet."""
+        return not self._in_head and self._upload is None
+
     def data_received(self, data: bytes | memoryview) -> None:
         """Feed received bytes to the parser and check the head size.
 
@@ -311,9 +316,7 @@
 
     def _resume_reading(self) -> None:
         """Read from the connection again if reading was paused."""
-        if self._transport.is_closing():
-            return
-        if not self._transport.is_reading():
+        if not self._transport.is_closing() and not self._transport.is_reading():
             self._transport.resume_reading()
 
     def _write_response(self, req: Request, response: Response) -> bool:
@@ -354,10 +357,9 @@
 
     def _write_refusal(self) -> None:
         """Write the refusal that waits, if there is one."""
-        if self._refusal is None or self._transport.is_closing():
-            return
-        self._transport.write(encode_response(self._refusal, True, False))
-        self._close_after_response()
+        if self._refusal is not None and not self._transport.is_closing():
+            self._transport.write(encode_response(self._refusal, True, False))
+            self._close_after_response()
 
     def _close_after_response(self) -> None:
         """Take no more requests, and close the connection."""
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -173,6 +173,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def is_body_received_whole(self) -> bool:
+        """Return whether a body is being received that is not forwarded yet."""
+        return self._in_body and self._stream is None
+
     def data_received(self, data: bytes | memoryview) -> None:
         """Feed received bytes to the parser; close if no request is pending."""
         if self._pending_response is None:
--- a/damasktally/http1/shared_reads.py
+++ b/damasktally/http1/shared_reads.py
@@ -2,12 +2,15 @@
 
 from asyncio import BufferedProtocol
 
-READ_BYTES = 32 * 1024
-"""Bytes that one read takes at most.
+READ_BYTES = 256 * 1024
+"""Bytes that one read of a body takes at most if the body is received whole.
 
-The event loop's own reads take up to 256 KiB, of which a body that is forwarded as it
-arrives could hold all.
+With smaller reads, more bodies would be incomplete at once, and the memory of all
+together is limited.
 """
+SMALL_READ_BYTES = 32 * 1024
+"""Bytes that any other read takes at most: a body that is forwarded as it arrives holds
+all of them if its reader is slow."""
 
 
 def make_read_buffer() -> memoryview:
@@ -29,7 +32,14 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which is never empty."""
-        return self._read_buffer
+        if self.is_body_received_whole:
+            return self._read_buffer
+        return self._read_buffer[:SMALL_READ_BYTES]
+
+    @property
+    def is_body_received_whole(self) -> bool:
+        """Return whether a body is being received that is not forwarded yet."""
+        raise NotImplementedError
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle the bytes that a read has put into the buffer."""
