--- a/features/fault_soak/callers.py
+++ b/features/fault_soak/callers.py
@@ -12,7 +12,7 @@
 
 from entry_harness import CallerAnswer, read_answer
 
-from fault_soak.fleet import CUSTOMERS, HostProcess, SoakFleet, keys_of
+from fault_soak.fleet import HostProcess, SoakFleet, keys_of
 
 REQUEST_TIMEOUT_S = 3.0
 MEAN_PAUSE_S = 0.04
@@ -24,11 +24,14 @@
 class SentRequest:
     """A request of the soak test and its outcome.
 
+    :param customer: the customer for which it runs; empty on a route without keys.
     :param at_most_once: whether the request is non-idempotent and must not run twice.
     :param sent_at: when it was sent, in seconds on the event loop's clock.
+    :param ended_at: when its answer arrived, or there was none, on the same clock.
     :param status: status of the answer, or 0 when there was none.
     :param is_written: whether the request was written to a connection.
     :param abandoned: whether the caller was cancelled before the answer.
+    :param version: the version of the configuration whose own route it is for, or 0.
     """
 
     id: str
@@ -37,10 +40,19 @@
     key: str
     at_most_once: bool
     sent_at: float
+    ended_at: float = 0.0
     status: int = 0
     body: str = ""
     is_written: bool = False
     abandoned: bool = False
+    version: int = 0
+
+    @property
+    def method_and_path(self) -> tuple[str, str]:
+        """Return the method and the path that it is sent with."""
+        if self.version:
+            return "GET", f"/v{self.version}/1"
+        return ("POST", "/pay/1") if self.at_most_once else ("GET", "/read/1")
 
 
 class Caller:
@@ -65,17 +77,27 @@
             self._close_all()
             raise
 
+    async def choose_host(self) -> HostProcess:
+        """Return the host for the next request: any, also one that is down."""
+        return self._rng.choice(self._fleet.hosts)
+
+    def choose_version(self) -> int:
+        """Return the version whose own route the next request is for, or 0."""
+        return 0
+
     async def _send_one(self) -> None:
-        host = self._rng.choice(self._fleet.hosts)
-        customer = self._rng.choice(CUSTOMERS)
+        host = await self.choose_host()
+        customer = self._rng.choice(tuple(self._fleet.limits))
         at_most_once = self._rng.random() < 0.4
+        version = self.choose_version()
         request = SentRequest(
             id=f"{self._name}-{len(self.requests)}",
             host=host.name,
-            customer=customer,
+            customer="" if version else customer,
             key=self._rng.choice(keys_of(customer)),
-            at_most_once=at_most_once,
+            at_most_once=at_most_once and not version,
             sent_at=0.0,
+            version=version,
         )
         self.requests.append(request)
         await self._exchange(host, request)
@@ -91,6 +113,8 @@
         except (OSError, EOFError, AssertionError, TimeoutError, ValueError):
             self._close(host.name)
             return
+        finally:
+            request.ended_at = get_running_loop().time()
         self._record(request, answer)
         if answer.headers.get("connection", "") == "close":
             self._close(host.name)
@@ -107,6 +131,12 @@
             self._connections[host.name] = connection
         return connection
 
+    def close_ended_connections(self) -> None:
+        """Close the idle connections that hosts have ended."""
+        for host, (reader, _) in list(self._connections.items()):
+            if reader.at_eof() or reader.exception() is not None:
+                self._close(host)
+
     def _close(self, host: str) -> None:
         connection = self._connections.pop(host, None)
         if connection is not None:
@@ -118,7 +148,7 @@
 
 
 def _encode(request: SentRequest) -> bytes:
-    method, path = ("POST", "/pay/1") if request.at_most_once else ("GET", "/read/1")
+    method, path = request.method_and_path
     return (
         f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
         f"Request-Id: {request.id}\r\nAffinity-Key: {len(request.id)}\r\n"
--- a/features/fault_soak/checks.py
+++ b/features/fault_soak/checks.py
@@ -69,7 +69,7 @@
         yield f"{request.id} was answered with 200 but never ran"
     if request.status == 200 and request.body.partition("@")[0] != request.id:
         yield f"{request.id} got the answer of another request: {request.body}"
-    if request.status in (404, 413, 431):
+    if request.status in (413, 431) or (request.status == 404 and not request.version):
         yield f"{request.id} got {request.status}"
 
 
--- a/features/fault_soak/faults.py
+++ b/features/fault_soak/faults.py
@@ -30,7 +30,7 @@
     await sleep(rng.uniform(0.1, 1.5))
     for host in hosts:
         await host.wait_for_exit(STOP_TIMEOUT_S)
-        await fleet.start_host(host)
+        await fleet.restart_host(host)
         host.is_stopping = False
 
 
@@ -41,7 +41,7 @@
         host.is_stopping = True
         host.signal(signal.SIGTERM)
         await host.wait_for_exit(STOP_TIMEOUT_S)
-        await fleet.start_host(host)
+        await fleet.restart_host(host)
         host.is_stopping = False
 
 
--- a/features/fault_soak/fleet.py
+++ b/features/fault_soak/fleet.py
@@ -1,15 +1,16 @@
 """Run entry hosts as processes, with stand-ins for the store and the servers."""
 
-import json
 import os
 import signal
 import sys
 from asyncio import create_subprocess_exec, sleep, wait_for
 from asyncio.subprocess import Process
+from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from time import monotonic
+from typing import Any
 
 from entry_harness import (
     BOUNDS,
@@ -23,43 +24,27 @@
 
 from damasktally.standins.ports import free_port
 from fault_soak.proxy import FaultProxy
+from fault_soak.releases import PRESENT, Release
 from fault_soak.server_conduct import ServerConduct
 
-ROOT = Path(__file__).resolve().parent.parent.parent
 ROUTES = [make_route("read", "/read/"), make_route("pay", "/pay/", "non_idempotent")]
 CUSTOMERS = ("acme", "birch")
-SETTINGS_TEMPLATE = """
-[host]
-name = {name}
-region = {region}
-data_centre = {data_centre}
-[listen]
-callers = 127.0.0.1:{callers}
-readiness = 127.0.0.1:{readiness}
-directory = 127.0.0.1:{directory}
-peers = 127.0.0.1:{peers}
-forwarding = 127.0.0.1:{forwarding}
-metrics_port = 0
-[fleet]
-data_centres = {data_centres}
-seeds = {seeds}
-[store]
-address = 127.0.0.1:{store}
-[bounds]
-agreed = {bounds}
-[limits]
-cores = {cores}
-"""
+SPARE_PORTS = 2
+"""Ports that the platform gives each host for messages between hosts."""
 
 
 @dataclass
 class Run:
-    """A single run of a request at a server."""
+    """A single run of a request at a server.
+
+    :param at: when it ran, in seconds of the monotonic clock.
+    """
 
     server: str
     customer: str
     has_key: bool
     method: str
+    at: float
 
 
 @dataclass
@@ -89,6 +74,7 @@
             headers.get("tenant", ""),
             "key" in headers,
             request.line.partition(" ")[0],
+            monotonic(),
         )
         self.runs.setdefault(request_id, []).append(run)
         extra = self.conduct.report_headers(request_id)
@@ -105,14 +91,21 @@
 
 
 class HostProcess:
-    """An entry host in a process of its own."""
+    """An entry host in a process of its own.
+
+    ``release`` is the version that it runs from its next start on.
+    """
 
-    def __init__(self, name: str, location: tuple[str, str], cores: float) -> None:
+    def __init__(
+        self, name: str, location: tuple[str, str], cores: float, release: Release
+    ) -> None:
         self.name = name
+        self.release = release
         self.region, self.data_centre = location
         self.cores = cores
-        ports = ("callers", "readiness", "directory", "peers", "forwarding")
+        ports = ("callers", "readiness", "directory", "peers")
         self.ports = {port: free_port() for port in ports}
+        self._spare_ports = [free_port() for _ in range(SPARE_PORTS)]
         self.store_proxy: FaultProxy | None = None
         self.process: Process | None = None
         self.is_paused = False
@@ -124,29 +117,47 @@
     ) -> None:
         """Write the settings file and start the process, with its log in a file."""
         path = folder / f"{self.name}.ini"
-        text = SETTINGS_TEMPLATE.format(
-            name=self.name,
-            region=self.region,
-            data_centre=self.data_centre,
-            data_centres=json.dumps(region_by_data_centre),
-            seeds=",".join(seeds),
-            store=self.store_proxy.port,
-            bounds=json.dumps(BOUNDS),
-            cores=self.cores,
-            **self.ports,
-        )
-        path.write_text(text, encoding="utf-8")
+        values = self._platform_values(seeds, region_by_data_centre)
+        path.write_text(self.release.render_settings(values), encoding="utf-8")
         with (folder / f"{self.name}.log").open("ab") as log:
             self.process = await create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "damasktally.entry",
                 str(path),
-                cwd=ROOT,
+                cwd=self.release.root,
+                env=self.release.environment,
                 stdout=log,
                 stderr=log,
             )
 
+    def _platform_values(
+        self, seeds: list[str], region_by_data_centre: dict
+    ) -> dict[str, Any]:
+        """Return what the platform fills into the settings template."""
+        address = {name: f"127.0.0.1:{port}" for name, port in self.ports.items()}
+        return {
+            "NodeName": self.name,
+            "Ip": "127.0.0.1",
+            "Region": self.region,
+            "Zone": self.data_centre,
+            "Listen.Front": address["callers"],
+            "Listen.ReadyAddr": address["readiness"],
+            "Listen.Directory": address["directory"],
+            "Listen.Control": address["peers"],
+            "PortRange.0": self._spare_ports[0],
+            "PortRange.1": self._spare_ports[1],
+            "Zones": region_by_data_centre,
+            "Seeds": ",".join(seeds),
+            "Bootstrap": False,
+            "Provider.Addr": f"127.0.0.1:{self.store_proxy.port}",
+            "Bounds": BOUNDS,
+            "Limits.Cores": self.cores,
+            "Limits.CpuShare": 1.0,
+            "Limits.LinkMbps": 1000,
+            "Limits.MemoryMb": 200,
+        }
+
     @property
     def is_running(self) -> bool:
         """Return whether the process was started and has not ended."""
@@ -208,17 +219,31 @@
     :param folder: folder for settings and logs.
     :param host_count: number of entry hosts, spread over two data centres.
     :param server_count: number of backend servers, spread likewise.
+    :param releases: versions that the hosts run in turn; a host that a fault
+        restarts runs the next one.
     """
 
-    def __init__(self, folder: Path, host_count: int, server_count: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        host_count: int,
+        server_count: int,
+        releases: Sequence[Release] = (PRESENT,),
+    ) -> None:
         self.folder = folder
+        self.releases = releases
         self.store = StandInStore()
         self.locations = [("north", "dc-1"), ("south", "dc-2")]
         self.region_by_data_centre = {
             data_centre: region for region, data_centre in self.locations
         }
         self.hosts = [
-            HostProcess(f"h-{n:02d}", self.locations[n % 2], 2.0 if n < 4 else 0.5)
+            HostProcess(
+                f"h-{n:02d}",
+                self.locations[n % 2],
+                2.0 if n < 4 else 0.5,
+                releases[n // 2 % len(releases)],
+            )
             for n in range(host_count)
         ]
         self.servers = [
@@ -227,6 +252,10 @@
         ]
         self.version = 1
         self.withdrawn: list[str] = []
+        self.limits: dict[str, tuple[float, float]] = dict.fromkeys(CUSTOMERS, (0, 0))
+        """Rate and burst of each customer; 0 for no limit."""
+        self.written_at: dict[int, float] = {}
+        """When each version was written, in seconds of the monotonic clock."""
 
     async def start(self) -> None:
         """Start the stand-ins, then the hosts."""
@@ -249,6 +278,12 @@
         seeds = [f"127.0.0.1:{other.ports['peers']}" for other in self.hosts[:3]]
         await host.start(self.folder, seeds, self.region_by_data_centre)
 
+    async def restart_host(self, host: HostProcess) -> None:
+        """Start a host that has ended, with the next version."""
+        following = self.releases.index(host.release) + 1
+        host.release = self.releases[following % len(self.releases)]
+        await self.start_host(host)
+
     async def write_configuration(self) -> None:
         """Write the current version of the configuration to the store.
 
@@ -260,13 +295,14 @@
             {
                 "Name": name,
                 "ApiKeys": [k for k in keys_of(name) if k not in self.withdrawn],
-                "RatePerS": 0,
-                "Burst": 0,
+                "RatePerS": rate,
+                "Burst": burst,
             }
-            for name in CUSTOMERS
+            for name, (rate, burst) in self.limits.items()
         ]
         cfg = make_configuration(self.version, [*ROUTES, newest], Tenants=customers)
         await self.store.write("config", "main", cfg)
+        self.written_at.setdefault(self.version, monotonic())
 
     async def close(self) -> None:
         """Kill all host processes that are still running."""
