Sent summaries at once only for growth beyond the known demand.

A summary was urgent as soon as a customer's count had grown by a fixed number, which busy customers reach all the time. The receivers know the demand that was sent last, so only growth beyond demand times the time since then counts, and beyond 0.1 s of it, as counts are that old on average. The benchmark of relays names the own host for CrashSuspects again, which had ended it with a TypeError.

--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -65,7 +65,7 @@
             self.quotas,
             counts,
             ServerLimits(self.member.host),
-            CrashSuspects(),
+            CrashSuspects(self.member.host),
             lambda: OwnState(True, False, 0.1),
         )
 
@@ -113,7 +113,9 @@
         for data in heartbeats:
             heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
             relay.members.apply_heartbeat(heartbeat, now)
-            relay.message_builder.add_host_counts(heartbeat.host, heartbeat.admitted)
+            relay.message_builder.add_host_counts(
+                heartbeat.host, heartbeat.admitted, now
+            )
         for data in summaries:
             summary = msgspec.msgpack.decode(data, type=RelaySummary)
             relay.summaries.apply_summary(summary, now)
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -113,11 +113,14 @@
                 identities.add(standby.identity)
         self._fleet_totals.keep_only(identities)
 
-    def add_host_counts(self, host: str, admitted: Mapping[str, int]) -> bool:
+    def add_host_counts(
+        self, host: str, admitted: Mapping[str, int], now: float
+    ) -> bool:
         """Add the counts of a heartbeat that was just received.
 
         :param host: sender of the heartbeat; ignored unless it is in this data centre.
         :param admitted: requests admitted by that host, by customer.
+        :param now: time of the event loop in seconds.
         :returns: whether the growth is worth a summary to other data centres at once.
         """
         record = self._topology.local_record(host)
@@ -127,7 +130,7 @@
         self._fleet_totals.add(record.identity, admitted)
         rates = self._quotas.rates()
         return self._data_centre_surges.is_urgent(
-            admitted, self._data_centre_totals.totals, rates
+            admitted, self._data_centre_totals.totals, rates, now
         )
 
     def add_data_centre_counts(
@@ -144,7 +147,9 @@
         primary = self._summaries.primary(data_centre, now)
         self._fleet_totals.add(primary.identity, primary.admitted)
         rates = self._quotas.rates()
-        return self._fleet_surges.is_urgent(admitted, self._fleet_totals.totals, rates)
+        return self._fleet_surges.is_urgent(
+            admitted, self._fleet_totals.totals, rates, now
+        )
 
     def _other_data_centres(self) -> list[str]:
         own = self._own.data_centre
@@ -199,12 +204,14 @@
 
         :param now: time of the event loop in seconds.
         """
-        self._data_centre_surges.record_sent(self._data_centre_totals.totals)
         known = self._topology.local_records()
         live = self._topology.live_local_records(now)
         demand = _sum_by_customer(
             [self._quotas.demand(), *(record.demand for record in live)]
         )
+        self._data_centre_surges.record_sent(
+            self._data_centre_totals.totals, demand, now
+        )
         return self._build_summary(
             self._data_centre_outbox,
             self._own.data_centre,
@@ -220,8 +227,9 @@
 
         :param now: time of the event loop in seconds.
         """
-        self._fleet_surges.record_sent(self._fleet_totals.totals)
-        return self._summarise_fleet(self._fleet_outbox, now)
+        summary, demand = self._summarise_fleet(self._fleet_outbox, now)
+        self._fleet_surges.record_sent(self._fleet_totals.totals, demand, now)
+        return summary
 
     def build_bootstrap_summary(self, now: float) -> RelaySummary | None:
         """Build the summary from which a new host elsewhere finds its data centre.
@@ -236,7 +244,7 @@
         if self._topology.is_relay(now):
             outbox = Outbox.empty()
             outbox.sequence = self._fleet_outbox.sequence
-            return self._summarise_fleet(outbox, now)
+            return self._summarise_fleet(outbox, now)[0]
         record = self._summaries.whole_fleet(now)
         if record is None:
             return None
@@ -248,7 +256,10 @@
             is_complete=True,
         )
 
-    def _summarise_fleet(self, outbox: Outbox, now: float) -> RelaySummary:
+    def _summarise_fleet(
+        self, outbox: Outbox, now: float
+    ) -> tuple[RelaySummary, Mapping[str, float]]:
+        """Return the next summary of the fleet, and the demand of every customer."""
         known = self._topology.local_records()
         live = self._topology.live_local_records(now)
         data_centre_hosts = [self._list_local_hosts(now)]
@@ -273,7 +284,7 @@
             earlier_live_count = earlier.summary.live_host_count
             live_count = max(live_count, earlier_live_count - silent_count)
             demand = _largest_by_customer(demand, earlier.demand)
-        return self._build_summary(
+        summary = self._build_summary(
             outbox,
             WHOLE_FLEET,
             data_centre_hosts,
@@ -283,6 +294,7 @@
             now,
             {record.member.host: record.sequence for record in live},
         )
+        return summary, demand
 
     def _list_local_hosts(self, now: float) -> DataCentreHosts:
         own, state = self._own, self._get_own_state()
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -126,7 +126,9 @@
                 self._send_bootstrap_summary(address, now)
         if not self._is_active_relay(now):
             return
-        if self._message_builder.add_host_counts(heartbeat.host, heartbeat.admitted):
+        if self._message_builder.add_host_counts(
+            heartbeat.host, heartbeat.admitted, now
+        ):
             self._send_urgent_summaries(now)
 
     def _is_remote(self, heartbeat: Heartbeat) -> bool:
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -62,6 +62,23 @@
       | 87    | 155  | 0.6   | 7.5   | 3       |
       | 300   | 54   | 0.6   | 7.5   | 3       |
 
+  # Guards against summaries that are sent many times a second in a fleet whose customers
+  # send steadily, and against surges that reach other hosts late.
+  Scenario Outline: Only growth beyond the known demand is sent at once
+    Given a relay that receives the counts of a customer with a limit of <rate> from <hosts> hosts
+    When the customer sends steadily at its limit for 20 s
+    Then no summary is urgent
+    When it sends six times its rate
+    Then a summary is urgent within <seconds> s
+
+    Examples:
+      | rate | hosts | seconds |
+      | 4    | 1     | 0.45    |
+      | 20   | 1     | 0.25    |
+      | 20   | 14    | 0.25    |
+      | 155  | 1     | 0.25    |
+      | 155  | 14    | 0.25    |
+
   # Guards against skipped work that changes a decision: updates leave customers alone
   # whose counts did not change.
   Scenario: Updates that skip unchanged customers decide as those that compute all
