Left unchanged tables and lists of hosts alone when a relay builds summaries.

A relay added up all hosts' counts and demands for each summary, twice, and built all members that other relays list five times a second. Counts are added from the changes that a heartbeat carries if it follows the last one; the fleet's totals take the growth of the data centre's; sums of demands and lists of hosts are kept as long as their inputs are the same objects.

--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -13,10 +13,8 @@
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import RELAYED_LAG_S, CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
-from damasktally.entry.message_builder import (
-    OTHER_REGION_HOST_LIMIT,
-    FleetMessageBuilder,
-)
+from damasktally.entry.host_listings import OTHER_REGION_HOST_LIMIT
+from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.outbox import OwnState
 from damasktally.entry.quota_reports import QuotaReports
 from damasktally.entry.topology import FleetTopology
@@ -113,9 +111,7 @@
         for data in heartbeats:
             heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
             relay.members.apply_heartbeat(heartbeat, now)
-            relay.message_builder.add_host_counts(
-                heartbeat.host, heartbeat.admitted, now
-            )
+            relay.message_builder.add_host_counts(heartbeat, now)
         for data in summaries:
             summary = msgspec.msgpack.decode(data, type=RelaySummary)
             relay.summaries.apply_summary(summary, now)
--- a/damasktally/decisions/quota.py
+++ b/damasktally/decisions/quota.py
@@ -99,6 +99,7 @@
         self._demanding: dict[str, CustomerBucket] = {}
         self._admitted: dict[str, int] = {}
         self._admitted_copy: dict[str, int] | None = None
+        self._demand_copy: dict[str, float] | None = None
         self._rates: dict[str, float] = {}
         self._customers: tuple[Customer, ...] = ()
         self._division = LimitDivision(0, 0)
@@ -165,8 +166,16 @@
         """Return the limit of each customer that has one, in requests a second."""
         return self._rates
 
-    def demand(self) -> dict[str, float]:
-        """Return the requests a second that each customer sends to this host."""
+    def demand(self) -> Mapping[str, float]:
+        """Return the requests a second that each customer sends to this host.
+
+        :returns: a table that does not change; the same one until the next update.
+        """
+        if self._demand_copy is None:
+            self._demand_copy = self._measured_demand()
+        return self._demand_copy
+
+    def _measured_demand(self) -> dict[str, float]:
         demand = {}
         for name, bucket in list(self._demanding.items()):
             self._settle(bucket)
@@ -223,6 +232,7 @@
             bucket.refill(now, admitted)
         self._updated_at = now
         self._clock_s += elapsed_s
+        self._demand_copy = None
 
     def _divide_limits(
         self, customers: tuple[Customer, ...], division: LimitDivision, now: float
--- a/damasktally/decisions/quota_report.py
+++ b/damasktally/decisions/quota_report.py
@@ -43,11 +43,6 @@
             return None
         return count - self.own_admitted.get(customer, 0)
 
-    def demand_of(self, customer: str) -> float:
-        """Return how many requests a second a customer sends to the other hosts."""
-        demand = self.demand.get(customer, 0.0)
-        return max(0.0, demand - self.own_demand.get(customer, 0.0))
-
     def changed_counts(self, previous: "QuotaReport") -> set[str]:
         """Return the customers whose count may differ from the previous report."""
         return _changed_names(previous.admitted, self.admitted) | _changed_names(
@@ -151,10 +146,25 @@
     buckets: Mapping[str, CustomerBucket],
 ) -> None:
     """Add up the demand of some customers at the other hosts."""
-    primary_reports = [report for report in reports if report.is_primary]
+    tables = [(item.demand, item.own_demand) for item in reports if item.is_primary]
     for name in customers:
         bucket = buckets.get(name)
         if bucket is not None:
-            bucket.other_demand = sum(
-                report.demand_of(name) for report in primary_reports
+            bucket.other_demand = _other_demand(name, tables)
+
+
+def _other_demand(
+    name: str, tables: list[tuple[Mapping[str, float], Mapping[str, float]]]
+) -> float:
+    """Add up the demand of a customer.
+
+    :param tables: for each report, the demand and what of it reaches this host.
+    """
+    total = 0.0
+    for demand, own_demand in tables:
+        value = demand.get(name)
+        if value:
+            total += (
+                max(0.0, value - own_demand.get(name, 0.0)) if own_demand else value
             )
+    return total
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -16,26 +16,23 @@
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
 from damasktally.decisions.surges import SurgeDetector
+from damasktally.entry.demand_sums import DemandSums, largest_by_customer, rounded
+from damasktally.entry.host_listings import HostListings
 from damasktally.entry.outbox import Outbox, OwnState
 from damasktally.entry.relay_takeover import RelayTakeover
 from damasktally.entry.topology import FleetTopology
-from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, Heartbeat
+from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, Heartbeat, MemberRecord
 from damasktally.fleet.model import Member
 from damasktally.fleet.server_limits import ReportScope
 from damasktally.fleet.summaries import (
     WHOLE_FLEET,
     DataCentreHosts,
-    HostSummary,
     RelaySummary,
     SummaryTable,
 )
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
 
-SAME_REGION_HOST_LIMIT = 64
-"""Maximum number of hosts listed for a data centre of the same region."""
-OTHER_REGION_HOST_LIMIT = 8
-"""Maximum number of hosts listed for a data centre of another region."""
 SUMMARIES_PER_HOST_LIST = 6
 """One summary in this many lists the hosts even if the list did not change."""
 
@@ -82,6 +79,10 @@
         self._heartbeat_outbox = Outbox.empty()
         self._data_centre_outbox = Outbox.empty()
         self._fleet_outbox = Outbox.empty()
+        self._added_sequences: dict[tuple[str, int], int] = {}
+        self._local_demand = DemandSums()
+        self._fleet_demand = DemandSums()
+        self._listings = HostListings(own)
         self._takeover = RelayTakeover(own.data_centre, summaries)
 
     def update_totals(self, now: float) -> None:
@@ -93,17 +94,19 @@
 
         :param now: time of the event loop in seconds.
         """
-        admitted = [((self._own.host, self._own.started_ms), self._quotas.admitted())]
-        admitted += [
-            (record.identity, record.admitted)
-            for record in self._topology.local_records()
-        ]
+        own_identity = (self._own.host, self._own.started_ms)
+        self._add_local_counts(own_identity, self._quotas.admitted())
+        local_identities = {own_identity}
+        for record in self._topology.local_records():
+            self._add_local_counts(record.identity, record.admitted)
+            local_identities.add(record.identity)
+        self._data_centre_totals.keep_only(local_identities)
+        self._added_sequences = {
+            identity: sequence
+            for identity, sequence in self._added_sequences.items()
+            if identity in local_identities
+        }
         identities = set()
-        for identity, counts in admitted:
-            self._data_centre_totals.add(identity, counts)
-            self._fleet_totals.add(identity, counts)
-            identities.add(identity)
-        self._data_centre_totals.keep_only(identities)
         for data_centre in self._other_data_centres():
             primary = self._summaries.primary(data_centre, now)
             self._fleet_totals.add(primary.identity, primary.admitted)
@@ -113,24 +116,42 @@
                 identities.add(standby.identity)
         self._fleet_totals.keep_only(identities)
 
-    def add_host_counts(
-        self, host: str, admitted: Mapping[str, int], now: float
-    ) -> bool:
+    def _add_local_counts(
+        self, identity: tuple[str, int], counts: Mapping[str, int]
+    ) -> None:
+        """Add all counts of a host of this data centre to both totals."""
+        growth = self._data_centre_totals.add(identity, counts)
+        self._fleet_totals.add_growth(growth)
+
+    def add_host_counts(self, heartbeat: Heartbeat, now: float) -> bool:
         """Add the counts of a heartbeat that was just received.
 
-        :param host: sender of the heartbeat; ignored unless it is in this data centre.
-        :param admitted: requests admitted by that host, by customer.
+        A heartbeat that follows the last one carries all counts that changed.
+
+        :param heartbeat: ignored unless its sender is in this data centre and has sent
+            no newer one.
         :param now: time of the event loop in seconds.
         :returns: whether the growth is worth a summary to other data centres at once.
         """
-        record = self._topology.local_record(host)
-        if record is None:
+        record = self._topology.local_record(heartbeat.host)
+        if record is None or record.sequence != heartbeat.sequence:
             return False
-        self._data_centre_totals.add(record.identity, admitted)
-        self._fleet_totals.add(record.identity, admitted)
-        rates = self._quotas.rates()
+        identity = record.identity
+        if identity != (heartbeat.host, heartbeat.started_ms):
+            return False
+        if self._added_sequences.get(identity) == heartbeat.sequence - 1:
+            totals = self._data_centre_totals
+            growth = totals.add_changes(identity, heartbeat.admitted)
+            totals.mark_added(identity, record.admitted)
+            self._fleet_totals.add_growth(growth)
+        else:
+            self._add_local_counts(identity, record.admitted)
+        self._added_sequences[identity] = heartbeat.sequence
         return self._data_centre_surges.is_urgent(
-            admitted, self._data_centre_totals.totals, rates, now
+            heartbeat.admitted,
+            self._data_centre_totals.totals,
+            self._quotas.rates(),
+            now,
         )
 
     def add_data_centre_counts(
@@ -206,9 +227,7 @@
         """
         known = self._topology.local_records()
         live = self._topology.live_local_records(now)
-        demand = _sum_by_customer(
-            [self._quotas.demand(), *(record.demand for record in live)]
-        )
+        demand = rounded(self._sum_local_demand(live))
         self._data_centre_surges.record_sent(
             self._data_centre_totals.totals, demand, now
         )
@@ -263,7 +282,7 @@
         known = self._topology.local_records()
         live = self._topology.live_local_records(now)
         data_centre_hosts = [self._list_local_hosts(now)]
-        demands = [self._quotas.demand(), *(record.demand for record in live)]
+        demands = []
         live_count, silent_count = 1 + len(live), len(known) - len(live)
         for data_centre in self._other_data_centres():
             relayed = self._summaries.primary(data_centre, now)
@@ -274,16 +293,17 @@
             silent_count += relayed.summary.silent_host_count
             demands.append(relayed.demand)
             data_centre_hosts += [
-                self._truncate(hosts) for hosts in relayed.data_centre_hosts
+                self._listings.truncate(hosts) for hosts in relayed.data_centre_hosts
             ]
-        demand = _sum_by_customer(demands)
+        local_demand = self._sum_local_demand(live)
+        demand = rounded(self._fleet_demand.update(demands, local_demand))
         self._takeover.record_summary(now)
         earlier = self._takeover.earlier_record(now)
         if earlier is not None:
             data_centre_hosts += self._takeover.missing_data_centres(earlier)
             earlier_live_count = earlier.summary.live_host_count
             live_count = max(live_count, earlier_live_count - silent_count)
-            demand = _largest_by_customer(demand, earlier.demand)
+            demand = largest_by_customer(demand, earlier.demand)
         summary = self._build_summary(
             outbox,
             WHOLE_FLEET,
@@ -297,25 +317,17 @@
         return summary, demand
 
     def _list_local_hosts(self, now: float) -> DataCentreHosts:
-        own, state = self._own, self._get_own_state()
-        hosts = [_describe_host(own, state.ready, state.unreachable_services)]
-        hosts += [
-            _describe_host(record.member, record.ready, record.unreachable_services)
-            for record in self._topology.live_local_records(now)
-        ]
-        hosts.sort(key=lambda host: (-host.capacity, host.host))
-        return DataCentreHosts(
-            own.region, own.data_centre, hosts[:SAME_REGION_HOST_LIMIT]
+        state = self._get_own_state()
+        return self._listings.list_local(
+            state.ready,
+            state.unreachable_services,
+            self._topology.live_local_records(now),
         )
 
-    def _truncate(self, listing: DataCentreHosts) -> DataCentreHosts:
-        limit = (
-            SAME_REGION_HOST_LIMIT
-            if listing.region == self._own.region
-            else OTHER_REGION_HOST_LIMIT
-        )
-        return DataCentreHosts(
-            listing.region, listing.data_centre, listing.hosts[:limit]
+    def _sum_local_demand(self, live: list[MemberRecord]) -> Mapping[str, float]:
+        """Return the demand of each customer at the live hosts of this data centre."""
+        return self._local_demand.update(
+            [self._quotas.demand(), *(record.demand for record in live)]
         )
 
     def _build_summary(
@@ -368,35 +380,3 @@
 
     def _revisions(self) -> tuple[int, ...]:
         return tuple(self._view.revisions[topic] for topic in Topic)
-
-
-def _describe_host(
-    member: Member, ready: bool, unreachable_services: tuple[str, ...]
-) -> HostSummary:
-    return HostSummary(
-        member.host,
-        member.started_ms,
-        member.caller_address,
-        *member.peer_address,
-        ready,
-        member.capacity,
-        member.forwarding_port,
-        unreachable_services,
-    )
-
-
-def _largest_by_customer(
-    first: Mapping[str, float], second: Mapping[str, float]
-) -> dict[str, float]:
-    return {
-        name: max(first.get(name, 0.0), second.get(name, 0.0))
-        for name in {**first, **second}
-    }
-
-
-def _sum_by_customer(tables: list[Mapping[str, float]]) -> dict[str, float]:
-    totals: dict[str, float] = {}
-    for table in tables:
-        for name, value in table.items():
-            totals[name] = totals.get(name, 0.0) + value
-    return {name: round(value, 2) for name, value in totals.items()}
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -126,9 +126,7 @@
                 self._send_bootstrap_summary(address, now)
         if not self._is_active_relay(now):
             return
-        if self._message_builder.add_host_counts(
-            heartbeat.host, heartbeat.admitted, now
-        ):
+        if self._message_builder.add_host_counts(heartbeat, now):
             self._send_urgent_summaries(now)
 
     def _is_remote(self, heartbeat: Heartbeat) -> bool:
@@ -276,6 +274,8 @@
         send to others once the topology has changed.
         """
         live_hosts = {record.member.host for record in self._members.live_records(now)}
+        if live_hosts == self._live_hosts:
+            return
         silent_hosts = self._live_hosts - live_hosts
         # Listing the hosts of all summaries is expensive, and seldom needed.
         listed_hosts = self._summaries.listed_hosts(now) if silent_hosts else set()
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from itertools import chain
 from math import inf
 
 from damasktally.decisions.recent_maximum import RecentMaximum
@@ -28,7 +29,6 @@
 from damasktally.fleet.summaries import (
     SummaryRecord,
     SummaryTable,
-    listed_members,
     listed_ready_hosts,
 )
 
@@ -87,6 +87,8 @@
         self._recent_known_size = RecentMaximum(FLEET_SIZE_MEMORY_S)
         self._relays: tuple[Member, ...] = ()
         self._relays_changed_at = -inf
+        self._remote_basis: tuple[list, list] | None = None
+        self._chosen_remote_relays: list[tuple[Member, ...]] = []
 
     def _get_snapshot(self, now: float) -> _Snapshot:
         cached = self._cached
@@ -336,24 +338,35 @@
 
     def _remote_relays(self, now: float) -> list[tuple[Member, ...]]:
         """Return the relays of each other data centre, the primary relay first."""
+        members = [
+            record.member
+            for record in self._members.records()
+            if now - record.last_seen_at <= LISTED_HOST_LIFETIME_S
+        ]
+        records = self._summaries.live_records(now)
+        basis = (members, [record.data_centre_hosts for record in records])
+        if basis != self._remote_basis:
+            listed = [self._summaries.all_members_of(record) for record in records]
+            self._chosen_remote_relays = self._choose_remote_relays(members, listed)
+            self._remote_basis = basis
+        return self._chosen_remote_relays
+
+    def _choose_remote_relays(
+        self, members: list[Member], listed: list[list[Member]]
+    ) -> list[tuple[Member, ...]]:
         by_data_centre: dict[str, dict[str, Member]] = {}
-        for record in self._members.records():
-            if now - record.last_seen_at <= LISTED_HOST_LIFETIME_S:
-                hosts = by_data_centre.setdefault(record.member.data_centre, {})
-                hosts[record.member.host] = record.member
-        for record in self._summaries.live_records(now):
-            for member in listed_members(record.data_centre_hosts):
-                by_data_centre.setdefault(member.data_centre, {})[member.host] = member
+        for member in chain(members, *listed):
+            by_data_centre.setdefault(member.data_centre, {})[member.host] = member
         by_data_centre.pop(self._own.data_centre, None)
         return [
             tuple(
-                members[host]
+                hosts[host]
                 for host in choose_relays(
                     data_centre,
-                    [RelayCandidate(m.host, m.capacity) for m in members.values()],
+                    [RelayCandidate(m.host, m.capacity) for m in hosts.values()],
                 )
             )
-            for data_centre, members in by_data_centre.items()
+            for data_centre, hosts in by_data_centre.items()
         ]
 
     def relayed_records(self, now: float) -> list[SummaryRecord]:
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -161,6 +161,9 @@
         self._listed_members: dict[
             tuple[str, str], tuple[list[DataCentreHosts], list[Member]]
         ] = {}
+        self._all_members: dict[
+            tuple[str, str], tuple[list[DataCentreHosts], list[Member]]
+        ] = {}
 
     def apply_summary(self, summary: RelaySummary, now: float) -> bool:
         """Store a summary, unless a newer one of the same relay was stored before.
@@ -181,7 +184,9 @@
             summary.admitted,
         )
         if same_incarnation:
-            hosts = previous.data_centre_hosts if hosts is None else hosts
+            if hosts is None or hosts == previous.data_centre_hosts:
+                # What is derived from a list is kept as long as it is the same object.
+                hosts = previous.data_centre_hosts
             if not summary.is_complete:
                 demand = {**previous.demand, **demand}
                 admitted = {**previous.admitted, **admitted}
@@ -266,6 +271,15 @@
             cached = self._listed_members[key] = (record.data_centre_hosts, members)
         return cached[1]
 
+    def all_members_of(self, record: SummaryRecord) -> list[Member]:
+        """Return all hosts that a record lists, built once for each list."""
+        key = (record.summary.relay, record.summary.scope)
+        cached = self._all_members.get(key)
+        if cached is None or cached[0] is not record.data_centre_hosts:
+            members = list(listed_members(record.data_centre_hosts))
+            cached = self._all_members[key] = (record.data_centre_hosts, members)
+        return cached[1]
+
     def live_records(self, now: float) -> list[SummaryRecord]:
         """Return the records of all scopes whose last summary is recent enough.
 
@@ -286,7 +300,7 @@
         return {
             member.host
             for record in self.live_records(now)
-            for member in listed_members(record.data_centre_hosts)
+            for member in self.all_members_of(record)
         }
 
     def remove_silent(self, now: float) -> None:
@@ -306,8 +320,9 @@
                 del self._records[scope]
 
     def _forget_members(self, relay: str) -> None:
-        for key in [key for key in self._listed_members if key[0] == relay]:
-            del self._listed_members[key]
+        for table in (self._listed_members, self._all_members):
+            for key in [key for key in table if key[0] == relay]:
+                del table[key]
 
 
 def _is_newer(summary: RelaySummary, previous: RelaySummary) -> bool:
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -20,7 +20,7 @@
 from msgspec.structs import replace
 
 from damasktally.decisions.counter_totals import CounterTotals
-from damasktally.decisions.customer_bucket import MAX_ADMITTED_AHEAD
+from damasktally.decisions.customer_bucket import MAX_ADMITTED_AHEAD, CustomerBucket
 from damasktally.decisions.heartbeat_history import (
     MAX_HEARTBEATS_KEPT,
     HeartbeatHistory,
@@ -30,7 +30,7 @@
     SURGE_PROPAGATION_S,
     CustomerQuotas,
 )
-from damasktally.decisions.quota_report import QuotaReport
+from damasktally.decisions.quota_report import QuotaReport, ReportHistory
 from damasktally.decisions.relays import (
     RelayCandidate,
     RelayState,
@@ -38,7 +38,7 @@
     has_live_relay,
 )
 from damasktally.entry.delta import SENDS_PER_CHANGE, DeltaSelector
-from damasktally.entry.message_builder import OTHER_REGION_HOST_LIMIT
+from damasktally.entry.host_listings import OTHER_REGION_HOST_LIMIT
 from damasktally.entry.settings import HostSection, LimitsSection
 from damasktally.fleet.model import Customer
 from damasktally.fleet.topics import Topic
@@ -126,10 +126,16 @@
             own_admitted=own.admitted,
             own_demand=own.demand,
         )
-        counts = report.demand_of("c"), report.count_of("c")
-        assert counts == (3.0, 77), (sequence, counts)
+        assert others_demand_and_count(report) == (3.0, 77), (sequence, report)
     report = QuotaReport(("r", 1), {"c": 5}, {"c": 4.0})
-    assert (report.demand_of("c"), report.count_of("c")) == (4.0, 5), report
+    assert others_demand_and_count(report) == (4.0, 5), report
+
+
+def others_demand_and_count(report):
+    """Return what a report says of the other hosts' requests of a customer."""
+    bucket = CustomerBucket(0.0, 0.0)
+    ReportHistory().apply_all([report], {"c": bucket})
+    return bucket.other_demand, bucket.reported_counts[report.identity]
 
 
 @then("sums with a heartbeat that is no longer recorded are not used")
