Combined updates of the shares, and skipped receive work that changes nothing.

A host computed its shares at each summary, also of standby relays, and at each tick. Revisions of messages are decoded once for each list, peers that are not ahead cost no search, and the relay that sent a summary is found without building all members.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -39,6 +39,7 @@
 from damasktally.entry.retries import Retries
 from damasktally.entry.server_reports import ServerReports
 from damasktally.entry.settings import EntrySettings, own_member
+from damasktally.entry.share_updates import ShareUpdates
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_eras import EraFollower, EraProblemLog
 from damasktally.entry.store_sync import FollowerRole, StoreSync
@@ -112,6 +113,7 @@
             self._topology, self._members, self._summaries, heartbeat_history
         )
         self._quotas = CustomerQuotas(self._excess_limit)
+        self._share_updates = ShareUpdates(self._update_shares, self._quotas.rates)
         self._registration = Registration(
             self._store, self._members, settings.fleet.first_start, self._rng
         )
@@ -173,7 +175,7 @@
             message_builder,
             self._transfer,
             PeerReports(self._server_reports, crash_reports),
-            lambda: self._update_shares(self._loop.time()),
+            self._share_updates.handle_counts,
         )
         self._capacity_log = CapacityLog(self._view)
         self._connection_pool = ConnectionPool(response_memory, self._link_breaks)
@@ -285,6 +287,7 @@
         self._blocked_requests.close()
         self._reachability.close()
         self._peer_protocol.close()
+        self._share_updates.close()
         self._transfer.close()
         self._connection_pool.close_all()
         self._host_pool.close_all()
@@ -322,7 +325,7 @@
         self._era_follower.follow()
         self._crash_reports.handle_block_changes()
         self._reachability.probe(now)
-        self._update_shares(now)
+        self._share_updates.request(now)
 
     def _run_maintenance(self, now: float) -> None:
         """Do the work that can wait for a second."""
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -24,8 +24,8 @@
 from damasktally.fleet.summaries import (
     WHOLE_FLEET,
     RelaySummary,
+    SummaryRecord,
     SummaryTable,
-    members_in_data_centre,
 )
 from damasktally.fleet.topics import revisions_by_topic
 
@@ -49,8 +49,8 @@
     :param message_builder: builds the messages.
     :param transfer: notified of the revisions that a peer has.
     :param reports: receives what peers report of servers and requests.
-    :param on_counts_received: called when a relay's summary brought the counts of all
-        hosts.
+    :param on_counts_received: called with the record of the primary relay when its
+        summary brought the counts of all hosts, and with the time.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
         message_builder: FleetMessageBuilder,
         transfer: StateTransfer,
         reports: PeerReports,
-        on_counts_received: Callable[[], None],
+        on_counts_received: Callable[[SummaryRecord, float], None],
     ) -> None:
         self._members = members
         self._summaries = summaries
@@ -173,7 +173,8 @@
                     self._send_fleet_summary(now)
             return
         record = self._summaries.whole_fleet(now)
-        for member in members_in_data_centre(record, self._members.own.data_centre):
+        own_data_centre = self._members.own.data_centre
+        for member in self._summaries.members_listed_by(record, own_data_centre):
             if member.host == summary.relay:
                 self._members.apply_relay_summary(
                     member,
@@ -181,8 +182,9 @@
                     summary.store_age_s,
                     now,
                 )
-        if not self._topology.should_follow_store(now):
-            self._on_counts_received()
+        # The counts of a standby only set a baseline, which can wait for an update.
+        if record.summary is summary and not self._topology.should_follow_store(now):
+            self._on_counts_received(record, now)
 
     def send_due_messages(self, seeds: list[Address]) -> None:
         """Send the messages of one round.
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -150,12 +150,17 @@
 
         :param revisions: revision of each topic that the peer has.
         """
-        known = self._view.revisions
+        if not self._is_ahead(revisions):
+            return
         now = self._loop.time()
-        is_peer_ahead = any(revisions.get(topic, 0) > known[topic] for topic in Topic)
-        if is_peer_ahead and not self._topology.should_follow_store(now):
+        if not self._topology.should_follow_store(now):
             self.catch_up(now)
 
+    def _is_ahead(self, revisions: Mapping[Topic, int]) -> bool:
+        """Return whether one of some revisions is newer than this host's."""
+        known = self._view.revisions
+        return any(revision > known[topic] for topic, revision in revisions.items())
+
     def catch_up(self, now: float) -> None:
         """Request each topic that is behind from a peer with the newest revision.
 
@@ -164,6 +169,11 @@
         :param now: time of the event loop in seconds.
         """
         sources = self._sources(now)
+        if not any(
+            self._is_ahead(revisions) for revisions in _distinct_revisions(sources)
+        ):
+            self._behind_since.clear()
+            return
         delay_s = STORE_GRACE_S if self._topology.should_follow_store(now) else 0.0
         for topic in Topic:
             newest = max(
@@ -253,6 +263,11 @@
         return StateResponse(revision, specs=dict(specs))
 
 
+def _distinct_revisions(sources: list[_Source]) -> list[Mapping[Topic, int]]:
+    """Return the revisions of some peers, most of which have the same ones."""
+    return list({id(item.revisions): item.revisions for item in sources}.values())
+
+
 class ResponseFrames:
     """Encode responses, compressed if they are large, once for several requests."""
 
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -254,16 +254,19 @@
         found: dict[str, Member] = {}
         for record in self._records.get(WHOLE_FLEET, {}).values():
             if now - record.received_at <= LISTING_LIFETIME_S:
-                for item in self._members_listed_by(record, data_centre):
+                for item in self.members_listed_by(record, data_centre):
                     known = found.setdefault(item.host, item)
                     if known.started_ms < item.started_ms:
                         found[item.host] = item
         return list(found.values())
 
-    def _members_listed_by(
+    def members_listed_by(
         self, record: SummaryRecord, data_centre: str
     ) -> list[Member]:
-        """Return the hosts of a data centre in a record, built once for each list."""
+        """Return the hosts of a data centre in a record, built once for each list.
+
+        :param record: a record of the whole fleet.
+        """
         key = (record.summary.relay, data_centre)
         cached = self._listed_members.get(key)
         if cached is None or cached[0] is not record.data_centre_hosts:
--- a/damasktally/fleet/topics.py
+++ b/damasktally/fleet/topics.py
@@ -1,7 +1,9 @@
 """Topics: the parts of the view, each of which is read and replicated on its own."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from enum import Enum
+from functools import lru_cache
+from types import MappingProxyType
 
 
 class Topic(Enum):
@@ -11,13 +13,18 @@
     EVACUATIONS = "evacuations"
     SERVERS = "servers"
 
+    # Members are single objects. The hash of Enum takes a call into Python for each
+    # access to a table by topic.
+    __hash__ = object.__hash__
 
-def revisions_by_topic(revisions: Iterable[int]) -> dict[Topic, int]:
+
+@lru_cache(maxsize=256)
+def revisions_by_topic(revisions: tuple[int, ...]) -> Mapping[Topic, int]:
     """Return the revision of each topic, from the list in a message.
 
     Topics that only the sender or only this host has, since their versions differ, are
-    left out.
+    left out. Most messages carry the same list, for which the result is the same.
 
     :param revisions: revisions in the order of :class:`Topic`.
     """
-    return dict(zip(Topic, revisions, strict=False))
+    return MappingProxyType(dict(zip(Topic, revisions, strict=False)))
