--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -8,6 +8,7 @@
     get_running_loop,
     sleep,
 )
+from functools import partial
 from random import Random
 
 from damasktally.addresses import split_address
@@ -37,9 +38,11 @@
 from damasktally.entry.registration import Registration
 from damasktally.entry.requests import RequestHandler
 from damasktally.entry.retries import Retries
+from damasktally.entry.server_gauges import update_server_gauges
 from damasktally.entry.server_reports import ServerReports
 from damasktally.entry.server_sender import ServerSender
 from damasktally.entry.settings import EntrySettings, own_member
+from damasktally.entry.share_updates import ShareUpdates
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_eras import EraFollower, EraProblemLog
 from damasktally.entry.store_sync import FollowerRole, StoreSync
@@ -55,7 +58,7 @@
     SETTINGS_RELOADED,
 )
 from damasktally.fleet.members import MemberTable
-from damasktally.fleet.model import CallerLimits, Customer
+from damasktally.fleet.model import CallerLimits
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.view import Decoders, FleetView, ViewChange
 from damasktally.http1.response_memory import ResponseMemory
@@ -109,7 +112,15 @@
         self._quota_reports = QuotaReports(
             self._topology, self._members, self._summaries, heartbeat_history
         )
-        self._quotas = CustomerQuotas(self._excess_limit)
+        self._quotas = CustomerQuotas(
+            partial(
+                excess_limit,
+                slack=self._bounds.quota_slack,
+                overage=self._bounds.quota_overage,
+                window_s=self._bounds.quota_window_s,
+            )
+        )
+        self._share_updates = ShareUpdates(self._update_shares, self._quotas.rates)
         self._registration = Registration(
             self._store, self._members, settings.fleet.first_start, self._rng
         )
@@ -168,7 +179,7 @@
             message_builder,
             self._transfer,
             PeerReports(self._server_reports, crashes.reports),
-            lambda: self._update_shares(self._loop.time()),
+            self._share_updates.handle_counts,
         )
         self._capacity_log = CapacityLog(self._view)
         self._connection_pool = ConnectionPool(response_memory, crashes.link_breaks)
@@ -244,6 +255,7 @@
     ) -> "EntryHost":
         """Return a host for the given settings.
 
+        :param settings: the host's settings.
         :param output: writes log lines, or ``None`` if their loss is not reported.
         """
         return cls(settings, output)
@@ -299,6 +311,7 @@
         self._reachability.close()
         self._peer_protocol.close()
         self._leases.close()
+        self._share_updates.close()
         self._transfer.close()
         self._connection_pool.close_all()
         self._host_pool.close_all()
@@ -337,7 +350,7 @@
         self._crash_reports.handle_block_changes()
         self._reachability.probe(now)
         self._candidates.update_diversions(now)
-        self._update_shares(now)
+        self._share_updates.request(now)
 
     def _run_maintenance(self, now: float) -> None:
         """Do the work that can wait for a second."""
@@ -361,12 +374,6 @@
         reports, silent_count, lag_s = self._quota_reports.collect(now)
         self._quotas.update_shares(cfg.customers, reports, silent_count, now, lag_s)
 
-    def _excess_limit(self, customer: Customer) -> float:
-        bounds = self._bounds
-        return excess_limit(
-            customer, bounds.quota_slack, bounds.quota_overage, bounds.quota_window_s
-        )
-
     def _update_metrics(self, now: float) -> None:
         if self._output is not None:
             report_dropped_lines(self._output, self._metrics)
@@ -374,9 +381,7 @@
         metrics.body_bytes_held.set(self._streams.held_bytes)
         metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
-        metrics.paused_servers.set(self._candidates.pauses.paused_count(now))
-        metrics.unreachable_services.set(len(self._reachability.unreachable_services()))
-        metrics.limited_servers.set(self._candidates.limits.limited_count())
+        update_server_gauges(metrics, self._candidates, self._reachability, now)
         for topic, confirmed_at in self._confirmations.times():
             metrics.view_age.labels(topic.value).set(now - confirmed_at)
 
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -47,6 +47,11 @@
             "Backend servers that name a rate limit for all hosts together.",
             registry=self.registry,
         )
+        self.diverting_servers = Gauge(
+            "damasktally_entry_diverting_servers",
+            "Backend servers of which a part of the objects is diverted to others.",
+            registry=self.registry,
+        )
         self.paused_servers = Gauge(
             "damasktally_entry_paused_servers",
             "Backend servers that asked this host for a pause that lasts.",
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -166,6 +166,9 @@
         self._listed_members: dict[
             tuple[str, str], tuple[list[DataCentreHosts], list[Member]]
         ] = {}
+        self._all_members: dict[
+            tuple[str, str], tuple[list[DataCentreHosts], list[Member]]
+        ] = {}
 
     def apply_summary(self, summary: RelaySummary, now: float) -> bool:
         """Store a summary, unless a newer one of the same relay was stored before.
@@ -186,7 +189,9 @@
             summary.admitted,
         )
         if same_incarnation:
-            hosts = previous.data_centre_hosts if hosts is None else hosts
+            if hosts is None or hosts == previous.data_centre_hosts:
+                # What is derived from a list is kept as long as it is the same object.
+                hosts = previous.data_centre_hosts
             if not summary.is_complete:
                 demand = {**previous.demand, **demand}
                 admitted = {**previous.admitted, **admitted}
@@ -254,16 +259,19 @@
         found: dict[str, Member] = {}
         for record in self._records.get(WHOLE_FLEET, {}).values():
             if now - record.received_at <= LISTING_LIFETIME_S:
-                for item in self._members_listed_by(record, data_centre):
+                for item in self.members_listed_by(record, data_centre):
                     known = found.setdefault(item.host, item)
                     if known.started_ms < item.started_ms:
                         found[item.host] = item
         return list(found.values())
 
-    def _members_listed_by(
+    def members_listed_by(
         self, record: SummaryRecord, data_centre: str
     ) -> list[Member]:
-        """Return the hosts of a data centre in a record, built once for each list."""
+        """Return the hosts of a data centre in a record, built once for each list.
+
+        :param record: a record of the whole fleet.
+        """
         key = (record.summary.relay, data_centre)
         cached = self._listed_members.get(key)
         if cached is None or cached[0] is not record.data_centre_hosts:
@@ -271,6 +279,15 @@
             cached = self._listed_members[key] = (record.data_centre_hosts, members)
         return cached[1]
 
+    def all_members_of(self, record: SummaryRecord) -> list[Member]:
+        """Return all hosts that a record lists, built once for each list."""
+        key = (record.summary.relay, record.summary.scope)
+        cached = self._all_members.get(key)
+        if cached is None or cached[0] is not record.data_centre_hosts:
+            members = list(listed_members(record.data_centre_hosts))
+            cached = self._all_members[key] = (record.data_centre_hosts, members)
+        return cached[1]
+
     def live_records(self, now: float) -> list[SummaryRecord]:
         """Return the records of all scopes whose last summary is recent enough.
 
@@ -291,7 +308,7 @@
         return {
             member.host
             for record in self.live_records(now)
-            for member in listed_members(record.data_centre_hosts)
+            for member in self.all_members_of(record)
         }
 
     def remove_silent(self, now: float) -> None:
@@ -311,8 +328,9 @@
                 del self._records[scope]
 
     def _forget_members(self, relay: str) -> None:
-        for key in [key for key in self._listed_members if key[0] == relay]:
-            del self._listed_members[key]
+        for table in (self._listed_members, self._all_members):
+            for key in [key for key in table if key[0] == relay]:
+                del table[key]
 
 
 def _is_newer(summary: RelaySummary, previous: RelaySummary) -> bool:
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -62,6 +62,28 @@
       | 87    | 155  | 0.6   | 7.5   | 3       |
       | 300   | 54   | 0.6   | 7.5   | 3       |
 
+  # Guards against summaries that are sent many times a second in a fleet whose customers
+  # send steadily, and against surges that reach other hosts late.
+  Scenario Outline: Only growth beyond the known demand is sent at once
+    Given a relay that receives the counts of a customer with a limit of <rate> from <hosts> hosts
+    When the customer sends steadily at its limit for 20 s
+    Then no summary is urgent
+    When it sends six times its rate
+    Then a summary is urgent within <seconds> s
+
+    Examples:
+      | rate | hosts | seconds |
+      | 4    | 1     | 0.45    |
+      | 20   | 1     | 0.25    |
+      | 20   | 14    | 0.25    |
+      | 155  | 1     | 0.25    |
+      | 155  | 14    | 0.25    |
+
+  # Guards against skipped work that changes a decision: updates leave customers alone
+  # whose counts did not change.
+  Scenario: Updates that skip unchanged customers decide as those that compute all
+    Then quotas decide as a plain computation for random schedules
+
   Scenario: A surge at few hosts stays within the limit
     Then a single host admits no more than the bucket and the agreed excess
     And no host of a large fleet admits more than 3 requests ahead of its share
