--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,5 +1,6 @@
 """Measure the control overhead of a host without callers, by fleet size."""
 
+from dataclasses import dataclass
 from time import sleep
 
 import psutil
@@ -8,26 +9,45 @@
 from damasktally.demo.scenarios import masa_madre
 
 FLEET_SIZES = (3, 6, 12)
-SETTLING_TIME_S = 6.0
-WINDOW_S = 12.0
-CHANGES_PER_WINDOW = 24
 
 
-def measure(hosts: int) -> None:
+@dataclass(frozen=True, slots=True)
+class Window:
+    """Time over which each cost is measured.
+
+    :param settling_s: seconds from when all hosts are ready until the first window.
+    :param seconds: length of each window.
+    :param changes: configuration changes in the second window.
+    """
+
+    settling_s: float = 6.0
+    seconds: float = 12.0
+    changes: int = 24
+
+
+FULL_WINDOW = Window()
+SMALLEST_WINDOW = Window(0.2, 0.5, 1)
+
+
+def measure(
+    hosts: int, window: Window = FULL_WINDOW, fleet: ProcessFleet | None = None
+) -> None:
     """Print one row: costs when idle and with two configuration changes per second.
 
     :param hosts: number of hosts in the fleet.
+    :param fleet: the fleet, not started yet; that of the demo if it is not given.
     """
-    fleet = ProcessFleet(masa_madre())
+    if fleet is None:
+        fleet = ProcessFleet(masa_madre())
     fleet.start(hosts)
     try:
         fleet.wait_ready()
-        sleep(SETTLING_TIME_S)
+        sleep(window.settling_s)
         os_processes = [psutil.Process(p.process.pid) for p in fleet.processes.values()]
-        idle, calls = _measure_window(fleet, os_processes, changes=0)
-        busy, _ = _measure_window(fleet, os_processes, changes=CHANGES_PER_WINDOW)
+        idle, calls = _measure_window(fleet, os_processes, window.seconds, 0)
+        busy, _ = _measure_window(fleet, os_processes, window.seconds, window.changes)
         memory = max(u.memory_info().rss for u in os_processes) / 1e6
-        cost_ms = 1000 * (busy - idle) * WINDOW_S / CHANGES_PER_WINDOW
+        cost_ms = 1000 * (busy - idle) * window.seconds / window.changes
         print(
             f"{hosts:3d} hosts: CPU idle {100 * idle:5.2f} % of a core a host, "
             f"{cost_ms:5.2f} ms a change, memory {memory:5.1f} MB, "
@@ -39,22 +59,25 @@
 
 
 def _measure_window(
-    fleet: ProcessFleet, os_processes: list[psutil.Process], changes: int
+    fleet: ProcessFleet,
+    os_processes: list[psutil.Process],
+    seconds: float,
+    changes: int,
 ) -> tuple[float, float]:
     before = sum(_cpu_seconds(u) for u in os_processes)
     calls = fleet.platform.calls
     for number in range(changes):
         spec = {"rate": 10 + number, "burst": 10}
         fleet.commands.apply("Customer", "changing", spec)
-        sleep(WINDOW_S / changes)
+        sleep(seconds / changes)
     if not changes:
-        sleep(WINDOW_S)
+        sleep(seconds)
     cpu_fraction = (
         (sum(_cpu_seconds(u) for u in os_processes) - before)
         / len(os_processes)
-        / WINDOW_S
+        / seconds
     )
-    return cpu_fraction, (fleet.platform.calls - calls) / WINDOW_S
+    return cpu_fraction, (fleet.platform.calls - calls) / seconds
 
 
 def _cpu_seconds(os_process: psutil.Process) -> float:
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -23,8 +23,29 @@
 from damasktally.steering.health import HealthTable
 from damasktally.steering.lookup import ClientTable, EntryHost, rank_hosts
 
-ROUNDS = 7
-CLIENT_BLOCK_COUNT = 390_000
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Size of the measurement.
+
+    :param rounds: rounds of each action.
+    :param max_count: most runs of an action in a round.
+    :param client_block_count: blocks of addresses in the client table.
+    :param is_planned_included: measure planned sizes, not only present ones.
+    """
+
+    rounds: int = 7
+    max_count: int = 5_000
+    client_block_count: int = 390_000
+    is_planned_included: bool = True
+
+    def select(self, *sizes: int) -> tuple[int, ...]:
+        """Return the sizes to measure, of which the first is the present one."""
+        return sizes if self.is_planned_included else sizes[:1]
+
+
+FULL_SIZE = Size()
+SMALLEST_SIZE = Size(1, 1, 200, False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,15 +64,18 @@
         )
 
 
-def measure_cost(name: str, action: Callable[[], object], count: int) -> Cost:
+def measure_cost(
+    name: str, action: Callable[[], object], count: int, size: Size
+) -> Cost:
     """Measure an action in several rounds.
 
-    :param count: how often the action runs in a round.
+    :param count: how often the action runs in a round, unless the size allows fewer.
     :returns: the cost of one run.
     """
     action()
     rounds = []
-    for _ in range(ROUNDS):
+    count = min(count, size.max_count)
+    for _ in range(size.rounds):
         started_at = perf_counter()
         for _ in range(count):
             action()
@@ -110,18 +134,18 @@
     return dispatcher
 
 
-def measure_admit() -> None:
+def measure_admit(size: Size) -> None:
     """Print the cost of taking a token, by number of customers."""
-    for customers in (8, 5_000):
+    for customers in size.select(8, 5_000):
         limit_table = make_limit_table(make_view(customers, 0))
         limit = customer_limit_name("c3")
         admit = lambda e=limit_table, name=limit: e.take(name, 0)
-        print(measure_cost(f"admit, {customers} customers", admit, 5_000))
+        print(measure_cost(f"admit, {customers} customers", admit, 5_000, size))
 
 
-def measure_choose() -> None:
+def measure_choose(size: Size) -> None:
     """Print the cost of acquiring and releasing a slot, by number of servers."""
-    for servers in (42, 660):
+    for servers in size.select(42, 660):
         dispatcher = make_dispatcher(make_view(0, servers))
 
         def choose(owner: Dispatcher = dispatcher) -> None:
@@ -129,42 +153,45 @@
             owner.acquire("p", waiter, 0.1, 10)
             owner.release("p", waiter)
 
-        print(measure_cost(f"choose a server, {servers} servers", choose, 500))
+        print(measure_cost(f"choose a server, {servers} servers", choose, 500, size))
 
 
-def measure_lookup() -> None:
+def measure_lookup(size: Size) -> None:
     """Print the cost of a look-up's decision, and the memory of the client table."""
     rng = Random(1)
-    for hosts in (12, 112):
+    for hosts in size.select(12, 112):
         entries = [
             EntryHost(f"h{n}", "a", f"r{n % 3}", f"r{n % 3}-{n % 2}", 1.0)
             for n in range(hosts)
         ]
         policy = SteeringPolicy()
         rank = lambda e=entries, p=policy: rank_hosts(e, "r1", "r1-1", "c", {}, p)
-        print(measure_cost(f"rank entry hosts, {hosts} hosts", rank, 300))
+        print(measure_cost(f"rank entry hosts, {hosts} hosts", rank, 300, size))
     blocks = [
         (f"{ip_address(n << 11)}/{rng.choice((21, 22, 24))}", f"d{n % 660}")
-        for n in range(CLIENT_BLOCK_COUNT)
+        for n in range(size.client_block_count)
     ]
     start()
     table = ClientTable(blocks)
     table_bytes, _ = get_traced_memory()
     stop()
-    print(f"client table, {CLIENT_BLOCK_COUNT} blocks: {table_bytes / 1e6:.1f} MB")
+    print(f"client table, {size.client_block_count} blocks: {table_bytes / 1e6:.1f} MB")
     addresses = [str(ip_address(rng.getrandbits(29))) for _ in range(1_000)]
     indexes = iter(range(10**9))
     find_block = lambda: table.find(addresses[next(indexes) % 1_000])
     print(
         measure_cost(
-            f"find a client's block, {CLIENT_BLOCK_COUNT} blocks", find_block, 5_000
+            f"find a client's block, {size.client_block_count} blocks",
+            find_block,
+            5_000,
+            size,
         )
     )
 
 
-def measure_control() -> None:
+def measure_control(size: Size) -> None:
     """Print the cost of control work, by number of hosts, customers and servers."""
-    for customers in (8, 100, 1_000):
+    for customers in size.select(8, 100, 1_000):
         limit_table = make_limit_table(make_view(customers, 0))
         for entry in limit_table.entries.values():
             entry.demand.record(50.0)
@@ -174,39 +201,39 @@
             spares = [SpareHint(name, 1.0, 1.0) for name in limit_table.entries]
             hints.record(f"h{n:02d}/1", spares, seconds_since_boot())
         plan = lambda e=limit_table, h=hints: plan_loan_requests(e, h, {})
-        print(measure_cost(f"plan loans, {customers} active customers", plan, 5))
+        print(measure_cost(f"plan loans, {customers} active customers", plan, 5, size))
         spare = lambda e=limit_table: collect_spare_hints(e)
-        print(measure_cost(f"describe spares, {customers} customers", spare, 5))
-    for customers in (8, 1_000):
+        print(measure_cost(f"describe spares, {customers} customers", spare, 5, size))
+    for customers in size.select(8, 1_000):
         response = HeartbeatAnswer(sender=Endpoint(host="h01", incarnation="0" * 12))
         for n in range(customers):
             response.spares.append(
                 Spare(limit=f"customer:c{n}", demand=1.5, tokens=2.5)
             )
-        size = len(response.SerializeToString())
-        print(f"heartbeat answer, {customers} active customers: {size} bytes")
+        response_bytes = len(response.SerializeToString())
+        print(f"heartbeat answer, {customers} active customers: {response_bytes} bytes")
     print(f"heartbeat without asks: {len(Heartbeat().SerializeToString()) + 60} bytes")
-    for hosts in (12, 112):
+    for hosts in size.select(12, 112):
         window = GenerationWindow("h00/1", 5.0)
         window.apply_roster(make_roster(hosts), [], [], 0.0)
         find_smallest = lambda w=window: w.smallest_share(
             lambda r: r.rate_share("h00/1"), 1.0
         )
-        print(measure_cost(f"smallest share, {hosts} hosts", find_smallest, 200))
-    for servers in (42, 660):
+        print(measure_cost(f"smallest share, {hosts} hosts", find_smallest, 200, size))
+    for servers in size.select(42, 660):
         view = make_view(8, servers)
         obj = next(iter(view.objects["BackendServer"].values())).stored
         change = ChangeEvent(object=obj.model_copy(update={"revision": 10**6}))
         apply = lambda v=view, c=change: v.apply([c])
-        print(measure_cost(f"apply a change, {servers} servers", apply, 20))
+        print(measure_cost(f"apply a change, {servers} servers", apply, 20, size))
 
 
-def main() -> None:
+def main(size: Size = FULL_SIZE) -> None:
     """Print all tables."""
-    measure_admit()
-    measure_choose()
-    measure_lookup()
-    measure_control()
+    measure_admit(size)
+    measure_choose(size)
+    measure_lookup(size)
+    measure_control(size)
 
 
 if __name__ == "__main__":
--- a/benchmarks/loans.py
+++ b/benchmarks/loans.py
@@ -4,7 +4,7 @@
 so that a run is repeatable and its figures do not depend on the machine.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
@@ -374,31 +374,33 @@
         self.result.max_excess = max(self.result.max_excess, excess)
 
 
-def main() -> None:
-    """Print one row for each case whose name contains a word of the command line.
+CASES = [
+    LoanCase("look-ups, loans"),
+    LoanCase("look-ups, static", policy="static"),
+    LoanCase("80 % on two hosts, loans", host_choice="uneven"),
+    LoanCase("80 % on two hosts, static", host_choice="uneven", policy="static"),
+    LoanCase("any host, loans", host_choice="random"),
+    LoanCase("any host, static", host_choice="random", policy="static"),
+    LoanCase("look-ups, loans, 35 ms", one_way_s=0.035),
+    LoanCase("one host killed", kill_at_s=1.0, seconds=31.0),
+    LoanCase("a region lost", region_loss_at_s=1.0, seconds=31.0),
+    LoanCase("one customer at 5 times", flood_demand=5.0),
+    LoanCase(
+        "small customers, 60 %", demand=0.6, rates=(3.0, 4.0, 5.0, 6.0, 8.0, 18.0)
+    ),
+]
+SMALLEST_CASE = LoanCase("2 hosts, 1 s", seconds=1.0, host_count=2, rates=(30.0,))
+
+
+def main(cases: Sequence[LoanCase] = CASES, words: Sequence[str] = ()) -> None:
+    """Print one row for each case whose name contains a word.
 
     Without words, all cases run.
     """
-    cases = [
-        LoanCase("look-ups, loans"),
-        LoanCase("look-ups, static", policy="static"),
-        LoanCase("80 % on two hosts, loans", host_choice="uneven"),
-        LoanCase("80 % on two hosts, static", host_choice="uneven", policy="static"),
-        LoanCase("any host, loans", host_choice="random"),
-        LoanCase("any host, static", host_choice="random", policy="static"),
-        LoanCase("look-ups, loans, 35 ms", one_way_s=0.035),
-        LoanCase("one host killed", kill_at_s=1.0, seconds=31.0),
-        LoanCase("a region lost", region_loss_at_s=1.0, seconds=31.0),
-        LoanCase("one customer at 5 times", flood_demand=5.0),
-        LoanCase(
-            "small customers, 60 %", demand=0.6, rates=(3.0, 4.0, 5.0, 6.0, 8.0, 18.0)
-        ),
-    ]
     print(f"{'case':28}{'in rate':>9}{'refused':>9}{'part %':>8}{'waited':>8}", end="")
     print(f"{'asks/s':>8}{'excess':>8}")
-    selected_words = argv[1:]
     for case in cases:
-        if selected_words and not any(word in case.name for word in selected_words):
+        if words and not any(word in case.name for word in words):
             continue
         totals = LoanSimulation(case, seed=1).run()
         print(
@@ -409,4 +411,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(words=argv[1:])
--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -27,6 +27,8 @@
 TICKS = 50
 STANDBY_MESSAGE_FRACTION = 0.25
 """Standby relays receive every fourth message."""
+SMALLEST_TICKS = 3
+SMALLEST_FLEET_SIZE = (26, 2, 3)
 FLEET_SIZES = ((87, 6, 86), (300, 6, 300), (1000, 12, 300), (4800, 43, 300))
 """Hosts, data centres and customers; each host receives 23 requests per second."""
 REQUESTS_PER_TICK = 4.6
@@ -74,11 +76,15 @@
             self.quotas.take(customer, now)
 
 
-def measure(host_count: int, data_centre_count: int, customer_count: int) -> str:
+def measure(
+    host_count: int, data_centre_count: int, customer_count: int, ticks: int = TICKS
+) -> str:
     """Simulate one data centre and the relays of the others; return a row of figures.
 
     Traffic and CPU time are measured for a relay and for one other host of its data
     centre.
+
+    :param ticks: rounds of messages that are simulated.
     """
     rng = Random(1)
     customers = [
@@ -95,7 +101,7 @@
     relay, host = local_hosts[0], local_hosts[-1]
     cpu_s = {"relay": 0.0, "host": 0.0}
     sizes: dict[str, list[int]] = {"heartbeat": [], "data_centre": [], "fleet": []}
-    for tick in range(TICKS):
+    for tick in range(ticks):
         now = tick * TICK_S
         for simulated_host in (*local_hosts, *remote_relays):
             simulated_host.admit(customers, rng, now)
@@ -138,8 +144,8 @@
     return format_row(
         host_count,
         data_centre_count,
-        cpu_s,
-        {k: sum(v) / TICKS for k, v in sizes.items()},
+        {name: value / (ticks * TICK_S) for name, value in cpu_s.items()},
+        {k: sum(v) / ticks for k, v in sizes.items()},
     )
 
 
@@ -161,11 +167,11 @@
 
 
 def format_row(
-    host_count: int, data_centre_count: int, cpu_s: dict, sizes: dict
+    host_count: int, data_centre_count: int, cpu_ratios: dict, sizes: dict
 ) -> str:
     """Format the figures of one fleet size.
 
-    :param cpu_s: CPU time of the relay and the host, in seconds.
+    :param cpu_ratios: CPU time of the relay and the host, in seconds a second.
     :param sizes: mean size of each kind of message, in bytes.
     """
     ticks_per_s = 1 / TICK_S
@@ -185,7 +191,7 @@
         remote_kb * 2
         + (sizes["heartbeat"] + sizes["fleet"]) * local_host_count * ticks_per_s / 1000
     )
-    cpu = {name: 100 * value / (TICKS * TICK_S) for name, value in cpu_s.items()}
+    cpu = {name: 100 * value for name, value in cpu_ratios.items()}
     return (
         f"{host_count:5d} hosts in {data_centre_count:2d}: host {host_kb:7.1f} kB/s"
         f" {cpu['host']:5.2f} % of a core; relay {relay_kb:8.1f} kB/s"
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -10,13 +10,31 @@
 from damasktally.clock import seconds_since_boot
 from damasktally.demo.scenarios import CustomerPlan, ServerPlan, masa_madre
 
-WARM_UP_REQUESTS = 200
-REQUESTS = 1_500
 HALF_LOAD_PER_S = 150.0
 """Half of the full load of one host."""
 PATH = "/baskets/1"
 
 
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Size of the measurement.
+
+    :param warm_up_requests: requests on each path before the measurement.
+    :param requests: measured requests on each path.
+    :param idle_s: seconds over which the CPU time without requests is measured.
+    :param settling_s: seconds from when the host is ready until the first request.
+    """
+
+    warm_up_requests: int = 200
+    requests: int = 1_500
+    idle_s: float = 5.0
+    settling_s: float = 2.0
+
+
+FULL_SIZE = Size()
+SMALLEST_SIZE = Size(2, 10, 0.2, 1.0)
+
+
 @dataclass(frozen=True, slots=True)
 class LatencySample:
     """Latencies of requests on one path, in seconds, sorted."""
@@ -65,41 +83,45 @@
     return latencies_s
 
 
-def measure() -> None:
+def measure(size: Size = FULL_SIZE) -> None:
     """Measure requests to a server directly and through a host; print the results."""
     fleet = one_host_fleet()
     fleet.start(1)
     try:
         fleet.wait_ready()
-        sleep(2)
+        sleep(size.settling_s)
         process = next(iter(fleet.processes.values()))
         os_process = psutil.Process(process.process.pid)
         secret = fleet.credentials["ana"].secret
         headers = {"Authorization": f"Bearer {secret}"}
         server_address = fleet.servers["s0"].address
         host_address = fleet.entry_addresses()[0]
-        send_paced_requests(server_address, {}, PATH, WARM_UP_REQUESTS, HALF_LOAD_PER_S)
         send_paced_requests(
-            host_address, headers, PATH, WARM_UP_REQUESTS, HALF_LOAD_PER_S
+            server_address, {}, PATH, size.warm_up_requests, HALF_LOAD_PER_S
+        )
+        send_paced_requests(
+            host_address, headers, PATH, size.warm_up_requests, HALF_LOAD_PER_S
         )
         rows = [
             LatencySample(
                 "direct",
                 sorted(
                     send_paced_requests(
-                        server_address, {}, PATH, REQUESTS, HALF_LOAD_PER_S
+                        server_address, {}, PATH, size.requests, HALF_LOAD_PER_S
                     )
                 ),
             )
         ]
-        idle_cpu_fraction = _cpu_seconds_during(os_process, lambda: sleep(5.0)) / 5.0
+        idle_cpu_fraction = (
+            _cpu_seconds_during(os_process, lambda: sleep(size.idle_s)) / size.idle_s
+        )
         started_at = seconds_since_boot()
         latencies_s: list[float] = []
         request_cpu_s = _cpu_seconds_during(
             os_process,
             lambda: latencies_s.extend(
                 send_paced_requests(
-                    host_address, headers, PATH, REQUESTS, HALF_LOAD_PER_S
+                    host_address, headers, PATH, size.requests, HALF_LOAD_PER_S
                 )
             ),
         )
@@ -109,7 +131,7 @@
         lookup_cpu_s = _cpu_seconds_during(
             os_process,
             lambda: send_paced_requests(
-                host_address, headers, "/v1/lookup", REQUESTS, HALF_LOAD_PER_S
+                host_address, headers, "/v1/lookup", size.requests, HALF_LOAD_PER_S
             ),
         )
         lookup_cpu_s -= idle_cpu_fraction * (seconds_since_boot() - started_at)
@@ -129,8 +151,10 @@
             "(bound 10)"
         )
         print(f"ratio p50 {second.percentile_ms(0.5) / first.percentile_ms(0.5):.2f}")
-        print(f"CPU a request {1000 * request_cpu_s / REQUESTS:.3f} ms (bound 0.8)")
-        print(f"CPU a look-up {1000 * lookup_cpu_s / REQUESTS:.3f} ms (bound 0.4)")
+        print(
+            f"CPU a request {1000 * request_cpu_s / size.requests:.3f} ms (bound 0.8)"
+        )
+        print(f"CPU a look-up {1000 * lookup_cpu_s / size.requests:.3f} ms (bound 0.4)")
         print(f"CPU idle {100 * idle_cpu_fraction:.2f} % of a core")
         print(f"memory {os_process.memory_info().rss / 1e6:.1f} MB (bound 64)")
     finally:
