Compared a relay's totals and combined updates with what is expected.

One scenario lets heartbeats be lost, late and repeated and compares the totals with sums over all counts; another checks that updates that come close together are combined, that a surge is not delayed, and that a standby's summary causes no update.

--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -33,6 +33,10 @@
     Then totals are kept when a counter restarts
     And totals switch to a standby relay without counting requests twice
 
+  # Guards against counts that a relay misses as it adds only what a heartbeat changed.
+  Scenario: A relay's totals are complete although heartbeats are lost, late or repeated
+    Then totals from the changes in heartbeats are those from all counts
+
   Scenario: A host subtracts its own counts from sums that include them
     Then sums less the own counts are the others' counts, for any included heartbeat
     And sums with a heartbeat that is no longer recorded are not used
@@ -79,6 +83,16 @@
       | 155  | 1     | 0.25    |
       | 155  | 14    | 0.25    |
 
+  # Guards against an update for each message of a busy fleet, and against surges whose
+  # counts wait for a later update.
+  Scenario: Updates of the shares that come close together are combined
+    Given a host that updated its shares just now
+    When two summaries with steady counts arrive
+    Then the shares are updated once, 50 ms after the update before
+    When a summary with a surge arrives right after
+    Then the shares are updated at once
+    And a summary of a standby relay causes no update
+
   # Guards against skipped work that changes a decision: updates leave customers alone
   # whose counts did not change.
   Scenario: Updates that skip unchanged customers decide as those that compute all
