Kept tables of counts whose entries a message does not change.

Most entries of a message repeat earlier ones, and a complete message of a quiet host changes nothing; each made a new table, so that everything derived from it was computed again. A step's callback takes the two arguments that the peer protocol passes since updates are combined; two scenarios had ended with an error by that.

--- a/damasktally/entry/delta.py
+++ b/damasktally/entry/delta.py
@@ -32,8 +32,11 @@
         """
         self._message_count += not force_complete
         for name in self._sent.keys() - table.keys():
-            self._record(name, 0)
-        for name, value in table.items():
+            if self._sent[name] != 0:
+                self._record(name, 0)
+        sent = self._sent
+        changed = [item for item in table.items() if sent.get(item[0]) != item[1]]
+        for name, value in changed:
             self._record(name, value)
         if force_complete or self._message_count % MESSAGES_PER_FULL_TABLE == 1:
             return dict(self._sent), True
@@ -45,6 +48,5 @@
         return recent, False
 
     def _record(self, name: str, value: float) -> None:
-        if self._sent.get(name) != value:
-            self._sent[name] = value
-            self._changed_at[name] = self._message_count
+        self._sent[name] = value
+        self._changed_at[name] = self._message_count
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import inf
+from typing import Any
 
 import msgspec
 
@@ -191,13 +192,10 @@
             return False
         is_new = record is None or is_newer_incarnation
         demand, admitted = heartbeat.demand, heartbeat.admitted
-        if (
-            not heartbeat.is_complete
-            and record is not None
-            and not is_newer_incarnation
-        ):
-            demand = {**record.demand, **demand}
-            admitted = {**record.admitted, **admitted}
+        if record is not None and not is_newer_incarnation:
+            is_complete = heartbeat.is_complete
+            demand = merge_tables(record.demand, demand, is_complete)
+            admitted = merge_tables(record.admitted, admitted, is_complete)
         self._records[heartbeat.host] = MemberRecord(
             member=member_from_heartbeat(heartbeat),
             last_seen_at=now,
@@ -307,6 +305,21 @@
         return sorted([self.own.host, *self._records])
 
 
+def merge_tables(
+    previous: Mapping[str, Any], received: Mapping[str, Any], is_complete: bool
+) -> Mapping[str, Any]:
+    """Return a table of which a message carried all entries or those that changed.
+
+    :returns: the previous table itself if no entry changed, so that what was derived
+        from it remains valid.
+    """
+    if is_complete:
+        return previous if received == previous else received
+    if received.items() <= previous.items():
+        return previous
+    return {**previous, **received}
+
+
 def member_from_heartbeat(heartbeat: Heartbeat) -> Member:
     """Return the host that a heartbeat describes."""
     return Member(
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -11,7 +11,11 @@
 import msgspec
 
 from damasktally.fleet.crash_reports import CrashReport
-from damasktally.fleet.members import HEARTBEAT_TIMEOUT_S, REMOVAL_TIMEOUT_S
+from damasktally.fleet.members import (
+    HEARTBEAT_TIMEOUT_S,
+    REMOVAL_TIMEOUT_S,
+    merge_tables,
+)
 from damasktally.fleet.model import Member, ReadyHost
 from damasktally.fleet.server_limits import ServerLimitReport
 from damasktally.fleet.topics import Topic, revisions_by_topic
@@ -187,9 +191,9 @@
             if hosts is None or hosts == previous.data_centre_hosts:
                 # What is derived from a list is kept as long as it is the same object.
                 hosts = previous.data_centre_hosts
-            if not summary.is_complete:
-                demand = {**previous.demand, **demand}
-                admitted = {**previous.admitted, **admitted}
+            is_complete = summary.is_complete
+            demand = merge_tables(previous.demand, demand, is_complete)
+            admitted = merge_tables(previous.admitted, admitted, is_complete)
         revisions = revisions_by_topic(summary.revisions)
         relays[summary.relay] = SummaryRecord(
             summary, hosts or [], demand, admitted, now, revisions
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -111,7 +111,7 @@
                 record_heartbeat=lambda heartbeat: None,
                 record_summary=lambda summary, is_relay: None,
             ),
-            lambda: None,
+            lambda record, now: None,
         )
         self.sent = []
         self.peer_protocol.connection_made(
