Passed reports of servers to the lease manager only where leases are on.

Cause: each response called the manager, also on hosts without leases. Change: the host connects the two only if it has a lease port. Conclusion: hosts without leases do no more work than before.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -187,7 +187,7 @@
             self._metrics,
             lambda: self.is_ready,
         )
-        self._server_reports.on_load = self._leases.manager.record_report
+        self._server_reports.on_load = self._leases.record_report
         self._host_pool = ConnectionPool(response_memory, LinkBreaks())
         self._requests = RequestHandler(
             self._view,
--- a/damasktally/entry/leases/host_leases.py
+++ b/damasktally/entry/leases/host_leases.py
@@ -21,8 +21,8 @@
 class HostLeases:
     """Leases of one host, as a manager and as one that asks.
 
-    ``gate`` is for the requests of callers; ``manager`` receives the reports of
-    servers.
+    ``gate`` is for the requests of callers; ``record_report`` takes the load that a
+    server reports, and is ``None`` if this host grants no leases.
 
     :param is_ready: returns whether this host takes requests.
     """
@@ -42,6 +42,7 @@
             own, managers, view, candidates.loads.estimate, metrics
         )
         client = LeaseClient(own, managers, self._send, Random())
+        self.record_report = self.manager.record_report if client.is_enabled else None
         self.gate = LeaseGate(client, candidates.loads, metrics)
         self._endpoint = LeaseEndpoint(
             own,
