Counted a wait for memory as time for which a server is held up.

A server that cuts off a response which the host does not read for lack of memory was taken for a server that fails, and paused.

--- a/damasktally/entry/outcome.py
+++ b/damasktally/entry/outcome.py
@@ -62,7 +62,7 @@
 
     @property
     def server_duration_s(self) -> float:
-        """Return the duration without the time for which the caller held it up."""
+        """Return the duration without the time for which the server was held up."""
         if not self.is_streamed:
             return self.duration_s
         return self.duration_s - self.response.stream.held_up_s
--- a/damasktally/entry/request_sender.py
+++ b/damasktally/entry/request_sender.py
@@ -25,8 +25,8 @@
 
 
 MAX_HELD_UP_S = 1.0
-"""Seconds for which a caller may hold up a server before the loss of the response is
-no longer the server's failure: a server may cut off a caller that is too slow."""
+"""Seconds for which a server may be held up before the loss of the response is no
+longer the server's failure: a server may cut off what is not read or not sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +160,7 @@
     """
     if req.upload is not None and req.upload.is_awaited:
         return AttemptOutcome.CALLER_TOO_SLOW
-    if streamed_head is not None and streamed_head.stream.is_held_up:
+    if streamed_head is not None and streamed_head.stream.is_caller_slow:
         return AttemptOutcome.CALLER_TOO_SLOW
     return AttemptOutcome.TIMED_OUT
 
--- a/damasktally/http1/response_stream.py
+++ b/damasktally/http1/response_stream.py
@@ -76,14 +76,11 @@
     def hold(self) -> None:
         """Pause, as the caller reads more slowly than the server sends."""
         self._is_caller_ready = False
-        if self._held_up_since is None:
-            self._held_up_since = self._now()
         self._apply()
 
     def proceed(self) -> None:
         """Go on, as the caller has read most of what was sent."""
         self._is_caller_ready = True
-        self._add_held_up_time()
         self._apply()
 
     def discard(self) -> None:
@@ -105,13 +102,13 @@
         self._pause_source = self._resume_source = None
 
     @property
-    def is_held_up(self) -> bool:
-        """Return whether the caller is holding up the server now."""
-        return self._held_up_since is not None
+    def is_caller_slow(self) -> bool:
+        """Return whether the server is held up now, as the caller does not read."""
+        return not self._is_caller_ready
 
     @property
     def held_up_s(self) -> float:
-        """Return the seconds for which the caller held up the server."""
+        """Return the seconds for which the caller or the memory held up the server."""
         if self._held_up_since is None:
             return self._held_up_s
         return self._held_up_s + self._now() - self._held_up_since
@@ -131,6 +128,9 @@
             return
         is_ready = self._is_granted and self._is_caller_ready
         if is_ready or self.is_discarded:
+            self._add_held_up_time()
             self._resume_source()
-        else:
-            self._pause_source()
+            return
+        if self._held_up_since is None:
+            self._held_up_since = self._now()
+        self._pause_source()
--- a/features/entry/streaming.feature
+++ b/features/entry/streaming.feature
@@ -90,6 +90,14 @@
     And none of the servers is paused
     And the request ended as caller-too-slow
 
+  Scenario: A server that cuts off what the host has no memory for is not paused
+    Given the host has memory for 1 body that is forwarded as it arrives
+    And every server sends 40000000 bytes and cuts the connection after 1.3 s
+    When 4 readers of /big/1 read nothing for 2 s and then all that comes
+    Then they get less than 40000000 bytes each
+    And none of the servers is paused
+    And the request ended as caller-too-slow
+
   Scenario: A deadline that passes while the caller reads nothing
     Given every server sends bodies of 40000000 bytes
     When 4 readers of /short/1 read nothing for 1 s and then all that comes
