Left leases out of the deploy template.

Change: the template's line is commented out; checks of leases use it enabled, as strictly as before.

--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -41,14 +41,22 @@
       | an unknown zone       | data_centre = {{Zone}}          | data_centre = x   | 2    | entry.E202             |
       | another region        | region = {{Region}}             | region = x        | 2    | entry.E203             |
       | unreadable bounds     | agreed = {{Bounds\|json}}       | agreed = {}       | 2    | entry.E204             |
-      | leases elsewhere      | leases = {{Ip}}                 | leases = 10.9.9.9 | 2    | entry.E207             |
-      | lease port too high   | {{PortRange.1}}                 | 70000             | 2    | entry.E208             |
-      | lease port 0          | {{PortRange.1}}                 | 0                 | 2    | entry.E208             |
-      | a shared lease port   | {{PortRange.1}}                 | 8003              | 2    | entry.E201             |
       | a host without seeds  | seeds = {{Seeds}}               | seeds =           | 0    | entry.W205             |
       | a misspelt value      | {{NodeName}}                    | {{NodName}}       | 2    | asks for NodName       |
       | an unknown option     | name = {{NodeName}}             | nam = x           | 2    | unknown field          |
 
+  Scenario Outline: A check of an entry host with leases finds <problem> as <id>
+    Given the deploy template with leases, and "<text>" in place of "<before>"
+    When it is checked
+    Then it ends with 2 and reports <id>
+
+    Examples:
+      | problem             | before          | text              | id         |
+      | leases elsewhere    | leases = {{Ip}} | leases = 10.9.9.9 | entry.E207 |
+      | lease port too high | {{PortRange.1}} | 70000             | entry.E208 |
+      | lease port 0        | {{PortRange.1}} | 0                 | entry.E208 |
+      | a shared lease port | {{PortRange.1}} | 8003              | entry.E201 |
+
   Scenario Outline: A settings file that is not text is rejected without a crash
     Given a settings file that is not text, with <section>
     When it is checked
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -126,6 +126,14 @@
     context.path = write_file(context, template.replace(before, text), ".ini")
 
 
+@given('the deploy template with leases, and "{text}" in place of "{before}"')
+def change_template_with_leases(context, text, before):
+    template = (ROOT / "deploy" / "host.ini.template").read_text(encoding="utf-8")
+    template = template.replace("; leases =", "leases =")
+    assert before in template, before
+    context.path = write_file(context, template.replace(before, text), ".ini")
+
+
 @then("it ends with {code:d} and reports {what}")
 def check_reports(context, code, what):
     check_code(context, code)
