--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -1,13 +1,6 @@
 """Assemble the parts of an entry host and run them."""
 
-from asyncio import (
-    AbstractEventLoop,
-    Task,
-    create_task,
-    gather,
-    get_running_loop,
-    sleep,
-)
+from asyncio import Task, create_task, gather, get_running_loop, sleep
 from random import Random
 
 from damasktally.addresses import split_address
@@ -82,7 +75,7 @@
 
     def __init__(self, settings: EntrySettings, output: LogOutput | None) -> None:
         self._settings = settings
-        self._loop: AbstractEventLoop = get_running_loop()
+        self._loop = get_running_loop()
         self._rng = Random()
         self._bounds = decode_bounds(settings.bounds.agreed)
         self._metrics = EntryMetrics()
