--- a/damasktally/entry/checks.py
+++ b/damasktally/entry/checks.py
@@ -111,7 +111,7 @@
     """Check that the memory has room for bodies, and is stated in MB."""
     if not MIN_MEMORY_MB <= settings.limits.memory_mb <= MAX_MEMORY_MB:
         yield CheckMessage(
-            "entry.E207",
+            "entry.E209",
             f"[limits] memory_mb is {settings.limits.memory_mb:g}, not between "
             f"{MIN_MEMORY_MB} and {MAX_MEMORY_MB}.",
             "Set the memory of the host in MB, such as 200.",
--- a/damasktally/entry/server_reports.py
+++ b/damasktally/entry/server_reports.py
@@ -26,7 +26,8 @@
 class ServerReports:
     """Pass each report on to the decisions that depend on it, and log changes.
 
-    ``on_load`` is called with each server that reports running and waiting requests.
+    ``on_load`` is called with each server that reports running and waiting requests,
+    their numbers and the age of the report in seconds.
 
     :param view: receives which servers leave.
     :param loads: receives the numbers of running and waiting requests.
@@ -44,7 +45,7 @@
         pauses: ServerPauses,
         metrics: EntryMetrics,
     ) -> None:
-        self.on_load: Callable[[Server, int, int], None] | None = None
+        self.on_load: Callable[[Server, int, int, float], None] | None = None
         self._metrics = metrics
         self._view = view
         self._loads = loads
@@ -60,7 +61,7 @@
         if report.running is not None and report.waiting is not None:
             self._record_load(server, report, now)
             if self.on_load is not None:
-                self.on_load(server, report.running, report.waiting)
+                self.on_load(server, report.running, report.waiting, 0.0)
         if report.is_leaving:
             self.record_leaving([(server.id, server.started_ms)], OWN_SOURCE)
         if report.pause_s is not None:
@@ -114,6 +115,9 @@
                 continue
             if self._loads.record_shared_report(report, now):
                 self._load_reports.record(report, known.server.slots, scope, now)
+                if self.on_load is not None:
+                    age_s = report.age_ms / 1000.0
+                    self.on_load(known.server, report.running, report.waiting, age_s)
 
     def record_limits(
         self, reports: Iterable[ServerLimitReport], scope: ReportScope, source: str
--- a/features/entry/streaming.feature
+++ b/features/entry/streaming.feature
@@ -184,8 +184,8 @@
 
     Examples:
       | memory  | messages   |
-      | 15      | entry.E207 |
+      | 15      | entry.E209 |
       | 16      |            |
       | 200     |            |
-      | 1000001 | entry.E207 |
-      | nan     | entry.E207 |
+      | 1000001 | entry.E209 |
+      | nan     | entry.E209 |
