Let a process whose clock was set back count once the known report expired.

Cause: a report with an earlier start was ignored for as long as the server stayed registered, so that a server whose machine's clock was set back before it started again had no load at any host.

Change: the start decides only until the known report is 1 s old.

Result: the scenarios of server_loads, decisions and boundary pass, with a new step for this.

--- a/damasktally/decisions/load.py
+++ b/damasktally/decisions/load.py
@@ -82,10 +82,11 @@
             time, or None if it does not say.
         :param started_ms: Unix time of the start of the server's process in
             milliseconds.
-        :returns: whether it was recorded; that of an earlier process is not.
+        :returns: whether it was recorded. That of an earlier process is not while a
+            report of a later one counts.
         """
         load = self._load(server)
-        if started_ms < load.started_ms:
+        if started_ms < load.started_ms and now < load.expires_at:
             return False
         load.others = max(0.0, running + waiting - (load.own - 1))
         load.slowdown = 1.0 if slowdown is None else slowdown
@@ -111,12 +112,8 @@
             return False
         load = self._load(report.server)
         reported_at = now - report.age_ms / 1000.0
-        is_next_process = report.started_ms > load.started_ms
-        is_newer = reported_at > load.reported_at + ARRIVAL_JITTER_S
         expires_at = reported_at + REPORT_LIFETIME_S
-        if now >= expires_at or report.started_ms < load.started_ms:
-            return False
-        if not (is_next_process or is_newer):
+        if now >= expires_at or not _is_newer(report, reported_at, load, now):
             return False
         load.others = max(0.0, report.running + report.waiting - load.own)
         load.slowdown = report.slowdown_percent / 100.0
@@ -163,3 +160,18 @@
         if load is None:
             load = self._loads[server] = _ServerLoad()
         return load
+
+
+def _is_newer(
+    report: ServerLoadReport, reported_at: float, load: _ServerLoad, now: float
+) -> bool:
+    """Return whether a report of another host is newer than the known one.
+
+    The start of a process counts more than the time of its report, until the known
+    report expires: the clock of a server's machine may have been set back.
+    """
+    if now >= load.expires_at:
+        return True
+    if report.started_ms != load.started_ms:
+        return report.started_ms > load.started_ms
+    return reported_at > load.reported_at + ARRIVAL_JITTER_S
--- a/features/entry/server_loads.feature
+++ b/features/entry/server_loads.feature
@@ -66,6 +66,7 @@
       | huge                   | 5       | 9       | 1000001 | 100     | 0    |
       | without a slowdown     | 5       | 9       | 9       | 0       | 0    |
     And the first report of a server's next process counts
+    And a process whose clock was set back counts 1 s after the last report of the other
 
   # Guards against a host that is told of a process that it does not know, or ended.
   Scenario: A host ignores the load of a process that is not registered
--- a/features/steps/server_load_steps.py
+++ b/features/steps/server_load_steps.py
@@ -163,6 +163,24 @@
     assert loads.estimate("s", NOW) == 1
 
 
+@then(
+    "a process whose clock was set back counts {seconds:g} s after the last report "
+    "of the other"
+)
+def then_clock_set_back(context, seconds):
+    """Record reports of a process that seems to have started before the known one."""
+    loads = ServerLoads()
+    loads.record_report("s", 9, 0, None, NOW, started_ms=5)
+    assert not loads.record_report("s", 4, 0, None, NOW + seconds - 0.01, started_ms=4)
+    loads.begin("s")
+    assert loads.record_report("s", 4, 0, None, NOW + seconds, started_ms=4)
+    loads.end("s")
+    assert loads.estimate("s", NOW + seconds) == 4
+    later = NOW + 3 * seconds
+    assert loads.record_shared_report(shared_report(7, started=3), later)
+    assert loads.estimate("s", later) == 7
+
+
 def take_loads(reports, outbox, scope=ReportScope.OWN, now=NOW):
     """Return the numbers of running requests that the next message carries."""
     return [report.running for report in reports.take(outbox, scope, now)]
