Clarified names and doc comments of leases, streams and loads.

Change: the usual terms pause and resume, unleased, late and pending; unpacked keys; one constant for the 100 Continue response; average_s is used by expected_wait_s. One step follows the renamed LeaseClient._pending. Behaviour is unchanged.

--- a/damasktally/decisions/counter_totals.py
+++ b/damasktally/decisions/counter_totals.py
@@ -23,8 +23,8 @@
     def add(self, identity: Identity, counts: Mapping[str, int]) -> dict[str, int]:
         """Add the growth of a host's counters to the totals.
 
-        The first value of a counter only sets its baseline. The same table needs no
-        work when it is added again, and must not change in between.
+        The first value of a counter only sets its baseline. A table must not change
+        after it was added: adding the same object again has no effect.
 
         :param counts: current counts by name.
         :returns: growth by name, of the counters that changed or are new.
@@ -53,7 +53,7 @@
         return growth
 
     def add_growth(self, growth: Mapping[str, int]) -> None:
-        """Add growth that other totals found in the counters of a host.
+        """Add growth that another instance computed from the counters of a host.
 
         :param growth: growth by name; 0 makes a name known.
         """
@@ -62,7 +62,7 @@
             totals[name] = totals.get(name, 0) + count
 
     def mark_added(self, identity: Identity, counts: Mapping[str, int]) -> None:
-        """Record that all entries of a table of a host were added already.
+        """Record a host's table of which all entries were added already.
 
         :param counts: current counts by name.
         """
--- a/damasktally/decisions/customer_bucket.py
+++ b/damasktally/decisions/customer_bucket.py
@@ -69,12 +69,12 @@
 class CustomerBucket:
     """Hold the state of one customer's token bucket.
 
-    :param refilled_at: time of the event loop, in seconds, as of which ``tokens_left``
-        is.
-    :param demand_clock_s: sum of the intervals between updates, in seconds, as of
-        which ``demand`` and ``share`` are.
-    :param is_limited: whether the customer has a limit at present; updates leave the
-        bucket alone otherwise.
+    :param refilled_at: time of the event loop in seconds to which ``tokens_left``
+        applies.
+    :param demand_clock_s: sum of the intervals between updates, in seconds, to which
+        ``demand`` and ``share`` apply.
+    :param is_limited: whether the customer has a limit at present; otherwise updates
+        skip the bucket.
     :param division: numbers of hosts that share the limit.
     :param rate: tokens a second for the hosts that are not silent.
     :param burst: size of the bucket for these hosts, in tokens.
@@ -84,14 +84,14 @@
     :param own_excess: requests that this host may admit beyond its share.
     :param fleet_excess: requests by which the hosts that are not silent may exceed the
         bucket together.
-    :param surge_reserves: tokens that are kept for the other hosts' surges, by the
-        requests that each host admits ahead; filled when needed.
+    :param surge_reserves: cache of the tokens that are kept for the other hosts'
+        surges, by the number of requests that each host admits ahead.
     :param admitted_at: times of the requests that this host admitted last.
     :param requested: requests since the demand was last measured.
     :param demand: requests a second that reach this host.
     :param other_demand: requests a second that reach the other hosts.
     :param admitted: requests that this host admitted since it started.
-    :param lagged_admitted: the same, as of the age that other hosts' counts have.
+    :param lagged_admitted: the same, delayed by the age that other hosts' counts have.
     :param admitted_history: times and counts from which ``lagged_admitted`` is taken,
         an entry for each change.
     :param reported_counts: last admitted count of each report, by identity.
--- a/damasktally/decisions/lease_holders.py
+++ b/damasktally/decisions/lease_holders.py
@@ -70,16 +70,23 @@
 
     def get(self, key: LeaseKey) -> LeaseHolder | None:
         """Return the process that sent a message, or ``None`` if it is not known."""
-        holder = self._holders.get(key[0])
-        if holder is None or holder.started_ms != key[1]:
+        host, started_ms, _ = key
+        holder = self._holders.get(host)
+        if holder is None or holder.started_ms != started_ms:
             return None
         return holder
 
+    def record_live(self, key: LeaseKey, server: str) -> None:
+        """Record that a known process holds a lease of a server, or waits for one."""
+        host, _, number = key
+        self._holders[host].live[number] = server
+
     def record_end(self, key: LeaseKey, decision: LeaseDecision | None) -> None:
         """Record that a lease or a wait has ended, and how if it was refused."""
+        _, _, number = key
         holder = self.get(key)
         if holder is not None:
-            holder.record_end(key[2], decision)
+            holder.record_end(number, decision)
 
     def remove_silent(self, now: float) -> None:
         """Remove the hosts that hold nothing and sent nothing for long."""
--- a/damasktally/decisions/load.py
+++ b/damasktally/decisions/load.py
@@ -17,8 +17,9 @@
 ARRIVAL_JITTER_S = 0.02
 """A report of another host has to be newer than the known one by more than this.
 
-The time that a report takes between hosts is not part of its age. One that arrives in
-two ways would otherwise count as a newer one; the longest way between hosts is 12 ms.
+The time that a report takes between hosts is not part of its age. Otherwise the copy of
+a report that arrives later by another path would count as a newer report; the longest
+path between hosts takes 12 ms.
 """
 
 
--- a/damasktally/decisions/load_reports.py
+++ b/damasktally/decisions/load_reports.py
@@ -28,7 +28,7 @@
 Messages are sent every 0.2 s, so that the receivers get it when the last one is about
 to lose weight. With 0.5 s, the estimates' mean error was nearly twice as large.
 """
-MUCH_SLOWER = 0.5
+MIN_SLOWDOWN_CHANGE = 0.5
 """Change of the slowdown that is sent with the next message."""
 
 
@@ -194,7 +194,7 @@
     if now - sent.reported_at >= RENEWAL_AGE_S:
         return True
     is_load_changed = abs(sent.total - known.total) >= BUSY_SLOT_FRACTION * known.slots
-    return is_load_changed or abs(sent.slowdown - known.slowdown) >= MUCH_SLOWER
+    return is_load_changed or abs(sent.slowdown - known.slowdown) >= MIN_SLOWDOWN_CHANGE
 
 
 def _encode(server: str, known: _KnownReport, now: float) -> ServerLoadReport:
--- a/damasktally/decisions/quota.py
+++ b/damasktally/decisions/quota.py
@@ -43,7 +43,7 @@
 MIN_REPORTED_DEMAND = 0.01
 """Requests a second of a customer below which this host reports no demand."""
 MIN_UPDATE_S = 1e-3
-"""Shortest time over which an update measures the demand."""
+"""Lower bound on the time over which an update measures the demand."""
 
 
 def expected_surge_admissions(rate: float, host_count: int, max_per_host: int) -> float:
@@ -86,7 +86,8 @@
     """Decide whether requests are within their customers' limits over all hosts.
 
     An update touches only the customers whose counts changed. The buckets of the others
-    are brought up to the last update when they are used.
+    are brought up to the last update (settled) when they are used. A bucket stays
+    unsettled while requests of this host are not yet part of its demand or its tokens.
 
     :param max_excess: returns by how many requests all hosts together may exceed a
         customer's bucket for a moment.
--- a/damasktally/decisions/response_times.py
+++ b/damasktally/decisions/response_times.py
@@ -9,9 +9,10 @@
 DEFAULT_RESPONSE_TIME_S = 0.5
 """Assumed for a service that has not responded to a request yet."""
 FALL_WEIGHT = 0.2
+"""Weight with which a shorter response time lowers the time of a fast response."""
 RISE_WEIGHT = 0.02
-"""Weights with which a shorter and a longer response change the typical fast response
-time. With this ratio, about one in ten responses is faster."""
+"""Weight with which a longer response time raises it. With a tenth of the other weight,
+about one in ten responses is faster."""
 MIN_WAIT_S = 0.1
 MAX_WAIT_S = 3.0
 
@@ -41,7 +42,7 @@
         self._fast_s[service] = fast_s + weight * (seconds - fast_s)
 
     def fast_response_s(self, service: str) -> float:
-        """Return how long a fast response of a service takes, in seconds.
+        """Return the time of a fast response of a service, in seconds.
 
         It is about the time of a request that finds a free slot at a server that is
         warm for its object; 0 if the service has not responded yet.
@@ -54,5 +55,5 @@
 
     def expected_wait_s(self, service: str) -> float:
         """Return the seconds after which a full service is expected to have room."""
-        average_s = self._average_s.get(service, DEFAULT_RESPONSE_TIME_S)
+        average_s = self.average_s(service)
         return min(MAX_WAIT_S, max(MIN_WAIT_S, average_s))
--- a/damasktally/decisions/server_leases.py
+++ b/damasktally/decisions/server_leases.py
@@ -21,7 +21,7 @@
 )
 from damasktally.decisions.load import REPORT_LIFETIME_S
 from damasktally.decisions.server_slots import MIN_RUN_S, ServerSlots
-from damasktally.decisions.wait_queue import WaitingRequest, find_hopeless
+from damasktally.decisions.wait_queue import WaitingRequest, find_late_requests
 
 MAX_WAITING = 256
 """Requests that wait for one server. Each arrival orders all of them, which takes
@@ -69,7 +69,7 @@
             state = self._add_server(terms, now)
         state.slots = max(1, terms.slots)
         decisions += self._expire(state, now) + self._fill(state, now)
-        self._holders.get(terms.key).live[terms.key[2]] = terms.server
+        self._holders.record_live(terms.key, terms.server)
         if not state.queue and state.has_room(now):
             state.grant(terms.key, terms.priority, terms.customer, terms.run_s, now)
             return [*decisions, LeaseDecision(terms.key, LeaseOutcome.GRANTED)]
@@ -89,9 +89,10 @@
         holder = self._holders.get(key)
         if holder is None:
             return decisions
-        server = holder.live.get(key[2])
-        if key[2] not in holder.ended:
-            holder.record_end(key[2], None)
+        _, _, number = key
+        server = holder.live.get(number)
+        if number not in holder.ended:
+            holder.record_end(number, None)
         if server is None:
             return decisions
         state = self._servers[server]
@@ -187,13 +188,14 @@
         )
 
     def _renew_holder(self, key: LeaseKey, now: float) -> list[LeaseDecision]:
-        """Note a host's message; a new process of it ends what the last one had."""
+        """Record a host's message; a new process ends the leases of the last one."""
         earlier = self._holders.renew(key, now)
         if earlier is None:
             return []
+        host, _, _ = key
         for number, server in earlier.live.items():
             state = self._servers[server]
-            old_key = (key[0], earlier.started_ms, number)
+            old_key = (host, earlier.started_ms, number)
             state.queue.remove(old_key)
             state.end(old_key, now)
         decisions = []
@@ -202,11 +204,13 @@
         return decisions
 
     def _known_decision(self, terms: LeaseTerms, now: float) -> LeaseDecision | None:
+        """Return the decision about a request that is repeated, or ``None``."""
+        _, _, number = terms.key
         holder = self._holders.get(terms.key)
-        refusal = holder.ended.get(terms.key[2])
+        refusal = holder.ended.get(number)
         if refusal is not None:
             return refusal
-        server = holder.live.get(terms.key[2])
+        server = holder.live.get(number)
         if server is None:
             return None
         state = self._servers[server]
@@ -227,7 +231,7 @@
     def _enqueue(
         self, terms: LeaseTerms, state: ServerSlots, now: float
     ) -> list[LeaseDecision]:
-        """Let a request wait, or refuse it if it will not get room in time.
+        """Queue a request, or refuse it if it will not get room in time.
 
         Requests that it overtakes and that will get no room in time are refused, too.
         """
@@ -250,16 +254,16 @@
             return [self._refuse_waiting(item, state, position, now)]
         state.queue.add(replace(item, ahead=position))
         decisions = [LeaseDecision(terms.key, LeaseOutcome.QUEUED, wait_s, position)]
-        overtaken = find_hopeless(
+        overtaken = find_late_requests(
             ordered,
             position + 1,
-            lambda *place: state.expected_wait_s(*place, now),
+            lambda index, priority: state.expected_wait_s(index, priority, now),
             now,
         )
         overtaken = overtaken or ordered[MAX_WAITING:]
-        for hopeless in overtaken:
-            place = ordered.index(hopeless)
-            decisions.append(self._refuse_waiting(hopeless, state, place, now))
+        for late in overtaken:
+            index = ordered.index(late)
+            decisions.append(self._refuse_waiting(late, state, index, now))
         return decisions
 
     def _fill(self, state: ServerSlots, now: float) -> list[LeaseDecision]:
--- a/damasktally/decisions/server_selection.py
+++ b/damasktally/decisions/server_selection.py
@@ -79,6 +79,8 @@
     :param max_relative_time: time that is left for the request, relative to that of a
         fast run. A server at which the request could not end in time even if it were
         warm is left out: a run that is cut off occupies a slot and serves nobody.
+    :param is_service_full: whether the servers have as many requests as slots on
+        average. A request then does not wait at any server but the first.
     """
     best: Server | None = None
     best_cost = inf
--- a/damasktally/decisions/server_slots.py
+++ b/damasktally/decisions/server_slots.py
@@ -20,7 +20,7 @@
 SHARE_WEIGHT = 1 / 32
 """Weight of one lease in the moving average of the parts of the priorities."""
 MIN_REMAINING_SHARE = 0.05
-"""Least part of the room that a priority is expected to get."""
+"""Lower bound on the part of the room that a priority is expected to get."""
 MIN_RUN_S = 0.005
 """Lower bound on a run time, so that every wait is estimated to take some time."""
 MESSAGE_SKEW_S = 0.03
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class Lease:
-    """Lease of one request; times are in seconds."""
+    """Lease of one request; times are in seconds on the manager's clock."""
 
     customer: str
     granted_at: float
@@ -41,8 +41,12 @@
 class ServerSlots:
     """Leases of one process of a server, and the load that its reports show.
 
+    :param slots: requests that the server processes at once.
     :param run_s: moving average of the time that a lease lasts.
-    :param beyond: requests without a lease that the last report showed.
+    :param leases: outstanding leases.
+    :param in_progress: number of outstanding leases of each customer.
+    :param queue: requests that wait for a lease.
+    :param unleased: requests without a lease that the last report showed.
     :param reported_at: when the server sent the last report.
     :param shares: moving average of the part of the leases that each priority got.
     :param ended: when each recent lease was granted and when it ended.
@@ -54,27 +58,27 @@
     leases: dict[LeaseKey, Lease] = field(default_factory=dict)
     in_progress: Counter[str] = field(default_factory=Counter)
     queue: WaitQueue = field(default_factory=WaitQueue)
-    beyond: float = 0.0
+    unleased: float = 0.0
     reported_at: float = -inf
     shares: dict[int, float] = field(default_factory=dict)
     ended: list[tuple[float, float]] = field(default_factory=list)
 
-    def others(self, now: float) -> float:
-        """Return the load beyond the leases; a report loses its weight with its age."""
+    def unleased_load(self, now: float) -> float:
+        """Return the load without leases; a report loses its weight with its age."""
         weight = 1.0 - (now - self.reported_at) / REPORT_LIFETIME_S
-        return self.beyond * min(1.0, max(0.0, weight))
+        return self.unleased * min(1.0, max(0.0, weight))
 
     def has_room(self, now: float) -> bool:
         """Return whether another lease may be granted."""
-        # A rest of less than half a request is a report that has nearly expired.
-        return len(self.leases) + self.others(now) + 1 <= self.slots + 0.5
+        # Less than half a request remains of a report that has nearly expired.
+        return len(self.leases) + self.unleased_load(now) + 1 <= self.slots + 0.5
 
     def expected_wait_s(self, position: int, priority: int, now: float) -> float:
-        """Return when a request at a position of the queue is expected to start.
+        """Return the seconds until a request at a position of the queue may start.
 
         More urgent requests that arrive later will take their part of the room.
         """
-        excess = max(0.0, len(self.leases) + self.others(now) - self.slots)
+        excess = max(0.0, len(self.leases) + self.unleased_load(now) - self.slots)
         more_urgent = sum(
             share for item, share in self.shares.items() if item < priority
         )
@@ -127,5 +131,5 @@
         :param at: when it sent the report.
         """
         if at >= self.reported_at:
-            self.beyond = max(0.0, outstanding - self._leases_at(at))
+            self.unleased = max(0.0, outstanding - self._leases_at(at))
             self.reported_at = at
--- a/damasktally/decisions/wait_queue.py
+++ b/damasktally/decisions/wait_queue.py
@@ -90,7 +90,7 @@
     return item.start_by, item.arrival
 
 
-def find_hopeless(
+def find_late_requests(
     ordered: list[WaitingRequest],
     first: int,
     expected_wait_s: Callable[[int, int], float],
@@ -98,16 +98,16 @@
 ) -> list[WaitingRequest]:
     """Return the requests that will not get room before their latest start.
 
-    Each of them that is left out moves those behind it forward.
+    Requests behind one of them are examined as if it had left the queue.
 
     :param ordered: waiting requests, the one that is served next first.
     :param first: position from which on requests are examined.
     :param expected_wait_s: returns the time until a request at a position, and of a
         priority, is served.
     """
-    hopeless = []
+    late: list[WaitingRequest] = []
     for position, item in enumerate(ordered[first:], first):
-        wait_s = expected_wait_s(position - len(hopeless), item.priority)
+        wait_s = expected_wait_s(position - len(late), item.priority)
         if now + wait_s > item.start_by:
-            hopeless.append(item)
-    return hopeless
+            late.append(item)
+    return late
--- a/damasktally/entry/body_streams.py
+++ b/damasktally/entry/body_streams.py
@@ -31,7 +31,7 @@
         self.min_bytes = min_bytes
         self._memory = memory
         self._metrics = metrics
-        self._active: set[ResponseStream] = set()
+        self._responses: set[ResponseStream] = set()
         self._uploads: set[RequestBody] = set()
 
     @classmethod
@@ -61,7 +61,7 @@
             # Bodies that wait must not hold the memory that they wait for.
             self.end(req.upload)
         self._metrics.streamed_bodies.labels("response").inc()
-        self._active.add(stream)
+        self._responses.add(stream)
         self._memory.request(stream.grant)
         if self._memory.is_waiting(stream.grant):
             self._metrics.delayed_bodies.inc()
@@ -69,7 +69,7 @@
 
     def close(self, stream: ResponseStream) -> None:
         """End a response, whether it is complete or not, and release its memory."""
-        self._active.discard(stream)
+        self._responses.discard(stream)
         self._memory.release(stream.grant)
 
     def admit(self, body: RequestBody) -> bool:
@@ -92,5 +92,5 @@
     @property
     def held_bytes(self) -> int:
         """Return the bytes of streamed bodies that wait in the host."""
-        response_bytes = sum(stream.unsent_bytes for stream in self._active)
+        response_bytes = sum(stream.unsent_bytes for stream in self._responses)
         return response_bytes + sum(body.waiting_bytes for body in self._uploads)
--- a/damasktally/entry/demand_sums.py
+++ b/damasktally/entry/demand_sums.py
@@ -1,6 +1,7 @@
 """Add up the demand of each customer over hosts and data centres."""
 
 from collections.abc import Mapping
+from operator import is_
 
 Table = Mapping[str, float]
 
@@ -19,7 +20,7 @@
         :returns: the same table as before if all tables are the same.
         """
         given = tables if base is None else [base, *tables]
-        if len(given) == len(self._tables) and all(map(_is, given, self._tables)):
+        if len(given) == len(self._tables) and all(map(is_, given, self._tables)):
             return self._sums
         sums = {} if base is None else dict(base)
         for table in tables:
@@ -30,10 +31,6 @@
         return sums
 
 
-def _is(first: Table, second: Table) -> bool:
-    return first is second
-
-
 def rounded(sums: Table) -> dict[str, float]:
     """Return sums as messages carry them."""
     return {name: round(value, 2) for name, value in sums.items()}
--- a/damasktally/entry/leases/client.py
+++ b/damasktally/entry/leases/client.py
@@ -72,8 +72,8 @@
 
     :param number: identifies it among those of this host.
     :param manager: the host that was asked, or ``None``.
-    :param room_after_s: for a refusal, when the manager expects room.
-    :param waited_s: how long the answer took.
+    :param room_after_s: for a refusal, the seconds until the manager expects room.
+    :param waited_s: seconds until there was a decision, or none was expected any more.
     :param ahead: how many requests waited ahead, or ``None`` if it did not wait.
     """
 
@@ -89,7 +89,7 @@
     """The caller of a request that waits has left."""
 
 
-class _Question:
+class _PendingRequest:
     """A request for a lease that is not decided yet, and the replies to it."""
 
     def __init__(self, manager: Member, timeout_s: float, ends_at: float) -> None:
@@ -140,7 +140,7 @@
         self._loop = get_running_loop()
         # Replies to an earlier process of this host must not match.
         self._numbers = count(rng.randrange(MAX_FIRST_NUMBER))
-        self._questions: dict[int, _Question] = {}
+        self._pending: dict[int, _PendingRequest] = {}
         self._silent_until: dict[str, float] = {}
 
     async def acquire(
@@ -158,22 +158,22 @@
         if manager is None:
             return Lease(LeaseResult.NOT_MANAGER)
         number = next(self._numbers)
-        question = self._open_question(number, manager, need)
-        on_wait(question.leave)
-        result, wait_s = LeaseResult.CALLER_LEFT, 0.0
+        pending = self._add_pending(number, manager, need)
+        on_wait(pending.leave)
+        result, room_after_s = LeaseResult.CALLER_LEFT, 0.0
         try:
-            result, wait_s = await self._ask(
-                question, self._encode(number, server, need)
+            result, room_after_s = await self._ask(
+                pending, self._encode(number, server, need)
             )
         except _CallerLeft:
             pass
         finally:
-            del self._questions[number]
+            del self._pending[number]
             if result not in DECIDED_RESULTS:
                 # It may have been granted although no reply arrived.
                 self._send_end(manager, number)
         waited_s = self._loop.time() - started_at
-        return Lease(result, number, manager, wait_s, waited_s, question.ahead)
+        return Lease(result, number, manager, room_after_s, waited_s, pending.ahead)
 
     def release(self, lease: Lease, running: int = -1, waiting: int = -1) -> None:
         """End a lease that was granted.
@@ -190,28 +190,28 @@
         :param address: host and port of the sender.
         :returns: whether it was expected.
         """
-        question = self._questions.get(reply.number)
-        if question is None or lease_address(question.manager) != address:
+        pending = self._pending.get(reply.number)
+        if pending is None or lease_address(pending.manager) != address:
             return False
-        question.put(reply)
+        pending.put(reply)
         return True
 
     def _find_manager(self, server: Server, now: float) -> Member | None:
-        """Return whom to ask, or ``None`` if nobody is known or replied lately."""
+        """Return the manager to ask, or ``None`` if none is known or it is silent."""
         manager = self._managers.find(server.id, server.data_centre, now)
         if manager is None or self._silent_until.get(manager.host, now) > now:
             return None
         return manager
 
-    def _open_question(
+    def _add_pending(
         self, number: int, manager: Member, need: LeaseNeed
-    ) -> _Question:
+    ) -> _PendingRequest:
         timeout_s = REPLY_TIMEOUT_S
         if manager.region != self._own.region:
             timeout_s += REGION_ROUND_TRIP_S
         ends_at = self._loop.time() + need.wait_s + timeout_s
-        question = self._questions[number] = _Question(manager, timeout_s, ends_at)
-        return question
+        pending = self._pending[number] = _PendingRequest(manager, timeout_s, ends_at)
+        return pending
 
     def _encode(self, number: int, server: Server, need: LeaseNeed) -> LeaseRequest:
         return LeaseRequest(
@@ -228,42 +228,42 @@
         )
 
     async def _ask(
-        self, question: _Question, message: LeaseRequest
+        self, pending: _PendingRequest, message: LeaseRequest
     ) -> tuple[LeaseResult, float]:
         """Ask until there is a decision.
 
-        :returns: the result, and when room is expected in seconds.
+        :returns: the result, and the seconds until room is expected.
         """
-        reply = await self._first_reply(question, message)
+        reply = await self._request_reply(pending, message)
         while reply is not None and reply.outcome is LeaseOutcome.QUEUED:
             room_after_s = reply.wait_ms / MS_PER_S
-            left_s = max(0.0, question.ends_at - self._loop.time())
-            reply = await question.next_reply(min(left_s, ASK_AGAIN_INTERVAL_S))
-            if reply is None and self._loop.time() >= question.ends_at:
+            left_s = max(0.0, pending.ends_at - self._loop.time())
+            reply = await pending.next_reply(min(left_s, ASK_AGAIN_INTERVAL_S))
+            if reply is None and self._loop.time() >= pending.ends_at:
                 return LeaseResult.WAITED_TOO_LONG, room_after_s
             if reply is None:
-                reply = await self._first_reply(question, message)
+                reply = await self._request_reply(pending, message)
         if reply is None or reply.outcome is LeaseOutcome.NOT_MANAGER:
-            return self._give_up(question.manager, reply is None), 0.0
+            return self._pause_manager(pending.manager, reply is None), 0.0
         if reply.outcome is LeaseOutcome.GRANTED:
             return LeaseResult.GRANTED, 0.0
-        has_waited = question.ahead is not None
+        has_waited = pending.ahead is not None
         result = LeaseResult.WAITED_TOO_LONG if has_waited else LeaseResult.REFUSED
         return result, reply.wait_ms / MS_PER_S
 
-    async def _first_reply(
-        self, question: _Question, message: LeaseRequest
+    async def _request_reply(
+        self, pending: _PendingRequest, message: LeaseRequest
     ) -> LeaseReply | None:
         """Send a message, and once more if no reply arrives within half the timeout."""
         for _ in range(2):
-            self._send(question.manager, message)
-            reply = await question.next_reply(question.timeout_s / 2)
+            self._send(pending.manager, message)
+            reply = await pending.next_reply(pending.timeout_s / 2)
             if reply is not None:
                 return reply
         return None
 
-    def _give_up(self, manager: Member, is_silent: bool) -> LeaseResult:
-        """Leave a manager alone for a while."""
+    def _pause_manager(self, manager: Member, is_silent: bool) -> LeaseResult:
+        """Ask a manager nothing for a while, and return how asking it ended."""
         now = self._loop.time()
         was_paused = self._silent_until.get(manager.host, now) > now
         self._silent_until[manager.host] = now + SILENT_MANAGER_PAUSE_S
--- a/damasktally/entry/leases/gate.py
+++ b/damasktally/entry/leases/gate.py
@@ -21,9 +21,9 @@
 """Outstanding requests for each slot from which a server counts as contended."""
 REJECTION_MEMORY_S = 2.0
 """A server counts as contended for this long after it or its manager had no room."""
-DEADLINE_PART = 0.5
-"""Part of the time until its deadline within which a request without an objective has
-to end, if it waits."""
+DEADLINE_FRACTION = 0.5
+"""Fraction of the time until its deadline within which a request without an objective
+has to end, if it waits."""
 REFUSALS = frozenset({LeaseResult.REFUSED, LeaseResult.WAITED_TOO_LONG})
 
 
@@ -166,8 +166,8 @@
 ) -> float:
     """Return how long a request may wait and still end in time.
 
-    It has to end within its objective or, if it has none, within half of the time that
-    it had until its deadline.
+    It has to end within its objective or, if it has none, within
+    :data:`DEADLINE_FRACTION` of the time that it had until its deadline.
 
     :param deadline: time on the event loop's clock in seconds.
     :param run_s: seconds that the request is expected to run.
@@ -175,5 +175,5 @@
     if route.target_latency_s > 0:
         end_by = min(deadline, req.first_byte_at + route.target_latency_s)
     else:
-        end_by = req.first_byte_at + DEADLINE_PART * (deadline - req.first_byte_at)
+        end_by = req.first_byte_at + DEADLINE_FRACTION * (deadline - req.first_byte_at)
     return max(0.0, end_by - now - run_s)
--- a/damasktally/entry/leases/host_leases.py
+++ b/damasktally/entry/leases/host_leases.py
@@ -19,7 +19,7 @@
 
 
 class HostLeases:
-    """Leases of one host, as a manager and as one that asks.
+    """Leases of one host, as a manager and as a client.
 
     ``gate`` is for the requests of callers; ``record_report`` takes the load that a
     server reports, and is ``None`` if this host grants no leases.
--- a/damasktally/entry/leases/manager.py
+++ b/damasktally/entry/leases/manager.py
@@ -120,7 +120,11 @@
             self._hand_over(server, self._loop.time())
 
     def _check(self) -> None:
-        """Refuse what waits for servers that leave, and let time pass."""
+        """Check all servers while requests wait for them.
+
+        Servers that this host no longer manages are handed over, requests that wait for
+        a server that leaves are refused, and leases and waits that are over end.
+        """
         self._check_timer = None
         now = self._loop.time()
         for server in self._leases.servers():
--- a/damasktally/entry/leases/messages.py
+++ b/damasktally/entry/leases/messages.py
@@ -15,7 +15,7 @@
 MAX_DURATION_MS = 60_000
 MS_PER_S = 1000.0
 
-Duration = Annotated[int, Meta(ge=0, le=MAX_DURATION_MS)]
+DurationMs = Annotated[int, Meta(ge=0, le=MAX_DURATION_MS)]
 SlotCount = Annotated[int, Meta(ge=1, le=100_000)]
 
 
@@ -44,8 +44,8 @@
     slots: SlotCount
     priority: int
     customer: str
-    wait_ms: Duration
-    run_ms: Duration
+    wait_ms: DurationMs
+    run_ms: DurationMs
 
     @property
     def key(self) -> LeaseKey:
--- a/damasktally/entry/request_sender.py
+++ b/damasktally/entry/request_sender.py
@@ -22,8 +22,6 @@
 If the receiver closes an idle connection while such a request is sent on it, the
 request cannot be retried.
 """
-
-
 MAX_HELD_UP_S = 1.0
 """Seconds for which a server may be held up before the loss of the response is no
 longer the server's failure: a server may cut off what is not read or not sent."""
@@ -119,7 +117,9 @@
             self._streams.min_bytes,
             req.upload,
         )
-        req.on_disconnect = partial(_close_if_left, req, conn, options.at_most_once)
+        req.on_disconnect = partial(
+            _close_on_disconnect, req, conn, options.at_most_once
+        )
         try:
             async with timeout_at(options.deadline):
                 response = await pending_response
@@ -141,10 +141,12 @@
         return AttemptOutcome.ANSWERED, response
 
 
-def _close_if_left(req: Request, conn: ServerConnection, at_most_once: bool) -> None:
-    """Close a server's connection, as the caller has left.
+def _close_on_disconnect(
+    req: Request, conn: ServerConnection, at_most_once: bool
+) -> None:
+    """Close a server's connection, as the caller has disconnected.
 
-    A request that may run at most once goes on if the server gets all of it.
+    A request that may run at most once continues if the server gets all of it.
     """
     is_incomplete = req.upload is not None and not req.upload.is_complete
     if is_incomplete or not at_most_once:
--- a/damasktally/entry/target_selection.py
+++ b/damasktally/entry/target_selection.py
@@ -139,7 +139,7 @@
                 f"held by {server.id}": round(estimated_load(server.id, now), 1)
                 for server in ranked[:MAX_CANDIDATE_SERVERS]
             }
-            return self._first_to_lease(ranked, trace, now)
+            return self._choose_server_to_lease(ranked, trace, now)
         self._observe_report_age(selected, now)
         return selected
 
@@ -148,7 +148,7 @@
         if age_s is not None:
             self._metrics.load_report_age.observe(age_s)
 
-    def _first_to_lease(
+    def _choose_server_to_lease(
         self, ranked: list[Server], trace: RequestTrace, now: float
     ) -> Server | None:
         """Return the preferred server if its lease manager may find room in time."""
--- a/damasktally/fleet/topics.py
+++ b/damasktally/fleet/topics.py
@@ -13,8 +13,8 @@
     EVACUATIONS = "evacuations"
     SERVERS = "servers"
 
-    # Members are single objects. The hash of Enum takes a call into Python for each
-    # access to a table by topic.
+    # Members are singletons, so that they can be hashed by identity. Enum.__hash__ is
+    # a Python function, which each access to a table by topic would call.
     __hash__ = object.__hash__
 
 
--- a/damasktally/http1/caller_output.py
+++ b/damasktally/http1/caller_output.py
@@ -48,13 +48,13 @@
         """Hold up the response, as the connection has too many unsent bytes."""
         self._is_writable = False
         if self._stream is not None:
-            self._stream.hold()
+            self._stream.pause()
 
     def resume(self) -> None:
         """Let the response go on, or let the wait for its last bytes end."""
         self._is_writable = True
         if self._stream is not None:
-            self._stream.proceed()
+            self._stream.resume()
         if self._flushed is not None and not self._flushed.done():
             self._flushed.set_result(None)
 
@@ -69,7 +69,7 @@
         )
         self._stream.begin()
         if not self._is_writable:
-            self._stream.hold()
+            self._stream.pause()
         return self._stream
 
     def discard_stream(self) -> None:
@@ -110,7 +110,7 @@
         A planned stop thereby waits for them, too. A caller that reads nothing for the
         idle timeout is given up.
 
-        :returns: whether they were.
+        :returns: whether all bytes were passed on.
         """
         transport = self._transport
         transport.set_write_buffer_limits(0)
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -13,6 +13,7 @@
 from damasktally.http1.caller_output import CallerOutput
 from damasktally.http1.framing import FramingCounter
 from damasktally.http1.messages import (
+    CONTINUE_RESPONSE,
     Headers,
     Request,
     Response,
@@ -98,6 +99,7 @@
         self._adjust_buffered_bytes(-self._buffered_bytes)
         self._output.cancel_abort()
         self._handle_disconnect()
+        # Ends the wait for the last bytes of a response.
         self.resume_writing()
 
     def pause_writing(self) -> None:
@@ -193,8 +195,8 @@
         if uploads is not None and length >= uploads.min_bytes:
             self._begin_upload()
         elif head.is_continue_awaited and not self._output.has_stream:
-            # It must not get into the body of an earlier response.
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            # The interim response must not interrupt an earlier response.
+            self._transport.write(CONTINUE_RESPONSE)
 
     def _begin_upload(self) -> None:
         """Queue a request whose body is forwarded as it arrives."""
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -33,6 +33,7 @@
 """Begins a response whose body is forwarded as it arrives, given the request, the head
 of the response and the length of its body. Returns ``None`` if the caller has left."""
 
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BODYLESS_STATUSES = frozenset({204, 304})
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -160,12 +160,12 @@
     def pause_writing(self) -> None:
         """Hold up the body that is being forwarded to the server, if there is one."""
         if self._upload is not None:
-            self._upload.hold()
+            self._upload.pause()
 
     def resume_writing(self) -> None:
         """Let that body go on."""
         if self._upload is not None:
-            self._upload.proceed()
+            self._upload.resume()
 
     def close(self) -> None:
         """Close the connection immediately; a pending response is lost."""
@@ -253,7 +253,7 @@
     def _complete_head(self) -> None:
         """Deliver a response to a HEAD request, which has a length but no body.
 
-        The parser expects a body, so that the connection is not reused.
+        The parser would wait for the body, so the connection is not reused.
         """
         has_no_body = self._parser.get_status_code() in BODYLESS_STATUSES
         if not has_no_body and find_header(self._headers, b"content-length") != b"0":
--- a/damasktally/http1/request_body.py
+++ b/damasktally/http1/request_body.py
@@ -3,6 +3,7 @@
 from asyncio import AbstractEventLoop, Transport
 from typing import Protocol
 
+from damasktally.http1.messages import CONTINUE_RESPONSE
 from damasktally.http1.request_head import RequestHead
 
 MAX_WAITING_BYTES = 32 * 1024
@@ -91,7 +92,7 @@
         server.set_write_buffer_limits(MAX_WAITING_BYTES, RESUME_WAITING_BYTES)
         self._server = server
         if self._is_continue_awaited and not self.is_complete:
-            self._source.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._source.write(CONTINUE_RESPONSE)
         self._is_continue_awaited = False
         self._forwarded_at = self._loop.time()
         self._source.resume_reading()
@@ -102,13 +103,13 @@
         self._server = None
         self._is_server_ready = True
 
-    def hold(self) -> None:
+    def pause(self) -> None:
         """Pause, as the server takes the body more slowly than the caller sends."""
         self._is_server_ready = False
         self._source.pause_reading()
 
-    def proceed(self) -> None:
-        """Go on, as the server has taken most of what was sent."""
+    def resume(self) -> None:
+        """Resume, as the server has taken most of what was sent."""
         self._is_server_ready = True
         self._source.resume_reading()
         self._schedule()
--- a/damasktally/http1/response_stream.py
+++ b/damasktally/http1/response_stream.py
@@ -66,27 +66,27 @@
         """Set how reading from the server is paused and resumed."""
         self._pause_source = pause
         self._resume_source = resume
-        self._apply()
+        self._update_reading()
 
     def grant(self) -> None:
         """Allow the body to take memory."""
         self._is_granted = True
-        self._apply()
+        self._update_reading()
 
-    def hold(self) -> None:
-        """Pause, as the caller reads more slowly than the server sends."""
+    def pause(self) -> None:
+        """Pause reading, as the caller reads more slowly than the server sends."""
         self._is_caller_ready = False
-        self._apply()
+        self._update_reading()
 
-    def proceed(self) -> None:
-        """Go on, as the caller has read most of what was sent."""
+    def resume(self) -> None:
+        """Resume reading, as the caller has read most of what was sent."""
         self._is_caller_ready = True
-        self._apply()
+        self._update_reading()
 
     def discard(self) -> None:
         """Receive the rest without forwarding it, as the caller has left."""
         self.is_discarded = True
-        self.proceed()
+        self.resume()
 
     def write(self, data: bytes) -> None:
         """Forward a part of the body."""
@@ -122,7 +122,7 @@
         self._held_up_s = self.held_up_s
         self._held_up_since = None
 
-    def _apply(self) -> None:
+    def _update_reading(self) -> None:
         """Pause or resume reading from the server."""
         if self._pause_source is None:
             return
--- a/features/steps/lease_message_steps.py
+++ b/features/steps/lease_message_steps.py
@@ -308,7 +308,7 @@
             leave[0]()
             assert (await task).result is LeaseResult.CALLER_LEFT
         assert len(manager.ends) == 1
-        assert not manager.client._questions
+        assert not manager.client._pending
 
     for is_cancelled in (False, True):
         context.loop_thread.run(ask(is_cancelled))
