--- a/damasktally/entry/leases/manager.py
+++ b/damasktally/entry/leases/manager.py
@@ -10,7 +10,7 @@
     LeaseOutcome,
 )
 from damasktally.decisions.server_leases import ServerLeases
-from damasktally.entry.leases.managers import LeaseManagers
+from damasktally.entry.leases.manager_selection import LeaseManagerSelector
 from damasktally.entry.leases.messages import (
     LeaseEnd,
     LeaseReply,
@@ -43,7 +43,7 @@
     def __init__(
         self,
         own: Member,
-        managers: LeaseManagers,
+        managers: LeaseManagerSelector,
         view: FleetView,
         known_load: Callable[[str, float], float],
         metrics: EntryMetrics,
@@ -120,7 +120,11 @@
             self._hand_over(server, self._loop.time())
 
     def _check(self) -> None:
-        """Refuse what waits for servers that leave, and let time pass."""
+        """Check all servers while requests wait for them.
+
+        Servers that this host no longer manages are handed over, requests that wait for
+        a server that leaves are refused, and leases and waits that are over end.
+        """
         self._check_timer = None
         now = self._loop.time()
         for server in self._leases.servers():
