Split the loop over attempts, and named the choice of lease managers.

Change: the checks before an attempt, the permit and the record of an attempt are methods of their own; managers.LeaseManagers is manager_selection.LeaseManagerSelector, and the lease of a manager's table is GrantedLease. One step file follows the renamed class. Behaviour is unchanged.

--- a/damasktally/decisions/server_slots.py
+++ b/damasktally/decisions/server_slots.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class Lease:
+class GrantedLease:
     """Lease of one request; times are in seconds on the manager's clock."""
 
     customer: str
@@ -55,7 +55,7 @@
     started_ms: int
     slots: int
     run_s: float
-    leases: dict[LeaseKey, Lease] = field(default_factory=dict)
+    leases: dict[LeaseKey, GrantedLease] = field(default_factory=dict)
     in_progress: Counter[str] = field(default_factory=Counter)
     queue: WaitQueue = field(default_factory=WaitQueue)
     unleased: float = 0.0
@@ -94,7 +94,7 @@
             self.shares[item] *= 1.0 - SHARE_WEIGHT
         self.shares[priority] = self.shares.get(priority, 0.0) + SHARE_WEIGHT
         lifetime_s = min(MAX_LEASE_S, max(MIN_LEASE_S, RUNS_PER_LEASE * run_s))
-        self.leases[key] = Lease(customer, now, now + lifetime_s)
+        self.leases[key] = GrantedLease(customer, now, now + lifetime_s)
         self.in_progress[customer] += 1
 
     def end(self, key: LeaseKey, now: float) -> bool:
--- a/damasktally/entry/leases/client.py
+++ b/damasktally/entry/leases/client.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from damasktally.decisions.lease_terms import LeaseOutcome
-from damasktally.entry.leases.managers import LeaseManagers
+from damasktally.entry.leases.manager_selection import LeaseManagerSelector
 from damasktally.entry.leases.messages import (
     MS_PER_S,
     LeaseEnd,
@@ -129,7 +129,7 @@
     def __init__(
         self,
         own: Member,
-        managers: LeaseManagers,
+        managers: LeaseManagerSelector,
         send: Callable[[Member, LeaseRequest | LeaseEnd], None],
         rng: Random,
     ) -> None:
--- a/damasktally/entry/leases/host_leases.py
+++ b/damasktally/entry/leases/host_leases.py
@@ -9,7 +9,7 @@
 from damasktally.entry.leases.endpoint import LeaseEndpoint
 from damasktally.entry.leases.gate import LeaseGate
 from damasktally.entry.leases.manager import LeaseManager
-from damasktally.entry.leases.managers import LeaseManagers
+from damasktally.entry.leases.manager_selection import LeaseManagerSelector
 from damasktally.entry.leases.messages import LeaseEnd, LeaseRequest
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.topology import FleetTopology
@@ -37,7 +37,7 @@
         is_ready: Callable[[], bool],
     ) -> None:
         own = members.own
-        managers = LeaseManagers(members, topology, is_ready)
+        managers = LeaseManagerSelector(members, topology, is_ready)
         self.manager = LeaseManager(
             own, managers, view, candidates.loads.estimate, metrics
         )
--- a/damasktally/entry/leases/manager.py
+++ b/damasktally/entry/leases/manager.py
@@ -10,7 +10,7 @@
     LeaseOutcome,
 )
 from damasktally.decisions.server_leases import ServerLeases
-from damasktally.entry.leases.managers import LeaseManagers
+from damasktally.entry.leases.manager_selection import LeaseManagerSelector
 from damasktally.entry.leases.messages import (
     LeaseEnd,
     LeaseReply,
@@ -43,7 +43,7 @@
     def __init__(
         self,
         own: Member,
-        managers: LeaseManagers,
+        managers: LeaseManagerSelector,
         view: FleetView,
         known_load: Callable[[str, float], float],
         metrics: EntryMetrics,
--- a/damasktally/entry/leases/managers.py
+++ b/damasktally/entry/leases/manager_selection.py
@@ -20,7 +20,7 @@
 """The hosts of a data centre are looked up again once the cached ones are this old."""
 
 
-class LeaseManagers:
+class LeaseManagerSelector:
     """Choose the lease manager of each server.
 
     Times called ``now`` are in seconds on the event loop's clock.
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -11,7 +11,7 @@
 from damasktally.entry.final_responses import FinalResponses
 from damasktally.entry.host_forwarder import HostForwarder
 from damasktally.entry.host_headers import REFUSAL, ForwardedRequest
-from damasktally.entry.leases import NO_LEASE_NEEDED, LeaseGate
+from damasktally.entry.leases import NO_LEASE_NEEDED, LeaseGate, Permit
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.entry.outcome import (
     MAY_HAVE_RUN_OUTCOMES,
@@ -32,7 +32,7 @@
 from damasktally.entry.server_sender import ServerSender
 from damasktally.entry.target_selection import TargetSelector
 from damasktally.events.reasons import Reason
-from damasktally.fleet.model import Member, RetryPolicy
+from damasktally.fleet.model import Member, RetryPolicy, Server
 from damasktally.fleet.view import FleetView
 from damasktally.http1.messages import Request, Response
 from damasktally.platform.headers import API_KEY, REQUEST_ID
@@ -204,24 +204,13 @@
         send_count = 0
         while True:
             now = self._loop.time()
-            if req.is_disconnected:
-                trace.reason = Reason.CALLER_GONE
-                return self._final_responses.from_failure(trace)
-            if deadline - now < MIN_REMAINING_TIME_S:
-                trace.reason = Reason.TIME_IS_UP
-                return self._final_responses.from_failure(trace)
-            if self._crash_guard.is_blocked(req, trace):
+            if self._is_stopped(req, trace, deadline, now):
                 return self._final_responses.from_failure(trace)
             target = self._targets.select(req, trace, tried_servers, now)
             if target is None:
                 trace.reason = trace.reason or Reason.NO_ROOM
                 return self._final_responses.from_failure(trace)
-            permit = NO_LEASE_NEEDED
-            if self._targets.needs_lease(trace, target, now):
-                run_s = self._response_times.average_s(trace.service)
-                permit = await self._sender.acquire_permit(
-                    req, trace, target, deadline, run_s
-                )
+            permit = await self._acquire_permit(req, trace, target, deadline, now)
             if permit is None:
                 continue
             if send_count and not self._retries.take(
@@ -239,15 +228,48 @@
             else:
                 attempt = await self._sender.send(req, trace, target, permit, deadline)
                 tried_servers.append(target.id)
-            trace.attempts.append(attempt)
-            if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
-                self._response_times.record(trace.service, attempt.server_duration_s)
+            self._record_attempt(trace, attempt)
             send_count += attempt.outcome not in NOT_SENT_OUTCOMES
             if req.upload is not None and req.upload.is_started:
                 return self._final_responses.from_upload(req, attempt, trace)
             if settles_request(attempt, at_most_once):
                 return self._final_responses.from_attempt(attempt, trace)
 
+    def _is_stopped(
+        self, req: Request, trace: RequestTrace, deadline: float, now: float
+    ) -> bool:
+        """Return whether no further attempt may be made, and set the reason."""
+        if req.is_disconnected:
+            trace.reason = Reason.CALLER_GONE
+            return True
+        if deadline - now < MIN_REMAINING_TIME_S:
+            trace.reason = Reason.TIME_IS_UP
+            return True
+        return self._crash_guard.is_blocked(req, trace)
+
+    async def _acquire_permit(
+        self,
+        req: Request,
+        trace: RequestTrace,
+        target: Server | Member,
+        deadline: float,
+        now: float,
+    ) -> Permit | None:
+        """Acquire a lease if one is needed.
+
+        :returns: the permit, or ``None`` if the target has to be selected again.
+        """
+        if not self._targets.needs_lease(trace, target, now):
+            return NO_LEASE_NEEDED
+        run_s = self._response_times.average_s(trace.service)
+        return await self._sender.acquire_permit(req, trace, target, deadline, run_s)
+
+    def _record_attempt(self, trace: RequestTrace, attempt: Attempt) -> None:
+        """Add an attempt to the trace, and its duration to the response times."""
+        trace.attempts.append(attempt)
+        if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
+            self._response_times.record(trace.service, attempt.server_duration_s)
+
     async def _send_to_host(
         self,
         req: Request,
--- a/features/steps/lease_message_steps.py
+++ b/features/steps/lease_message_steps.py
@@ -20,7 +20,7 @@
     lease_address,
 )
 from damasktally.entry.leases.gate import LeaseGate, max_wait_s
-from damasktally.entry.leases.managers import LeaseManagers
+from damasktally.entry.leases.manager_selection import LeaseManagerSelector
 from damasktally.entry.leases.messages import LeaseEnd, LeaseReply, LeaseRequest
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.fleet.members import MemberTable
@@ -384,7 +384,7 @@
             SimpleNamespace(received_at=now, data_centre_hosts=listings)
         ],
     )
-    managers = LeaseManagers(members, topology, lambda: True)
+    managers = LeaseManagerSelector(members, topology, lambda: True)
     found = [managers.find(server, "dc-0", 1.0) for server in servers]
     return [member.host if member else None for member in found]
 
