--- a/damasktally/decisions/load_reports.py
+++ b/damasktally/decisions/load_reports.py
@@ -19,14 +19,13 @@
 MAX_REPORTS_PER_S = 250.0
 """Reports that all messages of one kind carry a second, and at once after a pause.
 
-A report takes 30 bytes. Without this, 192 busy servers cost each host of a simulated
-fleet with relays 15 kB a second.
+It bounds the bytes that each host receives while most servers are busy.
 """
 RENEWAL_AGE_S = 0.4
 """Age of the last sent report from which the server's next one is sent.
 
 Messages are sent every 0.2 s, so that the receivers get it when the last one is about
-to lose weight. With 0.5 s, the estimates' mean error was nearly twice as large.
+to lose weight.
 """
 MIN_SLOWDOWN_CHANGE = 0.5
 """Change of the slowdown that is sent with the next message."""
--- a/damasktally/entry/target_selection.py
+++ b/damasktally/entry/target_selection.py
@@ -177,8 +177,7 @@
         """Return whether a lease is needed before the request is sent.
 
         After a refusal, the service is contended, and an estimate by which another
-        server is free may be old. Without this, 40 percent of the requests at twice
-        the servers' capacity were sent without a lease.
+        server is free may be old.
         """
         if isinstance(target, Member):
             return False
