--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
