--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -109,6 +109,7 @@
     If ``refusal_status`` is not 0, every answer has it. ``is_silent`` suppresses
     all answers; ``lose_answers`` closes the connection instead of answering a write.
     ``delay_by_kind`` delays answers to calls of some kinds, in seconds.
+    ``silent_kinds`` are those whose waiting watches get no answer.
     ``era`` is in the header ``Store-Era`` of all answers unless it is ``None``.
     """
 
@@ -122,6 +123,8 @@
         self.is_silent = False
         self.lose_answers = False
         self.delay_by_kind: dict[str, float] = {}
+        self.silent_kinds: set[str] = set()
+        self._watched_kinds: dict[StreamWriter, str] = {}
         self._open_writers: set[StreamWriter] = set()
         self._muted: set[StreamWriter] = set()
         self.calls: list[str] = []
@@ -155,6 +158,12 @@
         self.is_silent = True
         self._muted |= self._open_writers
 
+    def silence_watches(self, kind: str) -> None:
+        """Never answer the watches of a kind that wait now; new ones are answered."""
+        self._muted |= {
+            writer for writer, name in self._watched_kinds.items() if name == kind
+        }
+
     def make_copy(self) -> "StoreCopy":
         """Return a copy of what the store holds now."""
         return StoreCopy(deepcopy(self.objects), list(self.events), self.revision)
@@ -183,7 +192,12 @@
             body = await read_body(reader, headers)
             method, target, _ = line.split(" ")
             self.calls.append(f"{method} {target}")
+            kind = waiting_watch_kind(target)
+            self._watched_kinds[writer] = kind
             status, content = await self._answer(method, target, body)
+            del self._watched_kinds[writer]
+            if kind in self.silent_kinds:
+                self._muted.add(writer)
             if self.is_silent or writer in self._muted:
                 self._muted.add(writer)
                 continue
@@ -254,6 +268,17 @@
                 return 200, {"events": [], "StoreRevision": self.revision}
 
 
+MIN_LONG_WAIT_MS = 1000
+"""Shortest wait of a watch that counts as waiting for the next change."""
+
+
+def waiting_watch_kind(target: str) -> str:
+    """Return the kind whose next change a call waits for, or an empty text."""
+    url = urlsplit(target)
+    wait_ms = int(parse_qs(url.query).get("WaitMs", ["0"])[0])
+    return url.path.split("/")[2] if wait_ms >= MIN_LONG_WAIT_MS else ""
+
+
 @dataclass
 class StoreCopy:
     """Copy of what the stand-in store held at a moment."""
