Logged which version is in force, and how recent it was when a request was refused.

The hypotheses could not be told apart from logs: view-changed named no version and listed every route (132 kB for 1,400), a transfer was logged only if it failed, and the age in a request's line was that of the newest confirmation of any topic. view-changed now carries version and behind_s, and names ten routes or customers of each sort; a 404 or 401 carries the configuration's own age, its revision, the newest one heard, and since when the host was behind, which explain prints. The histogram damasktally_entry_view_lag_seconds counts the same by topic. Confirmations and their ages moved to fleet/staleness.py.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -365,8 +365,8 @@
         metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
         update_server_gauges(metrics, self._candidates, self._reachability, now)
-        for topic, confirmed_at in self._confirmations.times():
-            metrics.view_age.labels(topic.value).set(now - confirmed_at)
+        for topic, age_s in self._view.staleness.confirmed_ages_s(now):
+            metrics.view_age.labels(topic.value).set(age_s)
 
     def _detect_suspension(self) -> None:
         suspended_s = self._suspension_detector.measure_s()
@@ -396,4 +396,5 @@
 
     def _log_change(self, change: ViewChange) -> None:
         self._peer_protocol.announce_view_change()
+        self._metrics.view_lag.labels(change.topic.value).observe(change.behind_s)
         log_view_change(change)
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -150,6 +150,14 @@
             ["topic"],
             registry=self.registry,
         )
+        self.view_lag = Histogram(
+            "damasktally_entry_view_lag_seconds",
+            "Seconds from the first word of another host that it has a change until "
+            "the change was in force here, by topic.",
+            ["topic"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.hosts_heard = Gauge(
             "damasktally_entry_hosts_heard",
             "Other hosts whose heartbeats are being received.",
--- a/damasktally/entry/request_log.py
+++ b/damasktally/entry/request_log.py
@@ -32,7 +32,7 @@
         store_era=era_of(servers_revision),
         ms=round((now - req.first_byte_at) * 1000, 1),
         caller_gone=req.is_disconnected,
-        view_age_s=round(now - view.confirmed_at, 2),
+        view_age_s=round(view.staleness.newest_age_s(now), 2),
         inputs=trace.inputs,
         fingerprint=trace.fingerprint,
         forwarded_by=trace.forwarded.host if trace.forwarded else "",
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -32,7 +32,8 @@
 from damasktally.entry.server_sender import ServerSender
 from damasktally.entry.target_selection import TargetSelector
 from damasktally.events.reasons import Reason
-from damasktally.fleet.model import Member, RetryPolicy, Server
+from damasktally.fleet.model import Member, RetryPolicy, Server, revision_in_era
+from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
 from damasktally.http1.messages import Request, Response
 from damasktally.platform.headers import API_KEY, REQUEST_ID
@@ -145,15 +146,28 @@
         trace.route = find_route(cfg, req)
         if trace.route is None:
             trace.reason = Reason.NO_ROUTE
+            trace.inputs = self._configuration_inputs()
             return text_response(404, trace.reason.value)
         if cfg.customers and not trace.route.public:
             key = req.header(API_KEY) or b""
             trace.customer = cfg.customer_by_key.get(key.decode("latin-1"))
             if trace.customer is None:
                 trace.reason = Reason.UNKNOWN_KEY
+                trace.inputs = self._configuration_inputs()
                 return text_response(401, trace.reason.value)
         return None
 
+    def _configuration_inputs(self) -> dict[str, float]:
+        """Return how recent the configuration is that a refusal is based on."""
+        topic, staleness = Topic.CONFIGURATION, self._view.staleness
+        now = self._loop.time()
+        return {
+            "configuration age s": round(staleness.confirmed_age_s(topic, now), 2),
+            "revision": revision_in_era(self._view.revisions[topic]),
+            "newest heard": revision_in_era(staleness.newest_heard(topic)),
+            "behind for s": round(staleness.behind_s(topic, now), 2),
+        }
+
     def _refuse_for_now(self, trace: RequestTrace, reason: Reason) -> Response:
         trace.reason = reason
         wait_s = self._final_responses.jitter(NO_CONFIGURATION_RETRY_AFTER_S)
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -153,9 +153,15 @@
         if not self._is_ahead(revisions):
             return
         now = self._loop.time()
+        self._record_newer(revisions, now)
         if not self._topology.should_follow_store(now):
             self.catch_up(now)
 
+    def _record_newer(self, revisions: Mapping[Topic, int], now: float) -> None:
+        for topic, revision in revisions.items():
+            if revision > self._view.revisions[topic]:
+                self._view.staleness.record_newer(topic, revision, now)
+
     def _is_ahead(self, revisions: Mapping[Topic, int]) -> bool:
         """Return whether one of some revisions is newer than this host's."""
         known = self._view.revisions
--- a/damasktally/entry/view_log.py
+++ b/damasktally/entry/view_log.py
@@ -14,5 +14,7 @@
         revision=revision_in_era(change.revision),
         era=era_of(change.revision),
         source=change.source,
+        version=change.version,
+        behind_s=round(change.behind_s, 2),
         detail=change.detail,
     )
--- a/damasktally/fleet/changes.py
+++ b/damasktally/fleet/changes.py
@@ -1,6 +1,7 @@
 """Short descriptions of configuration changes for the log."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
+from heapq import nsmallest
 
 from damasktally.fleet.model import Configuration, Customer
 
@@ -8,7 +9,8 @@
 def describe_change(old: Configuration | None, new: Configuration) -> str:
     """Describe the differences between two versions of the configuration.
 
-    API keys are secrets, so they are counted and never named.
+    API keys are secrets, so they are counted and never named. Of many routes or
+    customers, only the first are named.
 
     :param old: the version before, or None for the first one.
     :param new: the version that replaces it.
@@ -31,9 +33,7 @@
             if _limits_of(old_customers[name]) != _limits_of(new_customers[name])
         ],
     }
-    parts = [
-        f"{what} {', '.join(sorted(names))}" for what, names in changed.items() if names
-    ]
+    parts = [f"{what} {_name_some(names)}" for what, names in changed.items() if names]
     if old_keys - new_keys:
         parts.append(f"{len(old_keys - new_keys)} keys withdrawn")
     if new_keys - old_keys:
@@ -41,7 +41,17 @@
     return f"version {new.version}: {'; '.join(parts) or 'nothing that matters here'}"
 
 
-def _changed_names(old: dict, new: dict) -> Iterable[str]:
+MAX_NAMES = 10
+"""Routes or customers that are named of each sort of change."""
+
+
+def _name_some(names: Collection[str]) -> str:
+    listed = ", ".join(nsmallest(MAX_NAMES, names))
+    left_out = len(names) - MAX_NAMES
+    return f"{listed} and {left_out} more" if left_out > 0 else listed
+
+
+def _changed_names(old: dict, new: dict) -> list[str]:
     return [name for name in old.keys() & new.keys() if old[name] != new[name]]
 
 
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -13,6 +13,7 @@
 from damasktally.fleet.model import Configuration, Server, era_of
 from damasktally.fleet.restores import RestoreTimes
 from damasktally.fleet.servers import ServerTable
+from damasktally.fleet.staleness import TopicStaleness
 from damasktally.fleet.topics import Topic
 
 
@@ -40,12 +41,16 @@
     :param source: ``store``, the name of the host that sent the change, or ``self`` if
         this host made it.
     :param detail: short description of the change.
+    :param version: version of the configuration that is in force.
+    :param behind_s: for how many seconds this host knew that another had the change.
     """
 
     topic: Topic
     revision: int
     source: str
     detail: str
+    version: int
+    behind_s: float
 
 
 Edit = tuple[str, Any]
@@ -65,9 +70,8 @@
     """Current configuration, evacuations and servers, each with its revision.
 
     ``generation`` grows with every change, so that results derived from the view can be
-    cached. ``confirmed_at`` is when the store or a peer last confirmed that some topic
-    is current, in seconds on the event loop's clock. ``evacuated`` holds the names of
-    the data centres that take no requests for now.
+    cached. ``staleness`` tells how recent each topic is. ``evacuated`` holds the names
+    of the data centres that take no requests for now.
 
     After the store came back from an older copy, the stored objects are those of the
     copy, while what is in effect changes only by what is written from then on. The two
@@ -94,7 +98,8 @@
         self.evacuated: frozenset[str] = frozenset()
         self.servers = ServerTable()
         self.generation = 0
-        self.confirmed_at = 0.0
+        self.staleness = TopicStaleness()
+        self._behind_s = 0.0
 
     def snapshot(self, topic: Topic) -> tuple[int, Mapping[str, Any]]:
         """Return a topic's revision and its stored objects by name."""
@@ -131,6 +136,7 @@
             revision == known_revision and known_revision > 0
         ):
             return False
+        self._behind_s = self.staleness.record_applied(topic, revision, now)
         if known_revision and era_of(revision) != era_of(known_revision):
             self._take_copy(topic, revision, specs, source, now)
             return True
@@ -170,6 +176,7 @@
         if known_revision and era_of(revision) != era_of(known_revision):
             # Changes of another era do not start from what this host has.
             return False
+        self._behind_s = self.staleness.record_applied(topic, revision, now)
         changes = list(changes)
         self._advance_revision(topic, revision, changes)
         stored = self._stored_objects[topic]
@@ -228,7 +235,7 @@
         self.generation += 1
         stored = self._stored_objects[topic]
         if topic is Topic.EVACUATIONS:
-            self._set_evacuated(frozenset(stored), "self", now)
+            self._set_evacuated(frozenset(stored), OWN_SOURCE, now)
             return
         written = {
             name: spec for name, spec in stored.items() if self._is_new(name, spec)
@@ -237,7 +244,7 @@
         for name in missing:
             self.servers.drop(name)
         if written or missing:
-            self._apply_servers(written, [], "self", now)
+            self._apply_servers(written, [], OWN_SOURCE, now)
 
     def _is_new(self, name: str, spec: Any) -> bool:
         """Return whether a stored server differs from the known one, and is newer."""
@@ -267,7 +274,7 @@
         if expired:
             self.generation += 1
             self._report_change(
-                Topic.SERVERS, "self", f"not registered again: {', '.join(expired)}"
+                Topic.SERVERS, OWN_SOURCE, f"not registered again: {', '.join(expired)}"
             )
 
     def drop_server(self, server: str) -> None:
@@ -277,7 +284,9 @@
         """
         self.servers.drop(server)
         self.generation += 1
-        self._report_change(Topic.SERVERS, "self", f"replaced at its address: {server}")
+        self._report_change(
+            Topic.SERVERS, OWN_SOURCE, f"replaced at its address: {server}"
+        )
 
     def mark_leaving(
         self, server: str, started_ms: int, source: str, now: float
@@ -374,9 +383,15 @@
         )
 
     def _report_change(self, topic: Topic, source: str, detail: str) -> None:
-        self._on_change(ViewChange(topic, self.revisions[topic], source, detail))
+        version = self.configuration.version if self.configuration else 0
+        behind_s = 0.0 if source == OWN_SOURCE else self._behind_s
+        self._on_change(
+            ViewChange(topic, self.revisions[topic], source, detail, version, behind_s)
+        )
 
 
+OWN_SOURCE = "self"
+"""Source of the changes that this host makes itself."""
 MAX_LOGGED_SERVERS = 20
 """Servers that one log line describes at most."""
 MAX_KEPT_VIEW_DELTAS = 64
--- a/features/entry/boundary.feature
+++ b/features/entry/boundary.feature
@@ -82,6 +82,20 @@
   Scenario: The description of a configuration change shows no key
     Then a version that withdraws 2 keys, drops a route and lowers a rate is described
 
+  # Guards against lines of changes that grow with the configuration until outputs cut them.
+  Scenario: The description of a configuration change names only some of many routes
+    Then a version that adds 1400 routes is described in at most 300 characters
+
+  # Guards against refusals of which the log cannot tell how old the configuration was.
+  Scenario: A refusal for want of a route or a key tells how recent the configuration was
+    Given two hosts of which one cannot reach the store
+    And the logged events are recorded
+    When the operator writes to the store that one host reaches
+    Then the other host applies the change within 2 s
+    And the other host logged version 2, its source and how long it was behind
+    When a caller asks the other host for a route that no version has
+    Then the line of that request has the configuration's age and the newest revision
+
   Scenario: A host that starts while the store is unavailable gets its view from a peer
     Given two hosts of which one cannot reach the store
     When a third host starts while no store is available
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -13,6 +13,7 @@
 
 from damasktally.entry.output import LogOutput
 from damasktally.entry.settings import SettingsInvalid, load_entry_settings
+from damasktally.events.catalogue import REQUEST_ENDED, VIEW_CHANGED
 from damasktally.events.explanation import explain_request
 from damasktally.events.reasons import Reason
 from damasktally.fleet.changes import describe_change
@@ -38,9 +39,10 @@
     StandInStore,
     make_configuration,
     make_route,
+    send_request,
     wait_until,
 )
-from features.steps.entry_steps import make_settings, start_host
+from features.steps.entry_steps import make_settings, port_of, start_host
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 WIRE_NAMES = (
@@ -486,6 +488,58 @@
     assert describe_change(old, old).endswith("nothing that matters here")
 
 
+@then(
+    "a version that adds {routes:d} routes is described in at most {length:d} "
+    "characters"
+)
+def then_description_bounded(context, routes, length):
+    """Check that the first names and the number of the others are given."""
+    added = [make_route(f"r-{number:04}", f"/{number}/") for number in range(routes)]
+    old = decode_configuration(make_configuration(1, DEFAULT_ROUTES))
+    new = decode_configuration(make_configuration(2, [*DEFAULT_ROUTES, *added]))
+    detail = describe_change(old, new)
+    assert len(detail) <= length, len(detail)
+    assert "r-0000" in detail and f"{routes - 10} more" in detail, detail
+
+
+def find_logged(context, event, **fields):
+    """Return the logged records of an event with some fields."""
+    return [
+        record
+        for record in context.logged
+        if record.get("event") == event.number
+        and all(record.get(name) == value for name, value in fields.items())
+    ]
+
+
+@then("the other host logged version 2, its source and how long it was behind")
+def then_version_logged(context):
+    """Look for the line of the host that got the version from its peer."""
+    changes = find_logged(context, VIEW_CHANGED, topic="configuration", version=2)
+    replicated = [item for item in changes if item["source"] != "store"]
+    assert replicated and replicated[0]["behind_s"] < 2.0, changes
+
+
+@when("a caller asks the other host for a route that no version has")
+def when_missing_route(context):
+    """Send a request that no route takes."""
+    port = port_of(context.disconnected_host._settings, "callers")
+    request = send_request(port, "/none/1", request_id="r-none")
+    context.answer = context.loop_thread.run(request)
+    assert context.answer.status == 404
+
+
+@then("the line of that request has the configuration's age and the newest revision")
+def then_age_logged(context):
+    """Check the inputs of the decision."""
+    records = find_logged(context, REQUEST_ENDED, request="r-none")
+    revision = context.disconnected_host._view.revisions[Topic.CONFIGURATION]
+    inputs = records[0]["inputs"]
+    assert 0.0 <= inputs["configuration age s"] < 5.0, inputs
+    assert inputs["revision"] == inputs["newest heard"] == revision, inputs
+    assert inputs["behind for s"] == 0.0, inputs
+
+
 @when("a third host starts while no store is available")
 def when_third_host_starts(context):
     """Start a host that can get the configuration from a peer only."""
