Made each topic's watch show by itself that it is complete.

What callers saw: 401 and 404 although the route or key had been in force for seconds. Cause: a connection to the store that goes silent leaves the watch of one topic waiting for up to 20 s. The probe compared the store's revision with the newest one of any topic, so that a busy topic hid a silent one, and watches were renewed once for each revision, so that a second silent connection was not noticed. The age of the state that a host announces was that of the probe or of any topic, so that nobody took over from such a host. Class: one sign of life taken for that of several independent streams. Change: a topic that is behind a probe's revision 0.45 s later is asked for by a watch that does not wait; if that brings changes, the topic's watch is renewed. Probes come every 0.6 s. The announced age is that of the oldest topic. The scenario of the detector that is gone tested what was wrong (one renewal a revision, any topic); it is replaced by one that asks of each topic what was asked of all.

--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -12,7 +12,7 @@
 from math import inf
 from random import Random
 
-from damasktally.decisions.stale_watches import StaleWatchDetector
+from damasktally.decisions.watch_checks import WatchChecks
 from damasktally.entry.topology import FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import (
@@ -29,6 +29,7 @@
     CONFIGURATION_KIND,
     EVACUATIONS_KIND,
     SERVERS_KIND,
+    Changes,
     HistoryGone,
     StoreClient,
     StoreUnavailable,
@@ -45,7 +46,10 @@
 """Wait of the first watch after an outage, whose response shows the store's era."""
 BURST_DELAY_S = 0.3
 """Pause after a change. Changes come in bursts, and one call then brings the rest."""
-PROBE_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 0.6
+CHECK_DELAY_S = 0.45
+"""Time for the watches to deliver what a probe saw: longer than the pause after a
+change."""
 MIN_RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 1.0
 ROLE_POLL_INTERVAL_S = 0.1
@@ -72,6 +76,8 @@
         role depends.
     :param should_follow_store: returns whether this host has to follow the store
         whatever the others do.
+    :param should_check_watches: returns whether this host is one of the few that check
+        for the fleet that the watches deliver all changes.
     :param has_store_following_relay: returns whether a relay that has recent state of
         the store is alive.
     :param is_relay: returns whether this host is a relay.
@@ -80,6 +86,7 @@
 
     is_fleet_known: Callable[[], bool]
     should_follow_store: Callable[[], bool]
+    should_check_watches: Callable[[], bool]
     has_store_following_relay: Callable[[], bool]
     is_relay: Callable[[], bool]
     relays_age_s: Callable[[], float]
@@ -93,6 +100,7 @@
         return cls(
             is_fleet_known,
             lambda: topology.should_follow_store(now()),
+            lambda: topology.should_check_watches(now()),
             lambda: topology.has_store_following_relay(now()),
             lambda: topology.is_relay(now()),
             lambda: topology.relays_age_s(now()),
@@ -124,12 +132,13 @@
         self._rng = rng
         self._loop = get_running_loop()
         self._lost_at: dict[Topic, float] = {}
-        self._stale_watches = StaleWatchDetector()
-        self._watch_tasks: list[Task] = []
+        self._checks = WatchChecks()
+        self._watch_tasks: dict[Topic, Task] = {}
+        self._reach_task: Task | None = None
         self._background_tasks: list[Task] = []
         self._last_needed_at = -inf
         self._watched_era = 0
-        self._store_reached_at = -inf
+        self._complete_at: dict[Topic, float] = dict.fromkeys(Topic, -inf)
 
     def start(self) -> None:
         """Start to follow every topic whenever this host's role requires it."""
@@ -140,7 +149,9 @@
 
     async def stop(self) -> None:
         """Cancel all tasks and wait for their end."""
-        tasks = [*self._watch_tasks, *self._background_tasks]
+        tasks = [*self._watch_tasks.values(), *self._background_tasks]
+        if self._reach_task is not None:
+            tasks.append(self._reach_task)
         for task in tasks:
             task.cancel()
         await gather(*tasks, return_exceptions=True)
@@ -154,21 +165,32 @@
 
     @property
     def store_age_s(self) -> float:
-        """Return the seconds since this host itself last reached the store."""
-        return min(NEVER_REACHED_AGE_S, self._loop.time() - self._store_reached_at)
+        """Return the age of what this host itself has from the store, in seconds.
+
+        All topics were complete that long ago: that one of them is delivered does not
+        show that the others are.
+        """
+        oldest = min(self._complete_at.values())
+        return min(NEVER_REACHED_AGE_S, self._loop.time() - oldest)
 
     def _log_following_started(self, should_follow: bool) -> None:
-        has_reached_store = self._store_reached_at > -inf
+        has_reached_store = min(self._complete_at.values()) > -inf
         age_s = round(self.store_age_s, 2) if has_reached_store else None
         emit(FOLLOWING_STARTED, relay=should_follow, age_s=age_s)
 
     def _start_following(self) -> None:
-        self._watch_tasks = [create_task(self._follow(topic)) for topic in Topic]
+        for topic in Topic:
+            self._watch_tasks[topic] = create_task(self._follow(topic))
 
     def _stop_following(self) -> None:
-        for task in self._watch_tasks:
+        for task in self._watch_tasks.values():
             task.cancel()
-        self._watch_tasks = []
+        self._watch_tasks.clear()
+
+    def _renew_watch(self, topic: Topic) -> None:
+        """Watch a topic on another connection, from the known revision."""
+        self._watch_tasks[topic].cancel()
+        self._watch_tasks[topic] = create_task(self._follow(topic))
 
     async def _run_role(self) -> None:
         """Start and stop following the store as the role changes."""
@@ -188,7 +210,7 @@
             ):
                 self._log_following_started(should_follow)
                 self._start_following()
-                self._watch_tasks.append(create_task(self._confirm_reach()))
+                self._reach_task = create_task(self._confirm_reach())
             elif self._watch_tasks and self._store.era > self._watched_era:
                 self._renew_earlier_watches()
             elif (
@@ -249,36 +271,100 @@
         # The watches log that the store is lost.
         with suppress(StoreUnavailable):
             await self._store.probe()
-            self._store_reached_at = self._loop.time()
+            for topic in Topic:
+                self._record_complete(topic)
 
     async def _run_probes(self) -> None:
-        """Renew stale watches, which the store dropped and would never respond to."""
+        """Find out again and again whether the watches deliver all changes."""
         while True:
             await sleep(PROBE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
             if not self._watch_tasks:
                 continue
             try:
-                store_revision = await self._store.probe()
+                await self._probe()
             except StoreUnavailable:
-                self._stale_watches.record_probe_failure()
-                continue
-            self._store_reached_at = self._loop.time()
-            known_revision = max(self._view.revisions.values())
-            if era_of(store_revision) > era_of(known_revision) > 0:
-                # A watch from the era before may wait without end.
-                self.reconnect()
-                continue
-            reason = self._stale_watches.record_probe_response(
-                store_revision, known_revision
-            )
-            if reason:
-                emit(
-                    WATCHES_RENEWED,
-                    reason=reason,
-                    reached=revision_in_era(store_revision),
-                    known=revision_in_era(known_revision),
-                )
-                self.reconnect()
+                self._checks.record_failure()
+
+    async def _probe(self) -> None:
+        """Compare the store's revision with what each topic is known to have.
+
+        :raises StoreUnavailable: if the store does not respond, or reports an error.
+        """
+        store_revision = await self._store.probe()
+        known_revision = max(self._view.revisions.values())
+        if era_of(store_revision) > era_of(known_revision) > 0:
+            # A watch from the era before may wait without end.
+            self.reconnect()
+            return
+        if self._checks.take_failure():
+            self._log_watches_renewed(None, "the store was unreachable", store_revision)
+            self.reconnect()
+        behind = self._topics_behind(store_revision)
+        for topic in Topic:
+            if topic not in behind:
+                self._record_complete(topic)
+        if behind:
+            await sleep(CHECK_DELAY_S)
+            await self._check_topics(store_revision)
+
+    def _topics_behind(self, store_revision: int) -> list[Topic]:
+        return self._checks.topics_behind(store_revision, self._view.revisions)
+
+    async def _check_topics(self, store_revision: int) -> None:
+        """Ask for the changes of each topic that is still behind the store's revision.
+
+        In a small fleet, where all hosts follow the store, only a few of them do so,
+        and the others get from them what they lack.
+        """
+        behind = self._topics_behind(store_revision)
+        for topic in Topic:
+            if topic not in behind:
+                self._record_complete(topic)
+        if self._role.should_check_watches():
+            await gather(*(self._check(topic) for topic in behind))
+
+    async def _check(self, topic: Topic) -> None:
+        """Ask for the changes of a topic, and renew its watch if it missed some."""
+        known = self._checks.complete_to(topic, self._view.revisions[topic])
+        try:
+            page = await self._store.check(KIND_BY_TOPIC[topic], known)
+        except HistoryGone:
+            self._log_watches_renewed(topic, "its history is gone", known)
+            self._renew_if_followed(topic)
+            return
+        except StoreUnavailable:
+            self._checks.record_failure()
+            return
+        # Without changes the topic keeps its revision, so that no host requests it.
+        if page.changes:
+            reason = "it did not deliver a change"
+            self._log_watches_renewed(topic, reason, page.revision)
+            self._apply(topic, page)
+            self._renew_if_followed(topic)
+        self._checks.record_complete(topic, page.revision)
+        self._record_complete(topic)
+
+    def _renew_if_followed(self, topic: Topic) -> None:
+        # The host may have stopped following the store during the check.
+        if topic in self._watch_tasks:
+            self._renew_watch(topic)
+
+    def _record_complete(self, topic: Topic) -> None:
+        """Record that the host has all changes of a topic up to now."""
+        self._complete_at[topic] = self._loop.time()
+        self._on_confirmed(topic)
+
+    def _log_watches_renewed(
+        self, topic: Topic | None, reason: str, reached: int
+    ) -> None:
+        known = self._view.revisions
+        emit(
+            WATCHES_RENEWED,
+            topic=topic.value if topic else "all",
+            reason=reason,
+            reached=revision_in_era(reached),
+            known=revision_in_era(known[topic] if topic else max(known.values())),
+        )
 
     async def _follow(self, topic: Topic) -> None:
         """List a topic, then watch it; list it again when its history is gone.
@@ -311,9 +397,8 @@
                 continue
             if has_watched:
                 retry_delay_s = MIN_RETRY_DELAY_S
-            self._store_reached_at = self._loop.time()
             self._log_store_regained(topic)
-            self._on_confirmed(topic)
+            self._record_complete(topic)
 
     async def _list(self, topic: Topic) -> None:
         listing = await self._store.list_objects(KIND_BY_TOPIC[topic])
@@ -326,10 +411,13 @@
         is_recovering = topic in self._lost_at
         wait_s = RECOVERY_WATCH_WAIT_S if is_recovering else WATCH_WAIT_S
         page = await self._store.watch(KIND_BY_TOPIC[topic], revision, wait_s)
+        self._apply(topic, page)
+        if page.changes:
+            await sleep(BURST_DELAY_S)
+
+    def _apply(self, topic: Topic, page: Changes) -> None:
         changes = [(change.name, change.spec) for change in page.changes]
         self._view.apply(topic, page.revision, changes, "store", self._loop.time())
-        if changes:
-            await sleep(BURST_DELAY_S)
 
     def _log_store_lost(self, topic: Topic, exc: StoreUnavailable) -> None:
         if topic not in self._lost_at:
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -252,6 +252,14 @@
         """
         return self.is_full_mesh(now) or self._get_snapshot(now).is_store_follower
 
+    def should_check_watches(self, now: float) -> bool:
+        """Return whether this host checks for others what the watches deliver.
+
+        In a full mesh, where every host follows the store, a few check it for all. In a
+        large fleet, every host that follows the store does so for others.
+        """
+        return not self.is_full_mesh(now) or self._get_snapshot(now).is_store_follower
+
     def relayed_store_age_s(self, now: float) -> float:
         """Return the age of the store's state that other hosts have, in seconds.
 
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -185,11 +185,23 @@
         :raises StoreUnavailable: if the store does not respond, or reports another
             error.
         """
+        limit_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        return await self._changes_since(kind, revision, wait_s, "watch", limit_s)
+
+    async def check(self, kind: str, revision: int) -> Changes:
+        """Return the changes of a kind after a revision, without waiting for any.
+
+        The parameters, the result and the errors are those of :meth:`watch`.
+        """
+        return await self._changes_since(kind, revision, 0, "check", PROBE_TIMEOUT_S)
+
+    async def _changes_since(
+        self, kind: str, revision: int, wait_s: float, purpose: str, timeout_s: float
+    ) -> Changes:
         self._require_era(revision)
         known = revision_in_era(revision)
         path = f"/objects/{kind}?Watch={known}&WaitMs={int(wait_s * 1000)}"
-        limit_s = wait_s + WATCH_TIMEOUT_MARGIN_S
-        response = await self._call("GET", path, None, "watch", limit_s)
+        response = await self._call("GET", path, None, purpose, timeout_s)
         self._require_era(revision)
         page = _decode(response, WireEvents)
         changes = tuple(
--- a/features/entry/decisions.feature
+++ b/features/entry/decisions.feature
@@ -82,9 +82,11 @@
     And a caller of a region without hosts gets the hosts of the home regions
     And a caller of a region without hosts gets all hosts when there is no home
 
-  Scenario: Watches are renewed after an outage, and once when the store is ahead
-    Then a probe that answers after one that failed renews the watches
-    And a store that stays ahead renews the watches once, at the second probe
+  # Guards against a topic that counts as complete because another one is.
+  Scenario: Watches are renewed after an outage, and each topic is checked by itself
+    Then a probe that answers after one that failed renews the watches once
+    And a topic is behind until its watch or a check of it reaches the probe's revision
+    And a store that stays ahead leaves a topic behind at each probe
 
   Scenario: A set of servers that replaces a deleted one is ranked anew
     Then a set of servers that replaces a deleted set is ranked anew
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -16,10 +16,11 @@
 from damasktally.decisions.response_times import ResponseTimes
 from damasktally.decisions.retry_budget import RetryBudget
 from damasktally.decisions.server_selection import MAX_CANDIDATE_SERVERS, choose_server
-from damasktally.decisions.stale_watches import StaleWatchDetector
 from damasktally.decisions.warmup_limiter import WarmupLimiter, warmup_tokens
+from damasktally.decisions.watch_checks import WatchChecks
 from damasktally.decisions.weighted_round_robin import WeightedRoundRobin
 from damasktally.fleet.model import Customer, Server, WeightedService
+from damasktally.fleet.topics import Topic
 
 STEP_S = 0.005
 TICK_S = 0.25
@@ -371,28 +372,44 @@
     assert len(select_addresses(HOSTS, "west", frozenset(), Random(1))) == len(HOSTS)
 
 
-@then("a probe that answers after one that failed renews the watches")
+@then("a probe that answers after one that failed renews the watches once")
 def then_renewed(context):
     """Check the first response after an outage."""
-    detector = StaleWatchDetector()
-    assert detector.record_probe_response(5, 5) == ""
-    detector.record_probe_failure()
-    detector.record_probe_failure()
-    assert detector.record_probe_response(5, 5)
-    assert detector.record_probe_response(5, 5) == ""
+    checks = WatchChecks()
+    assert not checks.take_failure()
+    checks.record_failure()
+    checks.record_failure()
+    assert checks.take_failure()
+    assert not checks.take_failure()
 
 
-@then("a store that stays ahead renews the watches once, at the second probe")
+CONFIGURATION, EVACUATIONS, SERVERS = Topic
+
+
+@then("a topic is behind until its watch or a check of it reaches the probe's revision")
+def then_behind(context):
+    """Check topics of which one keeps changing."""
+    checks = WatchChecks()
+    known = {CONFIGURATION: 5, EVACUATIONS: 9, SERVERS: 5}
+    assert checks.topics_behind(5, known) == []
+    assert checks.topics_behind(9, known) == [CONFIGURATION, SERVERS]
+    known[SERVERS] = 9
+    assert checks.topics_behind(9, known) == [CONFIGURATION]
+    checks.record_complete(CONFIGURATION, 9)
+    assert checks.topics_behind(9, known) == []
+    assert checks.complete_to(CONFIGURATION, 5) == 9
+    assert checks.complete_to(CONFIGURATION, 11) == 11
+
+
+@then("a store that stays ahead leaves a topic behind at each probe")
 def then_ahead(context):
-    """Check watches that deliver nothing."""
-    detector = StaleWatchDetector()
-    assert detector.record_probe_response(9, 5) == ""
-    assert detector.record_probe_response(9, 5)
-    assert [detector.record_probe_response(9, 5) for _ in range(5)] == [""] * 5
-    assert detector.record_probe_response(10, 5) == ""
-    assert detector.record_probe_response(10, 10) == ""
-    assert detector.record_probe_response(11, 10) == ""
-    assert detector.record_probe_response(12, 10)
+    """Check a topic whose watch delivers nothing while another one moves."""
+    checks = WatchChecks()
+    known = {CONFIGURATION: 5, EVACUATIONS: 5, SERVERS: 5}
+    for revision in range(6, 20):
+        known[SERVERS] = revision
+        checks.record_complete(EVACUATIONS, revision)
+        assert checks.topics_behind(revision, known) == [CONFIGURATION]
 
 
 @then("a set of servers that replaces a deleted set is ranked anew")
