Added scenarios of peers that do not send what they named.

A host that relies on peers asks one that names the newest revision, and asks it again for ever if it was cut off or froze since; a response that takes over 1.5 s is thrown away and begins anew.

--- /dev/null
+++ b/features/entry/state_transfer.feature
@@ -0,0 +1,28 @@
+Feature: A host that is behind gets newer state from whichever peer can send it
+
+  # Guards against a version that is not in force in time at hosts that rely on peers, as
+  # the one peer that they ask does not respond, or its response is thrown away half-way.
+  Scenario Outline: A host gets the configuration although <trouble>
+    Given a host that relies on peers and is at revision 10 of the configuration
+    And peers that name these revisions: <peers>
+    When it hears of them
+    Then it has revision <revision> within <limit> s
+
+    Examples:
+      | trouble                                 | peers                               | revision | limit |
+      | the peer that is first ahead is silent  | 12 silent, 11 responds              | 11       | 1.0   |
+      | both peers that are ahead most are cut  | 12 silent, 12 silent, 11 responds   | 11       | 1.5   |
+      | peers that named it have ended          | 12 ended, 12 ended, 11 responds     | 11       | 0.6   |
+      | its link is slow                        | 12 slow                             | 12       | 3.0   |
+      | one of its peers is slow                | 12 slow, 11 responds                | 11       | 1.0   |
+
+  # Guards against a host that asks all its peers at once for what one is sending.
+  Scenario: A host asks one peer while that one responds, and few at a time
+    Given a host that relies on peers and is at revision 10 of the configuration
+    And peers that name these revisions: 12 responds, 12 responds, 12 responds
+    When it hears of them
+    Then it has revision 12 within 0.4 s
+    And it made 1 request in all
+    Given peers that name these revisions: 13 silent, 13 silent, 13 silent, 13 silent, 13 silent
+    When it hears of them
+    Then in 3 s it asks at most 3 peers at a time
