Asked further peers when the one that is ahead does not send what it named.

What callers saw: 404 or 401 at one host or data centre, although the rest of the fleet had the version. Cause: a host that relies on peers asked only a peer that names the newest revision. Each host's revision of a topic is the store's at its last response, so that one peer alone is often the newest; if it was cut off, frozen or slowed down since, it was asked again for up to 2 s, each time with a limit of 1.5 s for the whole response, after which what had arrived was thrown away. Class: a single source, and a limit on the whole of a transfer. Change: a request that is not complete after 0.4 s is sent to another peer that is ahead, three at a time at most; peers that did not respond are avoided; a response is given up when no byte arrives for 1 s, not by its duration. The choice is decisions/source_selection.py, the messages moved to entry/state_messages.py.

--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -2,29 +2,35 @@
 
 A host that is behind requests a topic from a peer with a newer revision. The response
 holds only the edits since the requester's revision if the peer still has them, and the
-whole topic otherwise.
+whole topic otherwise. If a peer does not respond soon, another one is asked as well.
 """
 
 from asyncio import (
     IncompleteReadError,
     StreamReader,
     StreamWriter,
+    Task,
     create_task,
     get_running_loop,
     open_connection,
     start_server,
     timeout,
 )
-from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
-from typing import Any
-from zlib import compress, decompressobj
-from zlib import error as CompressionError
 
 import msgspec
 
+from damasktally.decisions.source_selection import choose_source
+from damasktally.entry.state_messages import (
+    ResponseFrames,
+    StateRequest,
+    StateResponse,
+    decode_response,
+    read_frame,
+    write_frame,
+)
 from damasktally.entry.topology import Address, FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import RELAY_FAILED
@@ -33,23 +39,23 @@
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
 
-FRAME_HEADER_BYTES = 4
-"""Size of the big-endian length that precedes each message."""
-MAX_FRAME_BYTES = 16 * 1024 * 1024
-"""Longest message that is read; a longer one ends the transfer."""
-TRANSFER_TIMEOUT_S = 1.5
+RESPONSE_TIMEOUT_S = 1.5
+"""Time in which a connection is established and the response begins, or in which a
+request arrives."""
+IDLE_TIMEOUT_S = 1.0
+"""Time without a byte after which a response that has begun counts as lost."""
+HEDGE_DELAY_S = 0.4
+"""A request that has no complete response by then is also sent to another peer."""
+MAX_PARALLEL_REQUESTS = 3
+"""Requests for the same topic under way at a time."""
+AVOIDANCE_S = 2.0
+"""A peer that did not respond is asked again after this long, or if no other peer is
+ahead."""
+MIN_REPEAT_DELAY_S = 0.2
+"""Shortest time until a peer that did not respond is asked again."""
 STORE_GRACE_S = 0.6
 """A host that follows the store waits this long for a revision that a peer has."""
 
-MIN_COMPRESSED_BYTES = 4096
-"""Shorter responses are sent as they are."""
-COMPRESSION_LEVEL = 1
-"""The fastest level: routes and customers look alike and compress well at any."""
-MAX_KEPT_FRAMES = 6
-"""Encoded responses that are kept, as many hosts request the same one."""
-
-FrameKey = tuple[Topic, int, int]
-
 TRANSFER_ERRORS = (
     OSError,
     TimeoutError,
@@ -59,36 +65,6 @@
 )
 
 
-class StateRequest(msgspec.Struct):
-    """Request a topic, or its changes after a revision.
-
-    :param topic: value of a :class:`~damasktally.fleet.topics.Topic`.
-    :param known: revision that the sender has, or 0 for the whole topic.
-    :param accepts_compressed: whether the sender can read a compressed response.
-    """
-
-    topic: str
-    known: int
-    accepts_compressed: bool = False
-
-
-class StateResponse(msgspec.Struct):
-    """Hold a topic's stored objects as of a revision, or its changes up to there.
-
-    :param revision: revision of the topic at the responding host.
-    :param specs: all objects by name, or ``None`` if ``edits`` is given.
-    :param edits: name and object of each change, in order; the object is ``None`` if
-        it was removed.
-    :param compressed: the whole response, encoded and compressed, in place of the
-        other fields; empty if it is not compressed.
-    """
-
-    revision: int
-    specs: dict[str, Any] | None = None
-    edits: list[tuple[str, Any]] | None = None
-    compressed: bytes = b""
-
-
 @dataclass(frozen=True, slots=True)
 class _Source:
     """Describe a peer from which state can be requested."""
@@ -98,6 +74,18 @@
     revisions: Mapping[Topic, int]
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingRequest:
+    """Request that has no complete response yet.
+
+    :param revision: the revision that the peer named.
+    """
+
+    revision: int
+    started_at: float
+    task: Task
+
+
 class StateTransfer:
     """Request newer state from peers, and respond to such requests.
 
@@ -125,10 +113,11 @@
         self._on_confirmed = on_confirmed
         self._rng = rng
         self._loop = get_running_loop()
-        self._behind_since: dict[Topic, float] = {}
-        self._requested: set[Topic] = set()
+        self._pending: dict[Topic, dict[str, _PendingRequest]] = {
+            topic: {} for topic in Topic
+        }
+        self._failed_at: dict[str, float] = {}
         self._frames = ResponseFrames()
-        self._tasks: set = set()
         self._server = None
 
     async def start(self, address: Address) -> None:
@@ -142,8 +131,9 @@
         """Stop listening and cancel pending requests."""
         if self._server is not None:
             self._server.close()
-        for task in self._tasks:
-            task.cancel()
+        for pending in self._pending.values():
+            for request in pending.values():
+                request.task.cancel()
 
     def handle_peer_revisions(self, revisions: Mapping[Topic, int]) -> None:
         """Request state at once if a peer is ahead and this host relies on peers.
@@ -168,34 +158,26 @@
         return any(revision > known[topic] for topic, revision in revisions.items())
 
     def catch_up(self, now: float) -> None:
-        """Request each topic that is behind from a peer with the newest revision.
+        """Request each topic that is behind from a peer with a newer revision.
 
         A host that follows the store allows it some time to deliver the revision first.
 
         :param now: time of the event loop in seconds.
         """
         sources = self._sources(now)
-        if not any(
-            self._is_ahead(revisions) for revisions in _distinct_revisions(sources)
-        ):
-            self._behind_since.clear()
+        distinct = _distinct_revisions(sources)
+        if not any(self._is_ahead(revisions) for revisions in distinct):
             return
+        for revisions in distinct:
+            self._record_newer(revisions, now)
         delay_s = STORE_GRACE_S if self._topology.should_follow_store(now) else 0.0
         for topic in Topic:
-            newest = max(
-                (source.revisions.get(topic, 0) for source in sources), default=0
-            )
-            if newest <= self._view.revisions[topic]:
-                self._behind_since.pop(topic, None)
+            known = self._view.revisions[topic]
+            if all(revisions.get(topic, 0) <= known for revisions in distinct):
                 continue
-            since = self._behind_since.setdefault(topic, now)
-            if now - since >= delay_s and topic not in self._requested:
-                candidates = [
-                    source
-                    for source in sources
-                    if source.revisions.get(topic) == newest
-                ]
-                self._start_request(topic, self._rng.choice(candidates))
+            is_delayed = self._view.staleness.behind_s(topic, now) < delay_s
+            if not is_delayed and self._may_request(topic, now):
+                self._request_from_best(topic, sources, now)
 
     def _sources(self, now: float) -> list[_Source]:
         """Return the live peers from which state can be requested."""
@@ -211,26 +193,66 @@
         ]
         return hosts + relays
 
-    def _start_request(self, topic: Topic, source: _Source) -> None:
-        self._requested.add(topic)
+    def _may_request(self, topic: Topic, now: float) -> bool:
+        """Return whether none or few are asked, and the last one is late."""
+        pending = self._pending[topic]
+        if len(pending) >= MAX_PARALLEL_REQUESTS:
+            return False
+        return all(
+            now - request.started_at >= HEDGE_DELAY_S for request in pending.values()
+        )
+
+    def _request_from_best(
+        self, topic: Topic, sources: list[_Source], now: float
+    ) -> None:
+        pending = self._pending[topic]
+        by_host = {source.host: source for source in sources}
+        host = choose_source(
+            {name: source.revisions.get(topic, 0) for name, source in by_host.items()},
+            self._view.revisions[topic],
+            pending.keys() | self._failed_hosts(now),
+            self._rng,
+        )
+        if host is None or host in pending:
+            return
+        if host in self._failed_at and now - self._failed_at[host] < MIN_REPEAT_DELAY_S:
+            return
+        source = by_host[host]
         task = create_task(self._request(topic, source))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        pending[host] = _PendingRequest(source.revisions[topic], now, task)
+
+    def _failed_hosts(self, now: float) -> set[str]:
+        """Return the hosts that did not respond lately."""
+        self._failed_at = {
+            host: failed_at
+            for host, failed_at in self._failed_at.items()
+            if now - failed_at < AVOIDANCE_S
+        }
+        return set(self._failed_at)
 
     async def _request(self, topic: Topic, source: _Source) -> None:
         known = self._view.revisions[topic]
         request = StateRequest(topic.value, known, accepts_compressed=True)
         try:
-            async with timeout(TRANSFER_TIMEOUT_S):
-                response = await _send_request(source.address, request)
+            response = await _send_request(source.address, request)
         except TRANSFER_ERRORS as exc:
             emit(RELAY_FAILED, peer=source.host, topic=topic.value, reason=repr(exc))
+            self._failed_at[source.host] = self._loop.time()
+            self._pending[topic].pop(source.host, None)
+            self.catch_up(self._loop.time())
             return
         finally:
-            self._requested.discard(topic)
+            self._pending[topic].pop(source.host, None)
         if self._apply(topic, response, source.host):
+            self._cancel_superseded(topic)
             self._on_confirmed(topic)
 
+    def _cancel_superseded(self, topic: Topic) -> None:
+        """Cancel the requests that can bring nothing newer any more."""
+        for request in list(self._pending[topic].values()):
+            if request.revision <= self._view.revisions[topic]:
+                request.task.cancel()
+
     def _apply(self, topic: Topic, response: StateResponse, host: str) -> bool:
         now = self._loop.time()
         if response.edits is not None:
@@ -240,10 +262,10 @@
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         try:
-            async with timeout(TRANSFER_TIMEOUT_S):
-                frame = await _read_frame(reader)
-                request = msgspec.msgpack.decode(frame, type=StateRequest)
-                _write_frame(writer, self._encode_response(request))
+            frame = await read_frame(reader, RESPONSE_TIMEOUT_S, IDLE_TIMEOUT_S)
+            request = msgspec.msgpack.decode(frame, type=StateRequest)
+            write_frame(writer, self._encode_response(request))
+            async with timeout(RESPONSE_TIMEOUT_S):
                 await writer.drain()
         except TRANSFER_ERRORS as exc:
             emit(RELAY_FAILED, peer="unknown", reason=repr(exc))
@@ -274,72 +296,14 @@
     return list({id(item.revisions): item.revisions for item in sources}.values())
 
 
-class ResponseFrames:
-    """Encode responses, compressed if they are large, once for several requests."""
-
-    def __init__(self) -> None:
-        self._frames: OrderedDict[FrameKey, bytes] = OrderedDict()
-
-    def get(self, key: FrameKey, build: Callable[[], StateResponse]) -> bytes:
-        """Return the encoded response for a key, and keep it.
-
-        :param key: topic, revision that the requester has, and revision that it gets.
-        """
-        frame = self._frames.get(key)
-        if frame is None:
-            frame = self._frames[key] = encode_response(build())
-            if len(self._frames) > MAX_KEPT_FRAMES:
-                self._frames.popitem(last=False)
-        return frame
-
-
-def encode_response(response: StateResponse) -> bytes:
-    """Encode a response, compressed if it is large."""
-    data = msgspec.msgpack.encode(response)
-    if len(data) < MIN_COMPRESSED_BYTES:
-        return data
-    compressed = compress(data, COMPRESSION_LEVEL)
-    return msgspec.msgpack.encode(
-        StateResponse(response.revision, compressed=compressed)
-    )
-
-
-def decode_response(frame: bytes) -> StateResponse:
-    """Decode a response, which may be compressed.
-
-    :raises msgspec.MsgspecError: if it is malformed.
-    :raises ValueError: if it cannot be decompressed, or is too long.
-    """
-    response = msgspec.msgpack.decode(frame, type=StateResponse)
-    if not response.compressed:
-        return response
-    decoder = decompressobj()
-    try:
-        data = decoder.decompress(response.compressed, MAX_FRAME_BYTES)
-    except CompressionError as exc:
-        raise ValueError(f"the response cannot be decompressed: {exc}") from exc
-    if not decoder.eof:
-        raise ValueError("the decompressed response is too long or incomplete")
-    return msgspec.msgpack.decode(data, type=StateResponse)
-
-
 async def _send_request(
     address: tuple[str, int], request: StateRequest
 ) -> StateResponse:
-    reader, writer = await open_connection(*address)
+    async with timeout(RESPONSE_TIMEOUT_S):
+        reader, writer = await open_connection(*address)
     try:
-        _write_frame(writer, msgspec.msgpack.encode(request))
-        return decode_response(await _read_frame(reader))
+        write_frame(writer, msgspec.msgpack.encode(request))
+        frame = await read_frame(reader, RESPONSE_TIMEOUT_S, IDLE_TIMEOUT_S)
+        return decode_response(frame)
     finally:
         writer.close()
-
-
-async def _read_frame(reader: StreamReader) -> bytes:
-    length = int.from_bytes(await reader.readexactly(FRAME_HEADER_BYTES), "big")
-    if length > MAX_FRAME_BYTES:
-        raise ValueError(f"a frame of {length} bytes is too long")
-    return await reader.readexactly(length)
-
-
-def _write_frame(writer: StreamWriter, data: bytes) -> None:
-    writer.write(len(data).to_bytes(FRAME_HEADER_BYTES, "big") + data)
--- a/features/entry/state_transfer.feature
+++ b/features/entry/state_transfer.feature
@@ -26,3 +26,10 @@
     Given peers that name these revisions: 13 silent, 13 silent, 13 silent, 13 silent, 13 silent
     When it hears of them
     Then in 3 s it asks at most 3 peers at a time
+
+  # Guards against a busy loop of requests that are refused at once.
+  Scenario: Peers that have ended are asked a few times a second
+    Given a host that relies on peers and is at revision 10 of the configuration
+    And peers that name these revisions: 12 ended, 12 ended
+    When it hears of them
+    Then in 2 s at most 24 requests fail
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -9,7 +9,7 @@
 from entry_harness import make_configuration, make_route
 
 from damasktally.decisions.relays import choose_store_followers
-from damasktally.entry.state_transfer import (
+from damasktally.entry.state_messages import (
     ResponseFrames,
     StateRequest,
     StateResponse,
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from behave import given, then, when
+from eliot import add_destinations, remove_destination
 from entry_harness import (
     DEFAULT_ROUTES,
     LoopThread,
@@ -16,6 +17,7 @@
 )
 
 from damasktally.entry.state_transfer import StateTransfer
+from damasktally.events.catalogue import RELAY_FAILED
 from damasktally.fleet.members import MemberRecord
 from damasktally.fleet.model import Member
 from damasktally.fleet.summaries import SummaryTable
@@ -162,3 +164,14 @@
 
     most = context.loop_thread.run(observe())
     assert 1 < most <= count, most
+
+
+@then("in {seconds:g} s at most {count:d} requests fail")
+def then_few_fail(context, seconds, count):
+    """Count the requests that the host logs as failed."""
+    record = []
+    add_destinations(record.append)
+    context.add_cleanup(lambda: remove_destination(record.append))
+    context.loop_thread.run(sleep(seconds))
+    failed = [item for item in record if item.get("event") == RELAY_FAILED.number]
+    assert 2 <= len(failed) <= count, len(failed)
