--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -53,11 +53,11 @@
         self.quotas = CustomerQuotas(lambda customer: 20.0)
         self.quotas.update_shares(customers, [], 0, 0.0)
         counts = HeartbeatHistory()
-        self.topology = FleetTopology(self.members, self.summaries)
+        view = FleetView(Decoders(None, None, ""), lambda change: None)
+        self.topology = FleetTopology(self.members, self.summaries, view.revisions)
         self.quota_reports = QuotaReports(
             self.topology, self.members, self.summaries, counts
         )
-        view = FleetView(Decoders(None, None, ""), lambda change: None)
         self.message_builder = FleetMessageBuilder(
             self.member,
             self.topology,
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -95,7 +95,9 @@
         )
         self._summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
-        self._topology = FleetTopology(self._members, self._summaries)
+        self._topology = FleetTopology(
+            self._members, self._summaries, self._view.revisions
+        )
         self._confirmations = Confirmations(self._view, self._topology)
         self._quota_reports = QuotaReports(
             self._topology, self._members, self._summaries, heartbeat_history
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -5,6 +5,7 @@
 derives the topology for itself from the heartbeats and summaries that it receives.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from itertools import chain
 from math import inf
@@ -31,6 +32,7 @@
     SummaryTable,
     listed_ready_hosts,
 )
+from damasktally.fleet.topics import Topic
 
 FLEET_SIZE_MEMORY_S = 8.0
 """The fleet counts as large as it was in this time: a new relay knows few hosts yet,
@@ -52,8 +54,8 @@
     :param relays: relays of this data centre, the primary first.
     :param remote_relays: relays of each other data centre, if this host is a relay.
     :param is_store_follower: whether this host follows the store for the fleet.
-    :param store_reached_at: when the others' newest state of the store was current, in
-        seconds of the event loop's time.
+    :param store_reached_at: when the newest state of the store that this host got from
+        others was current, in seconds of the event loop's time.
     """
 
     computed_at: float
@@ -72,15 +74,19 @@
 
     :param members: hosts that send heartbeats to this one, or that the store lists.
     :param summaries: the last summary of each relay.
+    :param revisions: the revision of each topic that this host has, kept up to date.
     """
 
     def __init__(
         self,
         members: MemberTable,
         summaries: SummaryTable,
+        revisions: Mapping[Topic, int],
     ) -> None:
         self._members = members
         self._summaries = summaries
+        self._revisions = revisions
+        self._relayed_reached_at = -inf
         self._own = members.own
         self._cached: _Snapshot | None = None
         self._recent_fleet_size = RecentMaximum(FLEET_SIZE_MEMORY_S)
@@ -128,16 +134,29 @@
         )
 
     def _store_reached_at(self, now: float) -> float:
-        """Return when the newest state of the store that others have was current."""
+        """Return when the newest state of the store that this host got was current.
+
+        A host that is ahead vouches for what it has, and this host lacks some of that.
+        """
         times = [
             record.last_seen_at - record.store_age_s
             for record in self._members.live_records(now)
+            if self._has_all_of(record.revisions)
         ]
         times += [
             record.received_at - record.summary.store_age_s
             for record in self._summaries.live_records(now)
+            if self._has_all_of(record.revisions)
         ]
-        return max(times, default=-inf)
+        self._relayed_reached_at = max([self._relayed_reached_at, *times])
+        return self._relayed_reached_at
+
+    def _has_all_of(self, revisions: Mapping[Topic, int]) -> bool:
+        """Return whether this host has revisions that another one named."""
+        return all(
+            revision <= self._revisions.get(topic, 0)
+            for topic, revision in revisions.items()
+        )
 
     def _is_chosen_follower(
         self, relays: tuple[Member, ...], remote: tuple[tuple[Member, ...], ...]
@@ -261,13 +280,14 @@
         return not self.is_full_mesh(now) or self._get_snapshot(now).is_store_follower
 
     def relayed_store_age_s(self, now: float) -> float:
-        """Return the age of the store's state that other hosts have, in seconds.
+        """Return the age of the state that this host got from others, in seconds.
 
         A relay that does not follow the store gets changes from one that does, and
-        reports the age of what it gets. Ages only grow on the way, so that two hosts
-        cannot keep each other's young.
+        reports the age of what it got. Ages only grow on the way, so that two hosts
+        cannot keep each other's young. While this host lacks what another one has, the
+        age grows, too, so that those that rely on it notice.
 
-        :returns: infinity if no other live host has any.
+        :returns: infinity if this host never got any.
         """
         return now - self._get_snapshot(now).store_reached_at
 
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -26,6 +26,8 @@
     When a relay elsewhere reports that it reached the store 0.4 s ago
     Then after 1 s the state of the relay is 1.4 s old, and it relies on the other
     And its hosts rely on it for as long
+    When that relay names a revision that this one lacks, and goes on reaching the store
+    Then the state of the relay is as old as what it has, until it has that revision
     When two relays hear only from each other
     Then their ages of the store's state grow with time
 
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -86,8 +86,8 @@
         self.members = MemberTable(own)
         self.summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
-        self.topology = FleetTopology(self.members, self.summaries)
         view = FleetView(Decoders(None, None, "main"), lambda change: None)
+        self.topology = FleetTopology(self.members, self.summaries, view.revisions)
         quotas = CustomerQuotas(lambda customer: 0.0)
         get_own_state = lambda: OwnState(True, False, 0.1)
         self.message_builder = FleetMessageBuilder(
@@ -139,7 +139,7 @@
     context.order = rank_relays("near", names)
     own = member(context.order[-1], "near", 99)
     members, context.summaries = MemberTable(own), SummaryTable()
-    context.topology = FleetTopology(members, context.summaries)
+    context.topology = FleetTopology(members, context.summaries, {})
     first = msgspec.structs.replace(
         whole_fleet_summary(listings), relay=context.order[0]
     )
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -8,7 +8,10 @@
 from behave import given, then, when
 from entry_harness import make_configuration, make_route
 
-from damasktally.decisions.relays import choose_store_followers
+from damasktally.decisions.relays import (
+    MAX_RELAY_STORE_AGE_S,
+    choose_store_followers,
+)
 from damasktally.entry.state_messages import (
     ResponseFrames,
     StateRequest,
@@ -33,7 +36,7 @@
 OWN_HOST = "b-3.h0"
 
 
-def make_summary(data_centre, store_age_s, sequence=1):
+def make_summary(data_centre, store_age_s, sequence=1, revision=1):
     """Return a data centre's summary by its primary relay."""
     hosts = [
         HostSummary(f"{data_centre}.h{n}", 1, "10.0.0.1:80", "10.0.0.1", 7, True, 9 - n)
@@ -49,7 +52,7 @@
         data_centre_hosts=[DataCentreHosts(data_centre[0], data_centre, hosts)],
         live_host_count=HOSTS_PER_DATA_CENTRE,
         silent_host_count=0,
-        revisions=(1, 1, 1),
+        revisions=(revision, 1, 1),
         demand={},
         admitted={},
         is_complete=True,
@@ -65,7 +68,8 @@
         own_name, 1, data_centre[0], data_centre, "10.0.0.1:80", ("10.0.0.1", 7), 9.0
     )
     summaries = SummaryTable()
-    topology = FleetTopology(MemberTable(own), summaries)
+    revisions = dict.fromkeys(Topic, 1)
+    topology = FleetTopology(MemberTable(own), summaries, revisions)
     return topology, summaries
 
 
@@ -134,6 +138,28 @@
         assert topology.has_store_following_relay(now) == relies, (later_s, age_s)
 
 
+@when("that relay names a revision that this one lacks, and goes on reaching the store")
+def when_relay_is_ahead(context):
+    """Apply summaries of the relay for 3 s, in which this one gets nothing."""
+    for tick in range(15):
+        now = 11.0 + 0.2 * tick
+        context.summaries.apply_summary(make_summary("a-1", 0.4, 3 + tick, 2), now)
+        context.topology.invalidate()
+        context.topology.is_relay(now)
+
+
+@then("the state of the relay is as old as what it has, until it has that revision")
+def then_age_of_what_it_has(context):
+    """Check the age before and after the relay gets the revision."""
+    now = 14.0
+    assert context.topology.relayed_store_age_s(now) > MAX_RELAY_STORE_AGE_S
+    assert not context.topology.has_store_following_relay(now)
+    context.topology._revisions[Topic.CONFIGURATION] = 2
+    context.topology.invalidate()
+    assert context.topology.relayed_store_age_s(now) < 1.0
+    assert context.topology.has_store_following_relay(now)
+
+
 @when("two relays hear only from each other")
 def when_only_each_other(context):
     """Let two relays report ages to each other for 5 s."""
