Let a host that peers leave behind ask the store for the change.

Callers saw 404 at a host that knew for seconds that others had a newer version. Such a host relied on its relays alone as long as they said that they reach the store, whether or not they sent what they named. Now a host that has lacked a known revision for 1 s asks the store for the changes of that topic, once, and at most about once a second while the store refuses.

--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -2,7 +2,8 @@
 
 In a large fleet, only a few relays follow the store all the time. Any other host starts
 to when no relay has recent state of the store, and stops again once one has had it for
-a while.
+a while. A host that knows of a change, and gets it from no other host, asks the store
+for that change only.
 """
 
 from asyncio import Task, create_task, gather, get_running_loop, sleep
@@ -16,6 +17,7 @@
 from damasktally.entry.topology import FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import (
+    FETCHED_FROM_STORE,
     FOLLOWING_ENDED,
     FOLLOWING_STARTED,
     STORE_LOST,
@@ -64,6 +66,10 @@
 MIN_RELAY_AGE_S = 1.5
 MAX_TAKEOVER_DELAY_S = 3.0
 """It leaves new relays some time, too, but waits no longer than this in all."""
+MAX_BEHIND_S = 1.0
+"""A host that does not follow the store asks it for a change that the other hosts have
+had for this long and have not sent."""
+FETCH_RETRY_DELAY_S = 1.0
 STOP_FOLLOWING_DELAY_S = 3.0
 """A host continues to follow the store for this long after it last had to."""
 
@@ -134,6 +140,7 @@
         self._lost_at: dict[Topic, float] = {}
         self._checks = WatchChecks()
         self._watch_tasks: dict[Topic, Task] = {}
+        self._fetch_tasks: dict[Topic, Task] = {}
         self._reach_task: Task | None = None
         self._background_tasks: list[Task] = []
         self._last_needed_at = -inf
@@ -149,7 +156,11 @@
 
     async def stop(self) -> None:
         """Cancel all tasks and wait for their end."""
-        tasks = [*self._watch_tasks.values(), *self._background_tasks]
+        tasks = [
+            *self._watch_tasks.values(),
+            *self._fetch_tasks.values(),
+            *self._background_tasks,
+        ]
         if self._reach_task is not None:
             tasks.append(self._reach_task)
         for task in tasks:
@@ -219,8 +230,44 @@
             ):
                 emit(FOLLOWING_ENDED)
                 self._stop_following()
+            if not self._watch_tasks:
+                self._fetch_overdue_topics(now)
             await sleep(ROLE_POLL_INTERVAL_S)
 
+    def _fetch_overdue_topics(self, now: float) -> None:
+        """Begin to fetch the topics that other hosts have had newer for too long."""
+        for topic in Topic:
+            behind_s = self._view.staleness.behind_s(topic, now)
+            if behind_s > MAX_BEHIND_S and topic not in self._fetch_tasks:
+                emit(
+                    FETCHED_FROM_STORE,
+                    topic=topic.value,
+                    revision=revision_in_era(self._view.revisions[topic]),
+                    behind_s=round(behind_s, 2),
+                )
+                self._fetch_tasks[topic] = create_task(self._fetch(topic))
+
+    async def _fetch(self, topic: Topic) -> None:
+        """Ask the store for the changes of a topic once, and wait if it has none."""
+        # Other hosts may be overdue at the same time.
+        await sleep(ROLE_POLL_INTERVAL_S * self._rng.random())
+        try:
+            await self._fetch_changes(topic)
+        except StoreUnavailable:
+            await sleep(FETCH_RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
+        finally:
+            del self._fetch_tasks[topic]
+
+    async def _fetch_changes(self, topic: Topic) -> None:
+        revision = self._view.revisions[topic]
+        if not revision:
+            await self._list(topic)
+            return
+        try:
+            self._apply(topic, await self._store.check(KIND_BY_TOPIC[topic], revision))
+        except HistoryGone:
+            await self._list(topic)
+
     def _renew_earlier_watches(self) -> None:
         """Renew all watches when the first of them showed a later era.
 
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -101,6 +101,13 @@
     "This host stopped following the store; the relays of its data centre do.",
     "None.",
 )
+FETCHED_FROM_STORE = Event(
+    309,
+    "fetched-from-store",
+    "Other hosts have had a change for a while and did not send it, so this host asks "
+    "the store for it.",
+    "None, unless it is frequent: then check the network to the relays.",
+)
 WATCHES_RENEWED = Event(
     303,
     "watches-renewed",
--- a/damasktally/events/explanation.py
+++ b/damasktally/events/explanation.py
@@ -4,11 +4,13 @@
 from json import JSONDecodeError, loads
 
 from damasktally.events.catalogue import (
+    FETCHED_FROM_STORE,
     HOST_LEAVING,
     LEASE_MANAGER_SILENT,
     LEASE_WAIT_ENDED,
     LOSS_IGNORED,
     PEER_LOST,
+    RELAY_FAILED,
     REQUEST_BLOCKED,
     REQUEST_ENDED,
     REQUEST_UNBLOCKED,
@@ -22,6 +24,7 @@
     STORE_REGAINED,
     STORE_RESTORED,
     VIEW_CHANGED,
+    WATCHES_RENEWED,
 )
 from damasktally.events.reasons import Reason
 
@@ -30,10 +33,12 @@
 CONTEXT_EVENTS = frozenset(
     event.number
     for event in (
+        FETCHED_FROM_STORE,
         HOST_LEAVING,
         LEASE_MANAGER_SILENT,
         LOSS_IGNORED,
         PEER_LOST,
+        RELAY_FAILED,
         REQUEST_BLOCKED,
         REQUEST_UNBLOCKED,
         SERVER_ASKED_FOR_PAUSE,
@@ -46,6 +51,7 @@
         STORE_REGAINED,
         STORE_RESTORED,
         VIEW_CHANGED,
+        WATCHES_RENEWED,
     )
 )
 
--- a/features/entry/state_transfer.feature
+++ b/features/entry/state_transfer.feature
@@ -33,3 +33,13 @@
     And peers that name these revisions: 12 ended, 12 ended
     When it hears of them
     Then in 2 s at most 24 requests fail
+
+  # Guards against a host that knows of a version and waits for peers that do not send it.
+  Scenario: A host that no peer sends what it named asks the store
+    Given a stand-in store with a configuration and 3 servers
+    And a host that relies on peers, and knows what the store has
+    When the operator writes a version, and only the host's peers know of it
+    Then the host has version 2 within 2 s
+    And it made 1 call to the store for it, and follows the store no more than before
+    When the store refuses all calls, and peers name a still newer revision
+    Then in 3 s the host makes at most 6 calls to the store
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -17,13 +17,16 @@
 )
 
 from damasktally.entry.state_transfer import StateTransfer
+from damasktally.entry.store_sync import KIND_BY_TOPIC, FollowerRole, StoreSync
 from damasktally.events.catalogue import RELAY_FAILED
 from damasktally.fleet.members import MemberRecord
 from damasktally.fleet.model import Member
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import Decoders, FleetView
+from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.codec import decode_configuration, decode_server
+from damasktally.platform.store import StoreClient
 from damasktally.standins.ports import free_port
 
 KNOWN_REVISION = 10
@@ -175,3 +178,85 @@
     context.loop_thread.run(sleep(seconds))
     failed = [item for item in record if item.get("event") == RELAY_FAILED.number]
     assert 2 <= len(failed) <= count, len(failed)
+
+
+@given("a host that relies on peers, and knows what the store has")
+def given_relying_host(context):
+    """Start to follow the role of a host whose relays reach the store."""
+    decoders = Decoders(decode_configuration, decode_server, "main")
+    context.view = FleetView(decoders, lambda change: None)
+    role = FollowerRole(
+        is_fleet_known=lambda: True,
+        should_follow_store=lambda: False,
+        should_check_watches=lambda: False,
+        has_store_following_relay=lambda: True,
+        is_relay=lambda: False,
+        relays_age_s=lambda: 60.0,
+    )
+
+    async def begin():
+        client = StoreClient(
+            ("127.0.0.1", context.store.port),
+            lambda purpose: None,
+            ResponseMemory(),
+            lambda problem: None,
+        )
+        for topic, kind in KIND_BY_TOPIC.items():
+            listing = await client.list_objects(kind)
+            context.view.replace(topic, listing.revision, listing.specs, "peer", 0.0)
+        sync = StoreSync(client, context.view, lambda topic: None, role, Random(1))
+        sync.start()
+        return sync
+
+    context.sync = context.loop_thread.run(begin())
+    context.add_cleanup(lambda: context.loop_thread.run(context.sync.stop()))
+
+
+@when("the operator writes a version, and only the host's peers know of it")
+def when_version_withheld(context):
+    """Let the host hear of a revision that it gets from nobody."""
+    routes = [*DEFAULT_ROUTES, make_route("new", "/new/")]
+
+    async def write():
+        cfg = make_configuration(2, routes)
+        await context.store.write("config", "main", cfg)
+        context.store.calls.clear()
+        hear_of_newer(context, context.store.revision)
+
+    context.loop_thread.run(write())
+
+
+def hear_of_newer(context, revision):
+    """Record that another host has a newer revision."""
+    now = context.loop_thread.loop.time()
+    context.view.staleness.record_newer(Topic.CONFIGURATION, revision, now)
+
+
+@then("the host has version 2 within {limit_s:g} s")
+def then_has_version(context, limit_s):
+    """Wait for the version."""
+    has_version = lambda: context.view.configuration.version == 2
+    context.loop_thread.run(wait_until(has_version, limit_s))
+
+
+@then("it made 1 call to the store for it, and follows the store no more than before")
+def then_one_call(context):
+    """Check the calls that the store got."""
+    context.loop_thread.run(sleep(0.5))
+    assert len(context.store.calls) == 1, context.store.calls
+    assert not context.sync._watch_tasks
+
+
+@when("the store refuses all calls, and peers name a still newer revision")
+def when_store_refuses(context):
+    """Refuse the host's calls from now on."""
+    context.store.refusal_status = 503
+    context.store.calls.clear()
+    hear_of_newer(context, context.store.revision + 5)
+
+
+@then("in {seconds:g} s the host makes at most {count:d} calls to the store")
+def then_few_calls(context, seconds, count):
+    """Check that the calls are spread."""
+    context.loop_thread.run(sleep(seconds))
+    assert 1 <= len(context.store.calls) <= count, context.store.calls
