Replaced followers of the store as soon as they say that they lost it.

What callers saw: 404 and requests handled by the version before, at hosts that the store serves, more than 3 s after the acknowledgement. Cause: four relays follow the store for the whole fleet. When the store turns away just those, they know it at once (0.06 s), but tell nobody; the others wait until the state that they announce looks 2.6 s old, then find out one after the other who reaches the store. The first one began 3.5 s after the loss. Class: a failure that is known is waited out by a timeout elsewhere. Hosts whose relays say so wait less for them.

--- a/damasktally/decisions/relays.py
+++ b/damasktally/decisions/relays.py
@@ -10,7 +10,7 @@
 calls than necessary are sent.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from damasktally.decisions.affinity import rendezvous_score
@@ -27,6 +27,8 @@
 """A relay has the state of the store if it, or a relay that it hears from, reached the
 store within this time. A probe takes up to a second, and so does the detection that one
 fails."""
+MAX_CUT_OFF_RELAY_STORE_AGE_S = 1.6
+"""The same for a relay that says that it does not reach the store itself."""
 MAX_RELAY_SILENCE_S = 1.2
 """A relay counts as failed if no heartbeat arrived from it for this long."""
 
@@ -76,12 +78,17 @@
 
 def choose_store_followers(
     relays_by_data_centre: Mapping[tuple[str, str], Sequence[str]],
+    cut_off: Collection[str] = (),
 ) -> list[str]:
     """Return the names of the relays that follow the store for the whole fleet.
 
-    Primary relays come first, and one of each region before the second of any.
+    Primary relays come first, and one of each region before the second of any. Relays
+    that do not reach the store are replaced, each by two: what cuts off some may cut
+    off those that replace them, too, and nobody knows which before they try.
 
     :param relays_by_data_centre: relays by region and data centre, the primary first.
+    :param cut_off: names of hosts that said that they do not reach the store. If all
+        relays did, they are chosen as if none had.
     """
     data_centres_seen: dict[str, int] = {}
     ranked = []
@@ -91,7 +98,10 @@
         for rank, host in enumerate(relays_by_data_centre[region, data_centre]):
             ranked.append((rank, position, region, host))
     ranked.sort()
-    return [host for _, _, _, host in ranked[:STORE_FOLLOWERS]]
+    hosts = [host for _, _, _, host in ranked]
+    usable = [host for host in hosts if host not in cut_off]
+    spare_count = len(hosts) - len(usable)
+    return usable[: STORE_FOLLOWERS + spare_count] or hosts[:STORE_FOLLOWERS]
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +110,21 @@
 
     :param silent_s: seconds since its last heartbeat.
     :param store_age_s: age of its state of the store in seconds, as of that heartbeat.
+    :param has_lost_store: whether it does not reach the store itself.
     """
 
     silent_s: float
     store_age_s: float
+    has_lost_store: bool = False
+
+    def is_usable(self) -> bool:
+        """Return whether the relay is alive and has recent state of the store."""
+        max_age_s = (
+            MAX_CUT_OFF_RELAY_STORE_AGE_S
+            if self.has_lost_store
+            else MAX_RELAY_STORE_AGE_S
+        )
+        return self.silent_s <= MAX_RELAY_SILENCE_S and self.store_age_s <= max_age_s
 
 
 def has_live_relay(relays: Iterable[RelayState]) -> bool:
@@ -111,8 +132,4 @@
 
     A host whose data centre has such a relay need not follow the store itself.
     """
-    return any(
-        relay.silent_s <= MAX_RELAY_SILENCE_S
-        and relay.store_age_s <= MAX_RELAY_STORE_AGE_S
-        for relay in relays
-    )
+    return any(relay.is_usable() for relay in relays)
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -7,6 +7,7 @@
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.decisions.quota import CustomerQuotas
+from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
@@ -14,6 +15,7 @@
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.crash_protection import CrashProtection
 from damasktally.entry.draining import drain_requests
+from damasktally.entry.follower_role import FollowerRole
 from damasktally.entry.forwarded_requests import ForwardedRequests
 from damasktally.entry.forwarder import Forwarder
 from damasktally.entry.host_forwarder import HostForwarder
@@ -38,7 +40,7 @@
 from damasktally.entry.share_updates import ShareUpdates
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_eras import EraFollower, EraProblemLog
-from damasktally.entry.store_sync import FollowerRole, StoreSync
+from damasktally.entry.store_sync import StoreSync
 from damasktally.entry.suspension import SuspensionDetector
 from damasktally.entry.topology import FleetTopology
 from damasktally.entry.view_log import log_view_change
@@ -95,8 +97,9 @@
         )
         self._summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
+        reach = StoreReach()
         self._topology = FleetTopology(
-            self._members, self._summaries, self._view.revisions
+            self._members, self._summaries, self._view.revisions, reach
         )
         self._confirmations = Confirmations(self._view, self._topology)
         self._quota_reports = QuotaReports(
@@ -117,6 +120,7 @@
             FollowerRole.from_topology(
                 self._topology, lambda: self._registration.is_complete
             ),
+            reach,
             self._rng,
         )
         self._transfer = StateTransfer(
@@ -164,6 +168,7 @@
             PeerReports(self._server_reports, crashes.reports),
             self._share_updates.handle_counts,
         )
+        reach.on_lost = self._announce_store_loss
         self._capacity_log = CapacityLog(self._view)
         self._connection_pool = ConnectionPool(response_memory, crashes.link_breaks)
         self._reachability = ReachabilityMonitor(
@@ -388,8 +393,13 @@
             self._is_stopped,
             store_age_s,
             self._reachability.unreachable_services(),
+            self._store_sync.has_lost_store,
         )
 
+    def _announce_store_loss(self) -> None:
+        self._topology.invalidate()
+        self._peer_protocol.announce_store_loss()
+
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this host."""
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -225,6 +225,7 @@
             unreachable_services=state.unreachable_services,
             server_loads=self._load_reports.take(loads, ReportScope.OWN, now),
             lease_port=own.lease_port,
+            has_lost_store=state.has_lost_store,
         )
 
     def build_data_centre_summary(self, now: float) -> RelaySummary:
@@ -364,7 +365,7 @@
         outbox.last_hosts = data_centre_hosts
         demand, is_demand_complete = outbox.demand.select(counts[0], False)
         admitted, is_admitted_complete = outbox.admitted.select(counts[1], False)
-        own = self._own
+        own, state = self._own, self._get_own_state()
         return RelaySummary(
             relay=own.host,
             started_ms=own.started_ms,
@@ -379,12 +380,13 @@
             demand=demand,
             admitted=admitted,
             is_complete=is_demand_complete and is_admitted_complete,
-            store_age_s=round(self._get_own_state().store_age_s, 2),
+            store_age_s=round(state.store_age_s, 2),
             included_heartbeats=dict(included_heartbeats),
             server_limits=tuple(self._server_limits.reports(report_scope, now)),
             crash_reports=tuple(self._crash_suspects.reports(now)),
             leaving_servers=tuple(self._view.servers.new_leaving_marks(now)),
             server_loads=self._load_reports.take(outbox.loads, report_scope, now),
+            has_lost_store=state.has_lost_store,
         )
 
     def _revisions(self) -> tuple[int, ...]:
--- a/damasktally/entry/outbox.py
+++ b/damasktally/entry/outbox.py
@@ -16,12 +16,15 @@
     :param store_age_s: age of this host's state of the store in seconds: since it, or
         a host from which it gets changes, reached the store.
     :param unreachable_services: services of which this host reaches no server.
+    :param has_lost_store: whether this host called the store lately and did not reach
+        it.
     """
 
     ready: bool
     stopped: bool
     store_age_s: float
     unreachable_services: tuple[str, ...] = ()
+    has_lost_store: bool = False
 
 
 @dataclass(slots=True)
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -160,7 +160,7 @@
             self._send_summaries(now)
 
     def _handle_summary(self, summary: RelaySummary, now: float) -> None:
-        if self._summaries.apply_summary(summary, now):
+        if self._summaries.apply_summary(summary, now) or summary.has_lost_store:
             self._topology.invalidate()
         self._reports.record_summary(summary, self._topology.is_relay(now))
         if summary.scope != WHOLE_FLEET:
@@ -181,6 +181,7 @@
                     revisions_by_topic(summary.revisions),
                     summary.store_age_s,
                     now,
+                    summary.has_lost_store,
                 )
         # The counts of a standby only set a baseline, which can wait for an update.
         if record.summary is summary and not self._topology.should_follow_store(now):
@@ -225,15 +226,18 @@
                 self._send_datagram(address, data)
 
     def _send_summaries(self, now: float) -> None:
-        data = msgspec.msgpack.encode(
-            self._message_builder.build_data_centre_summary(now)
-        )
+        data = self._encode_data_centre_summary(now)
         for addresses in self._topology.remote_relay_addresses(now):
             for rank, address in enumerate(addresses):
                 if rank == 0 or self._is_standby_round():
                     self._send_datagram(address, data)
         self._send_fleet_summary(now)
 
+    def _encode_data_centre_summary(self, now: float) -> bytes:
+        return msgspec.msgpack.encode(
+            self._message_builder.build_data_centre_summary(now)
+        )
+
     def _send_fleet_summary(self, now: float) -> None:
         data = msgspec.msgpack.encode(self._message_builder.build_fleet_summary(now))
         for record in self._topology.local_records():
@@ -256,6 +260,17 @@
                 ANNOUNCE_DELAY_S, self._send_announcement
             )
 
+    def announce_store_loss(self) -> None:
+        """Tell all relays at once that this one does not reach the store any more."""
+        now = self._loop.time()
+        if not self._is_active_relay(now):
+            return
+        data = self._encode_data_centre_summary(now)
+        for addresses in self._topology.remote_relay_addresses(now):
+            for address in addresses:
+                self._send_datagram(address, data)
+        self._send_fleet_summary(now)
+
     def _send_announcement(self) -> None:
         self._announcement = None
         self._send_fleet_summary(self._loop.time())
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -144,7 +144,7 @@
             return
         now = self._loop.time()
         self._record_newer(revisions, now)
-        if not self._topology.should_follow_store(now):
+        if not self._topology.expects_changes_from_store(now):
             self.catch_up(now)
 
     def _record_newer(self, revisions: Mapping[Topic, int], now: float) -> None:
@@ -170,7 +170,8 @@
             return
         for revisions in distinct:
             self._record_newer(revisions, now)
-        delay_s = STORE_GRACE_S if self._topology.should_follow_store(now) else 0.0
+        expects_changes = self._topology.expects_changes_from_store(now)
+        delay_s = STORE_GRACE_S if expects_changes else 0.0
         for topic in Topic:
             known = self._view.revisions[topic]
             if all(revisions.get(topic, 0) <= known for revisions in distinct):
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -20,6 +20,7 @@
     has_live_relay,
     is_full_mesh,
 )
+from damasktally.decisions.store_reach import StoreReach
 from damasktally.fleet.members import (
     HEARTBEAT_TIMEOUT_S,
     LISTED_HOST_LIFETIME_S,
@@ -75,6 +76,7 @@
     :param members: hosts that send heartbeats to this one, or that the store lists.
     :param summaries: the last summary of each relay.
     :param revisions: the revision of each topic that this host has, kept up to date.
+    :param reach: tells whether this host reaches the store.
     """
 
     def __init__(
@@ -82,10 +84,12 @@
         members: MemberTable,
         summaries: SummaryTable,
         revisions: Mapping[Topic, int],
+        reach: StoreReach,
     ) -> None:
         self._members = members
         self._summaries = summaries
         self._revisions = revisions
+        self._reach = reach
         self._relayed_reached_at = -inf
         self._own = members.own
         self._cached: _Snapshot | None = None
@@ -129,7 +133,7 @@
             self._recent_known_size.record(known_fleet_size, now),
             relays,
             remote_relays,
-            self._is_chosen_follower(relays, remote_relays),
+            self._is_chosen_follower(relays, remote_relays, now),
             self._store_reached_at(now),
         )
 
@@ -159,7 +163,10 @@
         )
 
     def _is_chosen_follower(
-        self, relays: tuple[Member, ...], remote: tuple[tuple[Member, ...], ...]
+        self,
+        relays: tuple[Member, ...],
+        remote: tuple[tuple[Member, ...], ...],
+        now: float,
     ) -> bool:
         """Return whether this host is one of the relays that follow the store.
 
@@ -172,7 +179,24 @@
             (members[0].region, members[0].data_centre): [m.host for m in members]
             for members in (relays, *remote)
         }
-        return self._own.host in choose_store_followers(by_data_centre)
+        cut_off = self._hosts_without_store(now)
+        return self._own.host in choose_store_followers(by_data_centre, cut_off)
+
+    def _hosts_without_store(self, now: float) -> set[str]:
+        """Return the live hosts that do not reach the store, as they say themselves."""
+        hosts = {
+            record.member.host
+            for record in self._members.live_records(now)
+            if record.has_lost_store
+        }
+        hosts.update(
+            record.summary.relay
+            for record in self._summaries.live_records(now)
+            if record.summary.has_lost_store
+        )
+        if self._reach.is_lost(now):
+            hosts.add(self._own.host)
+        return hosts
 
     def _live_local_members(self, now: float) -> dict[str, Member]:
         """Return the hosts of this data centre that are assumed alive, by name.
@@ -271,6 +295,10 @@
         """
         return self.is_full_mesh(now) or self._get_snapshot(now).is_store_follower
 
+    def expects_changes_from_store(self, now: float) -> bool:
+        """Return whether this host follows the store and has not lost it."""
+        return self.should_follow_store(now) and not self._reach.is_lost(now)
+
     def should_check_watches(self, now: float) -> bool:
         """Return whether this host checks for others what the watches deliver.
 
@@ -300,10 +328,17 @@
         if self.is_relay(now) and age_s <= MAX_RELAY_STORE_AGE_S:
             return True
         return has_live_relay(
-            RelayState(now - record.last_seen_at, record.store_age_s)
+            RelayState(
+                now - record.last_seen_at, record.store_age_s, record.has_lost_store
+            )
             for record in self.local_relay_records(now)
         )
 
+    def have_relays_lost_store(self, now: float) -> bool:
+        """Return whether all other relays here say that they do not reach the store."""
+        records = self.local_relay_records(now)
+        return bool(records) and all(record.has_lost_store for record in records)
+
     def ready_hosts(self, now: float) -> list[ReadyHost]:
         """Return the other hosts that callers may be sent to."""
         live = [
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -61,6 +61,8 @@
     :param unreachable_services: services of which the sender reaches no server.
     :param server_loads: loads of busy servers, from responses to the sender.
     :param lease_port: port where the sender takes messages about leases, or 0.
+    :param has_lost_store: whether the sender called the store lately and did not reach
+        it.
     """
 
     host: str
@@ -87,6 +89,7 @@
     unreachable_services: tuple[str, ...] = ()
     server_loads: tuple[ServerLoadReport, ...] = ()
     lease_port: int = 0
+    has_lost_store: bool = False
 
 
 @dataclass(slots=True)
@@ -109,6 +112,7 @@
         message.
     :param fleet_size: number of hosts known to it, itself included.
     :param unreachable_services: services of which it reaches no server.
+    :param has_lost_store: whether it called the store lately and did not reach it.
     """
 
     member: Member
@@ -123,6 +127,7 @@
     store_age_s: float = inf
     fleet_size: int = 1
     unreachable_services: tuple[str, ...] = ()
+    has_lost_store: bool = False
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether replies have been due for too long and nothing arrived.
@@ -216,6 +221,7 @@
             store_age_s=heartbeat.store_age_s,
             fleet_size=heartbeat.fleet_size,
             unreachable_services=heartbeat.unreachable_services,
+            has_lost_store=heartbeat.has_lost_store,
         )
         return is_new
 
@@ -248,6 +254,7 @@
         revisions: Mapping[Topic, int],
         store_age_s: float,
         now: float,
+        has_lost_store: bool = False,
     ) -> None:
         """Update a relay's record from its summary, which shows that it is alive.
 
@@ -255,6 +262,7 @@
         :param revisions: revision of each topic that the relay has.
         :param store_age_s: age of the relay's state of the store in seconds.
         :param now: seconds on the event loop's clock.
+        :param has_lost_store: whether the relay does not reach the store itself.
         """
         record = self._records.get(member.host)
         if record is None or record.member.started_ms < member.started_ms:
@@ -264,6 +272,7 @@
             record.has_been_seen = True
             record.revisions = revisions
             record.store_age_s = store_age_s
+            record.has_lost_store = has_lost_store
 
     def remove_silent(self, now: float) -> list[str]:
         """Remove the hosts that sent nothing for :data:`REMOVAL_TIMEOUT_S`.
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -92,6 +92,8 @@
     :param crash_reports: requests under which servers ended, as far as the relay knows.
     :param leaving_servers: id and start of server processes that said that they leave.
     :param server_loads: loads of busy servers, from responses to these hosts.
+    :param has_lost_store: whether the relay called the store lately and did not reach
+        it.
     """
 
     relay: str
@@ -113,6 +115,7 @@
     crash_reports: tuple[CrashReport, ...] = ()
     leaving_servers: tuple[tuple[str, int], ...] = ()
     server_loads: tuple[ServerLoadReport, ...] = ()
+    has_lost_store: bool = False
 
 
 LISTING_LIFETIME_S = 8.0
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -6,11 +6,13 @@
 
   Scenario: A host relies on a relay only while it is alive and reaches the store
     Then a host relies on relays by these cases
-      | silent | store age | relies |
-      | 0.2    | 1.0       | yes    |
-      | 1.1    | 2.5       | yes    |
-      | 1.3    | 0.1       | no     |
-      | 0.1    | 2.7       | no     |
+      | silent | store age | lost the store | relies |
+      | 0.2    | 1.0       | no             | yes    |
+      | 1.1    | 2.5       | no             | yes    |
+      | 1.3    | 0.1       | no             | no     |
+      | 0.1    | 2.7       | no             | no     |
+      | 0.1    | 1.5       | yes            | yes    |
+      | 0.1    | 1.7       | yes            | no     |
 
   Scenario: Calls to the store do not grow with the number of data centres
     Then these relays follow the store
@@ -21,6 +23,11 @@
       | 0, 3, 3                     | b-1.p, c-1.p, b-2.p, c-2.p                    |
       | 9, 9, 9                     | a-1.p, b-1.p, c-1.p, a-2.p                    |
 
+  # Guards against a fleet that waits until all followers of the store look old.
+  Scenario: Relays that do not reach the store are replaced at once
+    Then relays that do not reach the store are replaced by two each while there are some
+    And a host that calls the store no more counts as cut off for a while
+
   Scenario: A relay that does not follow the store reports the age of what it gets
     Given a relay whose data centre is not among those that follow the store
     When a relay elsewhere reports that it reached the store 0.4 s ago
@@ -117,6 +124,30 @@
     When the operator writes a new configuration
     Then within 1 s all hosts have it, most of them from a relay
 
+  # Guards against a version that is late at all hosts, as the few that follow the store are
+  # those that the store turns away.
+  Scenario Outline: The store <conduct> the hosts that follow it as a version is written
+    Given 36 hosts in 3 data centres, each of which reaches the store in its own way
+    Then within 8 s only 4 relays follow the store, and all hosts have the configuration
+    When the store <conduct> the callers among the hosts that follow it
+    And the operator writes a new configuration
+    Then within 3 s all hosts have it
+    And after 3 s more at most 12 hosts follow the store
+
+    Examples:
+      | conduct |
+      | resets  |
+      | refuses |
+      | ignores |
+
+  # Guards against the same if the relays that could take over are turned away, too.
+  Scenario: The store resets all relays as a version is written
+    Given 36 hosts in 3 data centres, each of which reaches the store in its own way
+    Then within 8 s only 4 relays follow the store, and all hosts have the configuration
+    When the store resets the callers among all relays
+    And the operator writes a new configuration
+    Then within 3 s all hosts have it
+
   # Guards against hosts that take themselves for relays, and the fleet for small, when the
   # first summary of the next relay knows few hosts.
   Scenario: Hosts keep the fleet's size and its list of hosts when the relays change
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -16,6 +16,7 @@
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.relays import RelayCandidate, choose_relays
 from damasktally.decisions.server_limits import ServerLimits
+from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.outbox import OwnState
 from damasktally.entry.peers import PeerProtocol
@@ -87,7 +88,9 @@
         self.summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
         view = FleetView(Decoders(None, None, "main"), lambda change: None)
-        self.topology = FleetTopology(self.members, self.summaries, view.revisions)
+        self.topology = FleetTopology(
+            self.members, self.summaries, view.revisions, StoreReach()
+        )
         quotas = CustomerQuotas(lambda customer: 0.0)
         get_own_state = lambda: OwnState(True, False, 0.1)
         self.message_builder = FleetMessageBuilder(
@@ -139,7 +142,7 @@
     context.order = rank_relays("near", names)
     own = member(context.order[-1], "near", 99)
     members, context.summaries = MemberTable(own), SummaryTable()
-    context.topology = FleetTopology(members, context.summaries, {})
+    context.topology = FleetTopology(members, context.summaries, {}, StoreReach())
     first = msgspec.structs.replace(
         whole_fleet_summary(listings), relay=context.order[0]
     )
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -292,6 +292,7 @@
         "unreachable_services": ("svc",),
         "server_loads": (ServerLoadReport("s-3", 8, 6, 2, 250, 90),),
         "lease_port": 8,
+        "has_lost_store": True,
     }
     values = msgspec.msgpack.decode(
         msgspec.msgpack.encode(make_heartbeat(**later_fields))
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -109,7 +109,8 @@
     If ``refusal_status`` is not 0, every answer has it. ``is_silent`` suppresses
     all answers; ``lose_answers`` closes the connection instead of answering a write.
     ``delay_by_kind`` delays answers to calls of some kinds, in seconds.
-    ``silent_kinds`` are those whose waiting watches get no answer.
+    ``silent_kinds`` are those whose waiting watches get no answer. It listens on
+    several ports if :meth:`listen` is called, and can turn the callers of some away.
     ``era`` is in the header ``Store-Era`` of all answers unless it is ``None``.
     """
 
@@ -129,15 +130,33 @@
         self._muted: set[StreamWriter] = set()
         self.calls: list[str] = []
         self._changed = Event()
-        self._server = None
+        self._turned_away: dict[int, str] = {}
+        self._servers: list[Any] = []
         self.port = 0
 
     async def start(self) -> None:
         """Listen."""
-        self._server = await start_server(
-            ignore_disconnects(self._serve), "127.0.0.1", 0
-        )
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = await self.listen()
+
+    async def listen(self) -> int:
+        """Listen on one more port, and return it."""
+        server = await start_server(ignore_disconnects(self._serve), "127.0.0.1", 0)
+        self._servers.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    def turn_away(self, ports: set[int], conduct: str) -> None:
+        """Turn away all callers of some ports, also those that wait now.
+
+        :param conduct: ``resets``, ``refuses`` (with status 503) or ``ignores``.
+        """
+        self._turned_away = dict.fromkeys(ports, conduct)
+        for writer in list(self._open_writers):
+            if local_port(writer) not in ports:
+                continue
+            if conduct == "ignores":
+                self._muted.add(writer)
+            else:
+                writer.transport.abort()
 
     async def write(self, kind: str, name: str, spec: Any) -> None:
         """Write an object, or delete it when the spec is ``None``."""
@@ -192,10 +211,19 @@
             body = await read_body(reader, headers)
             method, target, _ = line.split(" ")
             self.calls.append(f"{method} {target}")
+            conduct = self._turned_away.get(local_port(writer), "")
+            if conduct == "resets":
+                writer.transport.abort()
+                return
+            if conduct == "ignores":
+                self._muted.add(writer)
+                continue
             kind = waiting_watch_kind(target)
             self._watched_kinds[writer] = kind
             status, content = await self._answer(method, target, body)
             del self._watched_kinds[writer]
+            if conduct == "refuses":
+                status, content = 503, {}
             if kind in self.silent_kinds:
                 self._muted.add(writer)
             if self.is_silent or writer in self._muted:
@@ -268,6 +296,11 @@
                 return 200, {"events": [], "StoreRevision": self.revision}
 
 
+def local_port(writer: StreamWriter) -> int:
+    """Return the port on which a connection was accepted."""
+    return writer.get_extra_info("sockname")[1]
+
+
 MIN_LONG_WAIT_MS = 1000
 """Shortest wait of a watch that counts as waiting for the next change."""
 
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -12,6 +12,7 @@
     MAX_RELAY_STORE_AGE_S,
     choose_store_followers,
 )
+from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.state_messages import (
     ResponseFrames,
     StateRequest,
@@ -69,7 +70,7 @@
     )
     summaries = SummaryTable()
     revisions = dict.fromkeys(Topic, 1)
-    topology = FleetTopology(MemberTable(own), summaries, revisions)
+    topology = FleetTopology(MemberTable(own), summaries, revisions, StoreReach())
     return topology, summaries
 
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -81,7 +81,10 @@
 def then_relies_on_relays(context):
     """Compare the decision with each row of the table."""
     for row in context.table:
-        state = RelayState(float(row["silent"]), float(row["store age"]))
+        has_lost_store = row["lost the store"] == "yes"
+        state = RelayState(
+            float(row["silent"]), float(row["store age"]), has_lost_store
+        )
         assert has_live_relay([state]) == (row["relies"] == "yes"), row
     assert not has_live_relay([])
 
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -16,8 +16,11 @@
     wait_until,
 )
 
+from damasktally.decisions.store_reach import StoreReach
+from damasktally.entry.follower_role import FollowerRole
 from damasktally.entry.state_transfer import StateTransfer
-from damasktally.entry.store_sync import KIND_BY_TOPIC, FollowerRole, StoreSync
+from damasktally.entry.store_sync import StoreSync
+from damasktally.entry.topic_reader import KIND_BY_TOPIC
 from damasktally.events.catalogue import RELAY_FAILED
 from damasktally.fleet.members import MemberRecord
 from damasktally.fleet.model import Member
@@ -99,7 +102,7 @@
         live_records=lambda now: [peer.record(now) for peer in context.peers]
     )
     topology = SimpleNamespace(
-        should_follow_store=lambda now: False, is_full_mesh=lambda now: False
+        expects_changes_from_store=lambda now: False, is_full_mesh=lambda now: False
     )
 
     async def create():
@@ -190,6 +193,7 @@
         should_follow_store=lambda: False,
         should_check_watches=lambda: False,
         has_store_following_relay=lambda: True,
+        have_relays_lost_store=lambda: False,
         is_relay=lambda: False,
         relays_age_s=lambda: 60.0,
     )
@@ -204,7 +208,9 @@
         for topic, kind in KIND_BY_TOPIC.items():
             listing = await client.list_objects(kind)
             context.view.replace(topic, listing.revision, listing.specs, "peer", 0.0)
-        sync = StoreSync(client, context.view, lambda topic: None, role, Random(1))
+        sync = StoreSync(
+            client, context.view, lambda topic: None, role, StoreReach(), Random(1)
+        )
         sync.start()
         return sync
 
