--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -148,6 +148,19 @@
     And the operator writes a new configuration
     Then within 3 s all hosts have it
 
+  # Guards against a version that is late where hosts rely on others that fell silent.
+  Scenario Outline: <hosts> fall silent as a version is written
+    Given 36 hosts in 3 data centres, each of which reaches the store in its own way
+    Then within 8 s only 4 relays follow the store, and all hosts have the configuration
+    When <hosts> fall silent
+    And the operator writes a new configuration
+    Then within 3 s all hosts have it
+
+    Examples:
+      | hosts                                |
+      | both relays of the first data centre |
+      | all hosts that follow the store      |
+
   # Guards against hosts that take themselves for relays, and the fleet for small, when the
   # first summary of the next relay knows few hosts.
   Scenario: Hosts keep the fleet's size and its list of hosts when the relays change
--- a/features/steps/store_loss_steps.py
+++ b/features/steps/store_loss_steps.py
@@ -144,3 +144,28 @@
     context.loop_thread.run(sleep(seconds))
     followers = store_followers(context)
     assert len(followers) <= count, sorted(followers)
+
+
+@when("both relays of the first data centre fall silent")
+def when_relays_silent(context):
+    """Let both relays of the first data centre lose power."""
+    fall_silent(context, {"h-00", "h-03"})
+
+
+@when("all hosts that follow the store fall silent")
+def when_followers_silent(context):
+    """Let the hosts lose power that follow the store now."""
+    fall_silent(context, store_followers(context))
+
+
+def fall_silent(context, names):
+    """End some hosts without a last message."""
+    silent = [host for host in context.hosts if host._own.host in names]
+    context.hosts = [host for host in context.hosts if host not in silent]
+
+    async def silence():
+        for host in silent:
+            host._peer_protocol._transport.abort()
+            await host.close()
+
+    context.loop_thread.run(silence())
