--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -14,7 +14,6 @@
 from damasktally.decisions.load_reports import LoadReports
 from damasktally.decisions.quota import RELAYED_LAG_S, CustomerQuotas
 from damasktally.decisions.server_limits import ServerLimits
-from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.host_listings import OTHER_REGION_HOST_LIMIT
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.outbox import OwnState
@@ -55,9 +54,7 @@
         self.quotas.update_shares(customers, [], 0, 0.0)
         counts = HeartbeatHistory()
         view = FleetView(Decoders(None, None, ""), lambda change: None)
-        self.topology = FleetTopology(
-            self.members, self.summaries, view.revisions, StoreReach()
-        )
+        self.topology = FleetTopology(self.members, self.summaries)
         self.quota_reports = QuotaReports(
             self.topology, self.members, self.summaries, counts
         )
--- a/damasktally/entry/follower_role.py
+++ b/damasktally/entry/follower_role.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.topology import FleetTopology
 
 
@@ -35,16 +36,19 @@
 
     @classmethod
     def from_topology(
-        cls, topology: FleetTopology, is_fleet_known: Callable[[], bool]
+        cls,
+        topology: FleetTopology,
+        store_topology: StoreTopology,
+        is_fleet_known: Callable[[], bool],
     ) -> "FollowerRole":
         """Return the role of a host by its topology at the time of each call."""
         now = get_running_loop().time
         return cls(
             is_fleet_known,
-            lambda: topology.should_follow_store(now()),
-            lambda: topology.should_check_watches(now()),
-            lambda: topology.has_store_following_relay(now()),
-            lambda: topology.have_relays_lost_store(now()),
+            lambda: store_topology.should_follow_store(now()),
+            lambda: store_topology.should_check_watches(now()),
+            lambda: store_topology.has_store_following_relay(now()),
+            lambda: store_topology.have_relays_lost_store(now()),
             lambda: topology.is_relay(now()),
             lambda: topology.relays_age_s(now()),
         )
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -41,6 +41,7 @@
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_eras import EraFollower, EraProblemLog
 from damasktally.entry.store_sync import StoreSync
+from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.suspension import SuspensionDetector
 from damasktally.entry.topology import FleetTopology
 from damasktally.entry.view_log import log_view_change
@@ -98,8 +99,9 @@
         self._summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
         reach = StoreReach()
-        self._topology = FleetTopology(
-            self._members, self._summaries, self._view.revisions, reach
+        self._topology = FleetTopology(self._members, self._summaries)
+        self._store_topology = StoreTopology(
+            self._members, self._summaries, self._topology, self._view.revisions, reach
         )
         self._confirmations = Confirmations(self._view, self._topology)
         self._quota_reports = QuotaReports(
@@ -118,7 +120,9 @@
             self._view,
             self._confirmations.record,
             FollowerRole.from_topology(
-                self._topology, lambda: self._registration.is_complete
+                self._topology,
+                self._store_topology,
+                lambda: self._registration.is_complete,
             ),
             reach,
             self._rng,
@@ -127,6 +131,7 @@
             self._members,
             self._summaries,
             self._topology,
+            self._store_topology,
             self._view,
             self._confirmations.record,
             self._rng,
@@ -163,6 +168,7 @@
             self._members,
             self._summaries,
             self._topology,
+            self._store_topology,
             message_builder,
             self._transfer,
             PeerReports(self._server_reports, crashes.reports),
@@ -387,7 +393,8 @@
         now = self._loop.time()
         store_age_s = self._store_sync.store_age_s
         if not self._topology.is_full_mesh(now):
-            store_age_s = min(store_age_s, self._topology.relayed_store_age_s(now))
+            relayed_age_s = self._store_topology.relayed_store_age_s(now)
+            store_age_s = min(store_age_s, relayed_age_s)
         return OwnState(
             self.is_ready,
             self._is_stopped,
@@ -397,7 +404,7 @@
         )
 
     def _announce_store_loss(self) -> None:
-        self._topology.invalidate()
+        self._store_topology.invalidate()
         self._peer_protocol.announce_store_loss()
 
     @property
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -17,6 +17,7 @@
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.peer_reports import PeerReports
 from damasktally.entry.state_transfer import StateTransfer
+from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.topology import Address, FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import PEER_LOST, PEER_REGAINED, RELAY_FAILED
@@ -46,6 +47,7 @@
     :param members: table of the hosts that send heartbeats to this one.
     :param summaries: the last summary of each relay.
     :param topology: determines the receivers of messages.
+    :param store_topology: is told which relays lost the store.
     :param message_builder: builds the messages.
     :param transfer: notified of the revisions that a peer has.
     :param reports: receives what peers report of servers and requests.
@@ -58,6 +60,7 @@
         members: MemberTable,
         summaries: SummaryTable,
         topology: FleetTopology,
+        store_topology: StoreTopology,
         message_builder: FleetMessageBuilder,
         transfer: StateTransfer,
         reports: PeerReports,
@@ -66,6 +69,7 @@
         self._members = members
         self._summaries = summaries
         self._topology = topology
+        self._store_topology = store_topology
         self._message_builder = message_builder
         self._transfer = transfer
         self._reports = reports
@@ -160,8 +164,10 @@
             self._send_summaries(now)
 
     def _handle_summary(self, summary: RelaySummary, now: float) -> None:
-        if self._summaries.apply_summary(summary, now) or summary.has_lost_store:
+        if self._summaries.apply_summary(summary, now):
             self._topology.invalidate()
+        if summary.has_lost_store:
+            self._store_topology.invalidate()
         self._reports.record_summary(summary, self._topology.is_relay(now))
         if summary.scope != WHOLE_FLEET:
             if summary.scope != self._members.own.data_centre and self._is_active_relay(
@@ -184,7 +190,9 @@
                     summary.has_lost_store,
                 )
         # The counts of a standby only set a baseline, which can wait for an update.
-        if record.summary is summary and not self._topology.should_follow_store(now):
+        if record.summary is summary and not self._store_topology.should_follow_store(
+            now
+        ):
             self._on_counts_received(record, now)
 
     def send_due_messages(self, seeds: list[Address]) -> None:
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -31,6 +31,7 @@
     read_frame,
     write_frame,
 )
+from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.topology import Address, FleetTopology
 from damasktally.events import emit
 from damasktally.events.catalogue import RELAY_FAILED
@@ -91,7 +92,8 @@
 
     :param members: table of the hosts that send heartbeats to this one.
     :param summaries: the last summary of each relay.
-    :param topology: determines whether this host follows the store itself.
+    :param topology: determines whose messages tell of the other hosts.
+    :param store_topology: determines whether this host follows the store itself.
     :param view: is brought up to date, and supplies the responses.
     :param on_confirmed: called with a topic that a peer brought up to date.
     :param rng: chooses among peers with the same revision.
@@ -102,6 +104,7 @@
         members: MemberTable,
         summaries: SummaryTable,
         topology: FleetTopology,
+        store_topology: StoreTopology,
         view: FleetView,
         on_confirmed: Callable[[Topic], None],
         rng: Random,
@@ -109,6 +112,7 @@
         self._members = members
         self._summaries = summaries
         self._topology = topology
+        self._store_topology = store_topology
         self._view = view
         self._on_confirmed = on_confirmed
         self._rng = rng
@@ -144,7 +148,7 @@
             return
         now = self._loop.time()
         self._record_newer(revisions, now)
-        if not self._topology.expects_changes_from_store(now):
+        if not self._store_topology.expects_changes_from_store(now):
             self.catch_up(now)
 
     def _record_newer(self, revisions: Mapping[Topic, int], now: float) -> None:
@@ -170,7 +174,7 @@
             return
         for revisions in distinct:
             self._record_newer(revisions, now)
-        expects_changes = self._topology.expects_changes_from_store(now)
+        expects_changes = self._store_topology.expects_changes_from_store(now)
         delay_s = STORE_GRACE_S if expects_changes else 0.0
         for topic in Topic:
             known = self._view.revisions[topic]
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -5,22 +5,16 @@
 derives the topology for itself from the heartbeats and summaries that it receives.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from itertools import chain
 from math import inf
 
 from damasktally.decisions.recent_maximum import RecentMaximum
 from damasktally.decisions.relays import (
-    MAX_RELAY_STORE_AGE_S,
     RelayCandidate,
-    RelayState,
     choose_relays,
-    choose_store_followers,
-    has_live_relay,
     is_full_mesh,
 )
-from damasktally.decisions.store_reach import StoreReach
 from damasktally.fleet.members import (
     HEARTBEAT_TIMEOUT_S,
     LISTED_HOST_LIFETIME_S,
@@ -33,7 +27,6 @@
     SummaryTable,
     listed_ready_hosts,
 )
-from damasktally.fleet.topics import Topic
 
 FLEET_SIZE_MEMORY_S = 8.0
 """The fleet counts as large as it was in this time: a new relay knows few hosts yet,
@@ -54,9 +47,6 @@
     :param known_fleet_size: number of hosts by this host's own records and summaries.
     :param relays: relays of this data centre, the primary first.
     :param remote_relays: relays of each other data centre, if this host is a relay.
-    :param is_store_follower: whether this host follows the store for the fleet.
-    :param store_reached_at: when the newest state of the store that this host got from
-        others was current, in seconds of the event loop's time.
     """
 
     computed_at: float
@@ -64,8 +54,6 @@
     known_fleet_size: int
     relays: tuple[Member, ...]
     remote_relays: tuple[tuple[Member, ...], ...]
-    is_store_follower: bool
-    store_reached_at: float
 
 
 class FleetTopology:
@@ -75,22 +63,15 @@
 
     :param members: hosts that send heartbeats to this one, or that the store lists.
     :param summaries: the last summary of each relay.
-    :param revisions: the revision of each topic that this host has, kept up to date.
-    :param reach: tells whether this host reaches the store.
     """
 
     def __init__(
         self,
         members: MemberTable,
         summaries: SummaryTable,
-        revisions: Mapping[Topic, int],
-        reach: StoreReach,
     ) -> None:
         self._members = members
         self._summaries = summaries
-        self._revisions = revisions
-        self._reach = reach
-        self._relayed_reached_at = -inf
         self._own = members.own
         self._cached: _Snapshot | None = None
         self._recent_fleet_size = RecentMaximum(FLEET_SIZE_MEMORY_S)
@@ -126,78 +107,17 @@
             fleet_size = max(
                 [known_fleet_size, *(record.fleet_size for record in records)]
             )
-        remote_relays = tuple(self._remote_relays(now)) if self._own in relays else ()
+        remote_relays = (
+            tuple(self._find_remote_relays(now)) if self._own in relays else ()
+        )
         return _Snapshot(
             now,
             self._recent_fleet_size.record(fleet_size, now),
             self._recent_known_size.record(known_fleet_size, now),
             relays,
             remote_relays,
-            self._is_chosen_follower(relays, remote_relays, now),
-            self._store_reached_at(now),
-        )
-
-    def _store_reached_at(self, now: float) -> float:
-        """Return when the newest state of the store that this host got was current.
-
-        A host that is ahead vouches for what it has, and this host lacks some of that.
-        """
-        times = [
-            record.last_seen_at - record.store_age_s
-            for record in self._members.live_records(now)
-            if self._has_all_of(record.revisions)
-        ]
-        times += [
-            record.received_at - record.summary.store_age_s
-            for record in self._summaries.live_records(now)
-            if self._has_all_of(record.revisions)
-        ]
-        self._relayed_reached_at = max([self._relayed_reached_at, *times])
-        return self._relayed_reached_at
-
-    def _has_all_of(self, revisions: Mapping[Topic, int]) -> bool:
-        """Return whether this host has revisions that another one named."""
-        return all(
-            revision <= self._revisions.get(topic, 0)
-            for topic, revision in revisions.items()
         )
 
-    def _is_chosen_follower(
-        self,
-        relays: tuple[Member, ...],
-        remote: tuple[tuple[Member, ...], ...],
-        now: float,
-    ) -> bool:
-        """Return whether this host is one of the relays that follow the store.
-
-        :param relays: relays of this data centre, the primary first.
-        :param remote: relays of each other data centre, the primary first.
-        """
-        if self._own not in relays:
-            return False
-        by_data_centre = {
-            (members[0].region, members[0].data_centre): [m.host for m in members]
-            for members in (relays, *remote)
-        }
-        cut_off = self._hosts_without_store(now)
-        return self._own.host in choose_store_followers(by_data_centre, cut_off)
-
-    def _hosts_without_store(self, now: float) -> set[str]:
-        """Return the live hosts that do not reach the store, as they say themselves."""
-        hosts = {
-            record.member.host
-            for record in self._members.live_records(now)
-            if record.has_lost_store
-        }
-        hosts.update(
-            record.summary.relay
-            for record in self._summaries.live_records(now)
-            if record.summary.has_lost_store
-        )
-        if self._reach.is_lost(now):
-            hosts.add(self._own.host)
-        return hosts
-
     def _live_local_members(self, now: float) -> dict[str, Member]:
         """Return the hosts of this data centre that are assumed alive, by name.
 
@@ -288,57 +208,6 @@
             if record.has_been_seen and record.member.host in relays
         ]
 
-    def should_follow_store(self, now: float) -> bool:
-        """Return whether this host has to follow the store itself.
-
-        Every host does so in a full mesh; otherwise a few relays do it for the others.
-        """
-        return self.is_full_mesh(now) or self._get_snapshot(now).is_store_follower
-
-    def expects_changes_from_store(self, now: float) -> bool:
-        """Return whether this host follows the store and has not lost it."""
-        return self.should_follow_store(now) and not self._reach.is_lost(now)
-
-    def should_check_watches(self, now: float) -> bool:
-        """Return whether this host checks for others what the watches deliver.
-
-        In a full mesh, where every host follows the store, a few check it for all. In a
-        large fleet, every host that follows the store does so for others.
-        """
-        return not self.is_full_mesh(now) or self._get_snapshot(now).is_store_follower
-
-    def relayed_store_age_s(self, now: float) -> float:
-        """Return the age of the state that this host got from others, in seconds.
-
-        A relay that does not follow the store gets changes from one that does, and
-        reports the age of what it got. Ages only grow on the way, so that two hosts
-        cannot keep each other's young. While this host lacks what another one has, the
-        age grows, too, so that those that rely on it notice.
-
-        :returns: infinity if this host never got any.
-        """
-        return now - self._get_snapshot(now).store_reached_at
-
-    def has_store_following_relay(self, now: float) -> bool:
-        """Return whether another relay here is alive and has the store's state.
-
-        A relay counts the relays of other data centres, too.
-        """
-        age_s = self.relayed_store_age_s(now)
-        if self.is_relay(now) and age_s <= MAX_RELAY_STORE_AGE_S:
-            return True
-        return has_live_relay(
-            RelayState(
-                now - record.last_seen_at, record.store_age_s, record.has_lost_store
-            )
-            for record in self.local_relay_records(now)
-        )
-
-    def have_relays_lost_store(self, now: float) -> bool:
-        """Return whether all other relays here say that they do not reach the store."""
-        records = self.local_relay_records(now)
-        return bool(records) and all(record.has_lost_store for record in records)
-
     def ready_hosts(self, now: float) -> list[ReadyHost]:
         """Return the other hosts that callers may be sent to."""
         live = [
@@ -389,6 +258,13 @@
         near = [member.host for member in members if member.region == region]
         return near or [member.host for member in members]
 
+    def remote_relays(self, now: float) -> tuple[tuple[Member, ...], ...]:
+        """Return the relays of each other data centre, if this host is a relay.
+
+        :returns: a tuple for each data centre, the primary relay first.
+        """
+        return self._get_snapshot(now).remote_relays
+
     def remote_relay_addresses(self, now: float) -> list[tuple[Address, ...]]:
         """Return where a relay reaches the relays of each other data centre.
 
@@ -396,10 +272,10 @@
         """
         return [
             tuple(member.peer_address for member in members)
-            for members in self._get_snapshot(now).remote_relays
+            for members in self.remote_relays(now)
         ]
 
-    def _remote_relays(self, now: float) -> list[tuple[Member, ...]]:
+    def _find_remote_relays(self, now: float) -> list[tuple[Member, ...]]:
         """Return the relays of each other data centre, the primary relay first."""
         members = [
             record.member
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -20,6 +20,7 @@
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.outbox import OwnState
 from damasktally.entry.peers import PeerProtocol
+from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Member
@@ -88,9 +89,7 @@
         self.summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
         view = FleetView(Decoders(None, None, "main"), lambda change: None)
-        self.topology = FleetTopology(
-            self.members, self.summaries, view.revisions, StoreReach()
-        )
+        self.topology = FleetTopology(self.members, self.summaries)
         quotas = CustomerQuotas(lambda customer: 0.0)
         get_own_state = lambda: OwnState(True, False, 0.1)
         self.message_builder = FleetMessageBuilder(
@@ -106,10 +105,14 @@
             get_own_state,
         )
         transfer = SimpleNamespace(handle_peer_revisions=lambda revisions: None)
+        store_topology = StoreTopology(
+            self.members, self.summaries, self.topology, view.revisions, StoreReach()
+        )
         self.peer_protocol = PeerProtocol(
             self.members,
             self.summaries,
             self.topology,
+            store_topology,
             self.message_builder,
             transfer,
             SimpleNamespace(
@@ -142,7 +145,7 @@
     context.order = rank_relays("near", names)
     own = member(context.order[-1], "near", 99)
     members, context.summaries = MemberTable(own), SummaryTable()
-    context.topology = FleetTopology(members, context.summaries, {}, StoreReach())
+    context.topology = FleetTopology(members, context.summaries)
     first = msgspec.structs.replace(
         whole_fleet_summary(listings), relay=context.order[0]
     )
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -20,6 +20,7 @@
     decode_response,
     encode_response,
 )
+from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import Member
@@ -63,14 +64,16 @@
 
 
 def make_topology(own_name):
-    """Return the topology of the primary relay of a data centre, and its summaries."""
+    """Return what the primary relay of a data centre derives, and its summaries."""
     data_centre = own_name.split(".")[0]
     own = Member(
         own_name, 1, data_centre[0], data_centre, "10.0.0.1:80", ("10.0.0.1", 7), 9.0
     )
     summaries = SummaryTable()
+    members = MemberTable(own)
     revisions = dict.fromkeys(Topic, 1)
-    topology = FleetTopology(MemberTable(own), summaries, revisions, StoreReach())
+    fleet = FleetTopology(members, summaries)
+    topology = StoreTopology(members, summaries, fleet, revisions, StoreReach())
     return topology, summaries
 
 
@@ -102,7 +105,7 @@
     for _, name in data_centre_names(counts):
         if name != "b-3":
             context.summaries.apply_summary(make_summary(name, inf), 10.0)
-    assert context.topology.is_relay(10.0)
+    assert context.topology._topology.is_relay(10.0)
     assert not context.topology.should_follow_store(10.0)
     assert not context.topology.has_store_following_relay(10.0)
 
@@ -146,7 +149,7 @@
         now = 11.0 + 0.2 * tick
         context.summaries.apply_summary(make_summary("a-1", 0.4, 3 + tick, 2), now)
         context.topology.invalidate()
-        context.topology.is_relay(now)
+        context.topology._topology.is_relay(now)
 
 
 @then("the state of the relay is as old as what it has, until it has that revision")
--- a/features/steps/share_update_steps.py
+++ b/features/steps/share_update_steps.py
@@ -119,11 +119,8 @@
         peers = PeerProtocol(
             make_member_table(),
             SummaryTable(),
-            SimpleNamespace(
-                invalidate=lambda: None,
-                is_relay=lambda now: False,
-                should_follow_store=lambda now: False,
-            ),
+            SimpleNamespace(invalidate=lambda: None, is_relay=lambda now: False),
+            SimpleNamespace(should_follow_store=lambda now: False),
             None,
             SimpleNamespace(handle_peer_revisions=lambda revisions: None),
             SimpleNamespace(record_summary=lambda summary, is_relay: None),
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -101,15 +101,15 @@
     members = SimpleNamespace(
         live_records=lambda now: [peer.record(now) for peer in context.peers]
     )
-    topology = SimpleNamespace(
-        expects_changes_from_store=lambda now: False, is_full_mesh=lambda now: False
-    )
+    topology = SimpleNamespace(is_full_mesh=lambda now: False)
+    store_topology = SimpleNamespace(expects_changes_from_store=lambda now: False)
 
     async def create():
         return StateTransfer(
             members,
             SummaryTable(),
             topology,
+            store_topology,
             context.view,
             lambda topic: None,
             Random(3),
