Sent requests that may run once on connections that carried nothing before.

What was seen: a server's late rejection without a request id was taken for the answer to the next request on that connection, so that a POST ran at a second server, or was refused although it ran. Class: a message that names nothing is attributed by its position. Rejections name no id on this platform, so they cannot be ignored. Change: requests that may run at most once, and those without an id, get a new connection, which serves others afterwards; reads go on using idle ones, where a rejection leads to another attempt at most. Looked at elsewhere: requests forwarded to other hosts use the same sender; calls to the store are matched by connection, one at a time, and a connection that returned bytes while nothing was asked is closed.

--- a/damasktally/entry/request_sender.py
+++ b/damasktally/entry/request_sender.py
@@ -16,12 +16,6 @@
 CONNECT_TIMEOUT_S = 0.35
 MAX_IDLE_S = 5.0
 """Seconds after which an idle connection is not reused."""
-MAX_IDLE_AT_MOST_ONCE_S = 2.0
-"""Shorter limit for requests that may run at most once.
-
-If the receiver closes an idle connection while such a request is sent on it, the
-request cannot be retried.
-"""
 MAX_HELD_UP_S = 1.0
 """Seconds for which a server may be held up before the loss of the response is no
 longer the server's failure: a server may cut off what is not read or not sent."""
@@ -71,15 +65,8 @@
         :returns: the outcome, ``ANSWERED`` for any response, and the response. A
             response that broke off while it was forwarded has another outcome.
         """
-        remaining_s = options.deadline - self._loop.time()
-        max_idle_s = MAX_IDLE_AT_MOST_ONCE_S if options.at_most_once else MAX_IDLE_S
         try:
-            conn = await self._pool.acquire(
-                options.target,
-                options.address,
-                min(CONNECT_TIMEOUT_S, remaining_s),
-                max_idle_s,
-            )
+            conn = await self._acquire(req, options)
         except ConnectFailed:
             return AttemptOutcome.NOT_SENT, None
         remaining_s = options.deadline - self._loop.time()
@@ -88,6 +75,24 @@
             return AttemptOutcome.ABANDONED, None
         return await self._send_and_receive(req, conn, options)
 
+    async def _acquire(self, req: Request, options: SendOptions) -> ServerConnection:
+        """Return a connection, a new one where a late response would do harm.
+
+        A response to an earlier request may still arrive on a connection that was used
+        before, and one that rejects its request need not name it. A request that may
+        run at most once would be repeated or refused although it runs, and one without
+        an id would get the other's response. If the receiver closes an idle connection
+        as such a request is sent on it, the request cannot be retried either.
+
+        :raises ConnectFailed: if no connection is established in time.
+        """
+        timeout_s = min(CONNECT_TIMEOUT_S, options.deadline - self._loop.time())
+        if options.at_most_once or req.header(REQUEST_ID) is None:
+            return await self._pool.open(options.target, options.address, timeout_s)
+        return await self._pool.acquire(
+            options.target, options.address, timeout_s, MAX_IDLE_S
+        )
+
     async def _send_and_receive(
         self, req: Request, conn: ServerConnection, options: SendOptions
     ) -> tuple[AttemptOutcome, Response | None]:
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -111,6 +111,13 @@
     When 6 callers ask one after the other
     Then each caller gets the answer to its own request
 
+  # Guards against a request that runs twice, or is refused although it runs, as a late
+  # rejection without an id is taken for the answer to it.
+  Scenario: A late rejection without an id is not taken for the answer to the next request
+    Given every server sends a late rejection without an id when it gets the next request
+    When 12 callers read and write by turns
+    Then each write got 200 and ran once
+
   Scenario Outline: A server that exceeds the route's timeout: <kind>
     Given every server takes 3 s
     When a caller sends <method> <path>
