Read past objects in the store that cannot be decoded.

What was seen: one entry of another program, text of bytes that no decoder takes, failed each list and each watch of servers at every host: leaving servers were not noticed, and after a restart no host got ready. Class: input of several writers that is accepted or refused as a whole. Change: a response that cannot be decoded as a whole is decoded object by object; what cannot be read is logged once and counted, and the rest is in force. Ports above 65535 and durations that are negative or not finite make an entry unreadable; before, the former ended requests with 500. Looked at elsewhere: the probe, whose list of evacuations had the same fault; entries of hosts and of blocked requests, and messages of peers, are decoded one by one already; the configuration is taken or kept whole.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -44,6 +44,7 @@
 from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.suspension import SuspensionDetector
 from damasktally.entry.topology import FleetTopology
+from damasktally.entry.unreadable_objects import UnreadableObjectLog
 from damasktally.entry.view_log import log_view_change
 from damasktally.events import emit
 from damasktally.events.catalogue import (
@@ -95,6 +96,7 @@
             lambda purpose: self._metrics.store_calls.labels(purpose).inc(),
             response_memory,
             EraProblemLog(self._metrics).record,
+            UnreadableObjectLog(self._metrics).record,
         )
         self._summaries = SummaryTable()
         heartbeat_history = HeartbeatHistory()
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -118,6 +118,11 @@
             "Responses of the store with a missing, unreadable or earlier era.",
             registry=self.registry,
         )
+        self.unreadable_objects = Counter(
+            "damasktally_entry_unreadable_objects",
+            "Objects in responses of the store that could not be decoded.",
+            registry=self.registry,
+        )
         self.body_bytes_held = Gauge(
             "damasktally_entry_body_bytes_held",
             "Bytes of bodies that are forwarded as they arrive, and wait in the host.",
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -37,6 +37,13 @@
     "A stored object is invalid; its last valid version stays in effect.",
     "Correct the object that the message names.",
 )
+OBJECT_UNREADABLE = Event(
+    202,
+    "object-unreadable",
+    "An object in the store cannot be decoded. A server counts as gone; of the "
+    "configuration the last version that could be decoded stays in effect.",
+    "Remove the object, or correct the program that writes it.",
+)
 ISOLATION_CHANGED = Event(
     300,
     "isolation-changed",
--- a/damasktally/platform/codec.py
+++ b/damasktally/platform/codec.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from math import inf
 from typing import Any
 
 import msgspec
@@ -27,6 +28,7 @@
 SERVER_STATES = frozenset({"ready", "draining"})
 DRAINING_STATE = "draining"
 VERSION_PREFIX = "r"
+MAX_PORT = 65535
 
 
 class MalformedObject(DamasktallyError):
@@ -145,13 +147,17 @@
     """Parse a time with its unit, such as ``1500ms``.
 
     :returns: seconds; 0 if the text is empty or None.
-    :raises ValueError: if the number or the unit is malformed.
+    :raises ValueError: if the number or the unit is malformed, or the number is
+        negative or not finite.
     """
     if not text:
         return 0.0
     for unit in ("ms", "s"):
         if text.endswith(unit):
-            return float(text[: -len(unit)]) * SECONDS_PER_UNIT[unit]
+            duration_s = float(text[: -len(unit)]) * SECONDS_PER_UNIT[unit]
+            if not 0.0 <= duration_s < inf:
+                raise ValueError(f"{text!r} is no duration")
+            return duration_s
     raise ValueError(f"{text!r} has no known unit")
 
 
@@ -198,8 +204,10 @@
     try:
         wire = msgspec.convert(spec, WireServer)
         host, _, port = wire.Addr.rpartition(":")
-        if wire.Status.State not in SERVER_STATES or not host or wire.Info.Slots < 1:
-            raise ValueError("its state, its address or its number of slots is invalid")
+        if wire.Status.State not in SERVER_STATES or wire.Info.Slots < 1:
+            raise ValueError("its state or its number of slots is invalid")
+        if not host or not 0 < int(port) <= MAX_PORT:
+            raise ValueError("its address is invalid")
         return Server(
             id=name,
             service=wire.Info.Service,
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -7,6 +7,7 @@
 from asyncio import Future, timeout
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from urllib.parse import quote
 
@@ -24,6 +25,13 @@
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.era import EraTracker
 from damasktally.platform.headers import STORE_ERA
+from damasktally.platform.stored_objects import (
+    DECODING_ERRORS,
+    ObjectDecoder,
+    UnreadableReporter,
+    WireEvent,
+    WireObject,
+)
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -73,42 +81,6 @@
     changes: tuple[Change, ...]
 
 
-class WireMetadata(msgspec.Struct):
-    """Metadata of an object; ``Rev`` is the revision of its last change."""
-
-    Name: str
-    Rev: int = 0
-
-
-class WireObject(msgspec.Struct):
-    """Stored object."""
-
-    Metadata: WireMetadata
-    Spec: Any = None
-
-
-class WireListing(msgspec.Struct):
-    """Page of a list. If ``More`` is set, the list continues after the last name."""
-
-    StoreRevision: int
-    items: list[WireObject]
-    More: bool = False
-
-
-class WireEvent(msgspec.Struct):
-    """Change of an object. ``Tombstone`` marks a removal."""
-
-    Object: WireObject
-    Tombstone: bool = False
-
-
-class WireEvents(msgspec.Struct):
-    """Response to a watch."""
-
-    StoreRevision: int
-    events: list[WireEvent]
-
-
 class StoreClient:
     """Client of the store, which keeps idle connections for later calls.
 
@@ -116,6 +88,8 @@
     :param count_call: called with the purpose of each call that is made.
     :param memory: limits the bytes of all responses that are being received.
     :param report_era_problem: called when a response names an era that cannot be right.
+    :param report_unreadable: called with the kind and the name of an object that cannot
+        be decoded.
     """
 
     def __init__(
@@ -124,9 +98,11 @@
         count_call: Callable[[str], None],
         memory: ResponseMemory,
         report_era_problem: Callable[[str], None],
+        report_unreadable: UnreadableReporter,
     ) -> None:
         self._address = address
         self._eras = EraTracker(report_era_problem)
+        self._report_unreadable = report_unreadable
         self._memory = memory
         self._count_call = count_call
         self._idle_connections: list[ServerConnection] = []
@@ -156,7 +132,8 @@
                 raise StoreUnavailable(
                     "The store came back from a copy during a list.", "List again."
                 )
-            page = _decode(response, WireListing)
+            decoder = ObjectDecoder(kind, self._report_unreadable)
+            page = _decode_with(decoder.decode_listing, response)
             specs.update({item.Metadata.Name: item.Spec for item in page.items})
             if not page.More or not page.items:
                 return Listing(self._compose(page.StoreRevision), specs)
@@ -173,7 +150,9 @@
         """
         path = f"/objects/{EVACUATIONS_KIND}?{ALLOW_STALE}"
         response = await self._call("GET", path, None, "probe", PROBE_TIMEOUT_S)
-        return self._compose(_decode(response, WireListing).StoreRevision)
+        decoder = ObjectDecoder(EVACUATIONS_KIND, self._report_unreadable)
+        page = _decode_with(decoder.decode_listing, response)
+        return self._compose(page.StoreRevision)
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes of a kind after a revision.
@@ -203,13 +182,9 @@
         path = f"/objects/{kind}?Watch={known}&WaitMs={int(wait_s * 1000)}"
         response = await self._call("GET", path, None, purpose, timeout_s)
         self._require_era(revision)
-        page = _decode(response, WireEvents)
-        changes = tuple(
-            Change(
-                item.Object.Metadata.Name, None if item.Tombstone else _event_spec(item)
-            )
-            for item in page.events
-        )
+        decoder = ObjectDecoder(kind, self._report_unreadable)
+        page = _decode_with(decoder.decode_events, response)
+        changes = tuple(_change_of(event) for event in page.events)
         return Changes(self._compose(page.StoreRevision), changes)
 
     def _compose(self, revision: int) -> int:
@@ -333,8 +308,14 @@
     return True
 
 
-def _event_spec(event: WireEvent) -> Any:
-    return event.Object.Spec if event.Object.Spec is not None else {}
+def _change_of(event: WireEvent) -> Change:
+    """Return a change; an object without content has an empty one."""
+    spec = event.Object.Spec
+    if event.Tombstone:
+        spec = None
+    elif spec is None:
+        spec = {}
+    return Change(event.Object.Metadata.Name, spec)
 
 
 async def _wait_for_response(pending: Future[Response], timeout_s: float) -> Response:
@@ -343,9 +324,14 @@
 
 
 def _decode(response: Response, response_type: Any) -> Any:
+    decode = partial(msgspec.json.decode, type=response_type)
+    return _decode_with(decode, response)
+
+
+def _decode_with(decode: Callable[[bytes], Any], response: Response) -> Any:
     try:
-        return msgspec.json.decode(response.body, type=response_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return decode(response.body)
+    except DECODING_ERRORS as exc:
         raise StoreUnavailable(
             f"The store's response cannot be decoded: {exc}.", "Try again later."
         ) from exc
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -204,6 +204,7 @@
             lambda purpose: None,
             ResponseMemory(),
             lambda problem: None,
+            lambda kind, name: None,
         )
         for topic, kind in KIND_BY_TOPIC.items():
             listing = await client.list_objects(kind)
