Watched a listed kind from the revision of the list's first page.

What was seen: a server that leaves between two pages of a list stayed in use at that host. Cause: the list took the revision of its last page for the objects of the first, so that the watch began after the change. Now it begins at the first page's revision; a change that a later page has already is applied once more, which changes nothing. Elsewhere: lists of hosts and of blocked requests have no watch.

--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -113,7 +113,10 @@
         return self._eras.era
 
     async def list_objects(self, kind: str, allow_stale: bool = False) -> Listing:
-        """List all objects of a kind.
+        """List all objects of a kind, as of the revision of the first page.
+
+        Later pages may hold changes that came since; the watch from that revision
+        brings them again.
 
         :param allow_stale: whether the store may respond from a replica that is
             seconds old. Such a call costs a tenth of an exact one.
@@ -123,6 +126,7 @@
         parameters = [ALLOW_STALE] if allow_stale else []
         purpose = "stale-list" if allow_stale else "list"
         after: list[str] = []
+        revision = 0
         while True:
             query = "&".join(parameters + after)
             path = f"/objects/{kind}?{query}" if query else f"/objects/{kind}"
@@ -134,9 +138,10 @@
                 )
             decoder = ObjectDecoder(kind, self._report_unreadable)
             page = _decode_with(decoder.decode_listing, response)
+            revision = revision or page.StoreRevision
             specs.update({item.Metadata.Name: item.Spec for item in page.items})
             if not page.More or not page.items:
-                return Listing(self._compose(page.StoreRevision), specs)
+                return Listing(self._compose(revision), specs)
             last = quote(page.items[-1].Metadata.Name, safe="")
             after = [f"after={last}"]
 
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -274,3 +274,10 @@
     Given an entry host whose store is empty
     Then a caller with key k-1 gets 503 for /read/1
     And the host reports that it is not ready
+
+  # Guards against a change that comes between two pages of a list, and is in neither the
+  # list nor the watch that follows it.
+  Scenario: A change between two pages of a list is known
+    Given a store of 60 servers that lists 50 at a time
+    When the first server starts to drain between two pages of a host's first list
+    Then that host knows within 2 s that the first server drains
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -109,6 +109,8 @@
     If ``refusal_status`` is not 0, every answer has it. ``is_silent`` suppresses
     all answers; ``lose_answers`` closes the connection instead of answering a write.
     ``delay_by_kind`` delays answers to calls of some kinds, in seconds.
+    ``page_size`` is the largest number of objects in a page of a list, and
+    ``writes_between_pages`` are done once when a list is to be continued.
     ``silent_kinds`` are those whose waiting watches get no answer. It listens on
     several ports if :meth:`listen` is called, and can turn the callers of some away.
     ``era`` is in the header ``Store-Era`` of all answers unless it is ``None``.
@@ -125,6 +127,8 @@
         self.lose_answers = False
         self.delay_by_kind: dict[str, float] = {}
         self.silent_kinds: set[str] = set()
+        self.page_size = 500
+        self.writes_between_pages: list[tuple[str, str, Any]] = []
         self._watched_kinds: dict[StreamWriter, str] = {}
         self._open_writers: set[StreamWriter] = set()
         self._muted: set[StreamWriter] = set()
@@ -263,8 +267,18 @@
             return 200, {}
         if "Watch" in query:
             return await self._watch(parts[0], query)
-        items = [objects[name] for name in sorted(objects)]
-        return 200, {"items": items, "More": False, "StoreRevision": self.revision}
+        names = [name for name in sorted(objects) if name > query.get("after", "")]
+        page = names[: self.page_size]
+        content = {
+            "items": [objects[name] for name in page],
+            "More": len(names) > len(page),
+            "StoreRevision": self.revision,
+        }
+        if content["More"]:
+            for kind, name, spec in self.writes_between_pages:
+                await self.write(kind, name, spec)
+            self.writes_between_pages = []
+        return 200, content
 
     async def _create(self, kind: str, obj: dict) -> tuple[int, Any]:
         name = obj["Metadata"]["Name"]
