Reset the connection of a request that nobody waits for any more.

What was seen: requests whose deadline had passed reached servers seconds later, also in a data centre that was evacuated meanwhile: a connection that is closed still delivers what a cut holds up. Class: an abandoned message that is not revoked. Change: a connection with a request that was not answered is reset when it is closed, so that its unsent and held-up bytes are lost. This covers servers, other hosts and the store, which share the connection class; transfers of state and leases send requests that may be delivered late without harm. The stand-in servers take a reset for an end as well.

--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -11,6 +11,7 @@
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
+    SO_LINGER,
     SOL_SOCKET,
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
@@ -18,6 +19,7 @@
     TCP_USER_TIMEOUT,
     socket,
 )
+from struct import pack
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
@@ -46,6 +48,8 @@
 """Unanswered keepalive probes after which the kernel closes a connection."""
 USER_TIMEOUT_MS = 3000
 """Time for which sent bytes may stay unacknowledged before the kernel gives up."""
+LINGER_FOR_NO_TIME = pack("ii", 1, 0)
+"""Option of a socket: on, 0 seconds."""
 MIN_FINAL_STATUS = 200
 """Lower status codes are interim responses, which a final one follows."""
 MAX_SUCCESS_STATUS = 299
@@ -106,9 +110,11 @@
         self._is_unsolicited = False
         self._received_eof = False
         self.on_closed: Callable[[bool], None] | None = None
+        self._is_unanswered = False
         self.idle_since = self._loop.time()
         self.keep_alive_timeout_s: float | None = None
         self._reusable = True
+        self._is_unanswered = False
 
     def connection_made(self, transport: Transport) -> None:
         """Store the transport."""
@@ -145,6 +151,7 @@
         :returns: a future of the response; it fails with :class:`AnswerLost`.
         """
         self._pending_response = self._loop.create_future()
+        self._is_unanswered = True
         self._matches = matches
         self._head_only = head_only
         self._open_stream = open_stream
@@ -168,10 +175,17 @@
             self._upload.resume()
 
     def close(self) -> None:
-        """Close the connection immediately; a pending response is lost."""
+        """Close the connection immediately; a pending response is lost.
+
+        If a request was not answered, the connection is reset: bytes of it that the
+        network holds up are not to reach the server later.
+        """
         self._reusable = False
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._is_unanswered and not self._transport.is_closing():
+            reset_on_close(self._transport.get_extra_info("socket"))
+        self._transport.abort()
 
     @property
     def is_body_received_whole(self) -> bool:
@@ -388,6 +402,11 @@
     return conn
 
 
+def reset_on_close(sock: socket) -> None:
+    """Let the kernel discard unsent bytes and reset the connection when it closes."""
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_FOR_NO_TIME)
+
+
 def enable_keepalive(sock: socket) -> None:
     """Enable TCP keepalive, so that the kernel closes a dead connection."""
     sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
--- a/features/entry/host.feature
+++ b/features/entry/host.feature
@@ -275,6 +275,19 @@
     Then a caller with key k-1 gets 503 for /read/1
     And the host reports that it is not ready
 
+  # Guards against requests that reach a server seconds after they were given up, as bytes
+  # that a cut holds up are delivered unless the connection is reset.
+  Scenario Outline: The connection of a request that was given up is reset: <method>
+    Given every server takes 3 s
+    When a caller sends <method> <path>
+    Then the caller gets 504 after 1 s
+    And a server's connection was reset within 0.5 s
+
+    Examples:
+      | method | path    |
+      | GET    | /read/1 |
+      | POST   | /pay/1  |
+
   # Guards against a change that comes between two pages of a list, and is in neither the
   # list nor the watch that follows it.
   Scenario: A change between two pages of a list is known
--- a/features/entry/streaming_uploads.feature
+++ b/features/entry/streaming_uploads.feature
@@ -11,7 +11,8 @@
     When the rest of the upload is sent
     Then the upload is answered with 200 and the connection stays open
     And a server received the body of 40000 bytes
-    And a second upload of 40000 bytes uses the same connections
+    And an upload of 40000 bytes that may be repeated uses the same connections
+    And one that may run once uses a new connection to the server
 
   Scenario Outline: What a server gets does not depend on the length: <length>
     When an upload of <length> bytes to /bigpay/1 is sent
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -14,6 +14,7 @@
 from asyncio import timeout as async_timeout
 from pathlib import Path
 from time import monotonic
+from types import SimpleNamespace
 
 from behave import given, then, when
 from prometheus_client import CollectorRegistry
@@ -76,6 +77,10 @@
         """Return whether the connection is closed."""
         return self.is_closed
 
+    def get_extra_info(self, name: str) -> SimpleNamespace:
+        """Return a socket whose options can be set."""
+        return SimpleNamespace(setsockopt=lambda *option: None)
+
     def can_write_eof(self) -> bool:
         """Return that the write side can be closed alone."""
         return True
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -365,6 +365,7 @@
     received: list[ReceivedRequest] = field(default_factory=list)
     connections: int = 0
     early_disconnects: int = 0
+    resets: int = 0
     port: int = 0
     server: Any = None
     open_writers: set = field(default_factory=set)
@@ -436,6 +437,8 @@
             await wait_for(reader.read(1), self.delay_s)
         except TimeoutError:
             return True
+        except ConnectionError:
+            self.resets += 1
         self.early_disconnects += 1
         return False
 
--- a/features/steps/late_rejection_steps.py
+++ b/features/steps/late_rejection_steps.py
@@ -3,7 +3,7 @@
 from asyncio import sleep
 
 from behave import given, then, when
-from entry_harness import make_answer, read_body, send_request
+from entry_harness import make_answer, read_body, send_request, wait_until
 
 LATE_REJECTION = b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 WORK_S = 0.05
@@ -65,3 +65,10 @@
     assert set(runs.values()) == {1}, runs
     statuses = [context.answers[number].status for number in numbers]
     assert statuses == [200] * len(statuses), statuses
+
+
+@then("a server's connection was reset within {limit_s:g} s")
+def then_reset(context, limit_s):
+    """Wait until a server sees the reset of a connection on which it works."""
+    has_reset = lambda: any(server.resets for server in context.servers)
+    context.loop_thread.run(wait_until(has_reset, limit_s))
--- a/features/steps/streaming_servers.py
+++ b/features/steps/streaming_servers.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event, StreamReader, StreamWriter, sleep
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from features.steps.entry_harness import ReceivedRequest
@@ -161,11 +162,12 @@
         return converse
 
     async def _receive(self, reader: StreamReader, size: int) -> bytes:
-        """Receive bytes of a body, or as many as come."""
+        """Receive bytes of a body, or as many as come before an end or a reset."""
         body = bytearray()
-        while len(body) < size and (data := await reader.read(size - len(body))):
-            body += data
-            self.received_bytes += len(data)
+        with suppress(ConnectionError):
+            while len(body) < size and (data := await reader.read(size - len(body))):
+                body += data
+                self.received_bytes += len(data)
         return bytes(body)
 
     def answer_early(self, first: int, status: int, extra: str, fault: str) -> Converse:
@@ -177,8 +179,9 @@
             if fault == "closes":
                 writer.close()
                 return False
-            while await reader.read(PART_BYTES):
-                pass
+            with suppress(ConnectionError):
+                while await reader.read(PART_BYTES):
+                    pass
             self.gone += 1
             return False
 
