Let hosts without a relay ask for changes until they have one.

Cause: relays that fall silent are replaced by pairs, 1.8 s each, and a host that hears from none leaves the store to them for up to 3 s. Change: while it waits, such a host asks the store for changes, every 0.8 s, without watching it.

--- a/damasktally/entry/overdue_topics.py
+++ b/damasktally/entry/overdue_topics.py
@@ -1,6 +1,7 @@
-"""Ask the store for changes that other hosts have and do not send."""
+"""Ask the store for changes that other hosts do not send."""
 
 from asyncio import Task, create_task, gather, get_running_loop, sleep
+from math import inf
 from random import Random
 
 from damasktally.entry.topic_reader import TopicReader
@@ -16,12 +17,15 @@
 MAX_JITTER_S = 0.1
 """Longest random delay of a call, as many hosts may be overdue at the same time."""
 RETRY_DELAY_S = 1.0
+UNHEARD_INTERVAL_S = 0.8
+"""Time between two calls for a topic while no relay tells of changes."""
 
 
 class OverdueTopics:
-    """Fetch topics from the store that this host has known to be behind for too long.
+    """Fetch topics from the store that this host does not get from others.
 
-    It goes on relying on the other hosts for what follows.
+    It has known to be behind for too long, or hears from no relay for now. It goes on
+    relying on the other hosts for what follows.
 
     :param reader: reads the topics from the store.
     :param view: tells which topics are behind.
@@ -34,6 +38,7 @@
         self._rng = rng
         self._loop = get_running_loop()
         self._tasks: dict[Topic, Task] = {}
+        self._unheard_fetched_at = -inf
 
     async def stop(self) -> None:
         """Cancel all calls and wait for their end."""
@@ -48,15 +53,31 @@
         for topic in Topic:
             behind_s = self._view.staleness.behind_s(topic, now)
             if behind_s > MAX_BEHIND_S and topic not in self._tasks:
-                emit(
-                    FETCHED_FROM_STORE,
-                    topic=topic.value,
-                    revision=revision_in_era(self._view.revisions[topic]),
-                    behind_s=round(behind_s, 2),
-                )
-                task = create_task(self._run(topic))
-                self._tasks[topic] = task
-                task.add_done_callback(lambda _, key=topic: self._tasks.pop(key, None))
+                self._begin(topic, behind_s)
+
+    def fetch_unheard(self) -> None:
+        """Begin to fetch all topics, of whose changes no other host tells this one.
+
+        Nothing begins less than :data:`UNHEARD_INTERVAL_S` after the last time.
+        """
+        now = self._loop.time()
+        if now - self._unheard_fetched_at < UNHEARD_INTERVAL_S:
+            return
+        self._unheard_fetched_at = now
+        for topic in Topic:
+            if topic not in self._tasks:
+                self._begin(topic, self._view.staleness.behind_s(topic, now))
+
+    def _begin(self, topic: Topic, behind_s: float) -> None:
+        emit(
+            FETCHED_FROM_STORE,
+            topic=topic.value,
+            revision=revision_in_era(self._view.revisions[topic]),
+            behind_s=round(behind_s, 2),
+        )
+        task = create_task(self._run(topic))
+        self._tasks[topic] = task
+        task.add_done_callback(lambda _, key=topic: self._tasks.pop(key, None))
 
     async def _run(self, topic: Topic) -> None:
         """Fetch a topic; wait before the next attempt if the store does not respond."""
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -196,8 +196,8 @@
         """Return whether the store answers and no relay has recent state of it.
 
         Many hosts may lose their relays at once, so none of them lists topics first,
-        and those that are no relay wait for the relays, unless they become one. If the
-        store does not answer, wait for a while.
+        and those that are no relay wait for the relays, unless they become one. They
+        ask for changes meanwhile. If the store does not answer, wait for a while.
         """
         try:
             await self._prober.probe()
@@ -207,6 +207,8 @@
         began_at = self._loop.time()
         jitter = self._rng.uniform(1.0, 1.5)
         while self._leaves_store_to_relays(self._loop.time() - began_at, jitter):
+            if not self._role.has_store_following_relay():
+                self._overdue_topics.fetch_unheard()
             await sleep(ROLE_POLL_INTERVAL_S)
         return not self._role.has_store_following_relay()
 
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -111,8 +111,8 @@
 FETCHED_FROM_STORE = Event(
     309,
     "fetched-from-store",
-    "Other hosts have had a change for a while and did not send it, so this host asks "
-    "the store for it.",
+    "Other hosts have had a change for a while and did not send it, or no relay tells "
+    "of changes, so this host asks the store.",
     "None, unless it is frequent: then check the network to the relays.",
 )
 WATCHES_RENEWED = Event(
--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -160,6 +160,7 @@
       | hosts                                |
       | both relays of the first data centre |
       | all hosts that follow the store      |
+      | six hosts of a data centre, relays first |
 
   # Guards against hosts that take themselves for relays, and the fleet for small, when the
   # first summary of the next relay knows few hosts.
--- a/features/steps/store_loss_steps.py
+++ b/features/steps/store_loss_steps.py
@@ -16,7 +16,11 @@
 from msgspec.structs import replace
 from relay_steps import gather_all, store_followers
 
-from damasktally.decisions.relays import choose_store_followers
+from damasktally.decisions.relays import (
+    RelayCandidate,
+    choose_relays,
+    choose_store_followers,
+)
 from damasktally.decisions.store_reach import LOSS_MEMORY_S, StoreReach
 from damasktally.entry.settings import HostSection, LimitsSection
 
@@ -158,6 +162,19 @@
     fall_silent(context, store_followers(context))
 
 
+@when("six hosts of a data centre, relays first fall silent")
+def when_relays_and_next_silent(context):
+    """Let those lose power that would be relays one after the other."""
+    local = [host._own for host in context.hosts if host._own.data_centre == "dc-0"]
+    candidates = [RelayCandidate(item.host, item.capacity) for item in local]
+    silent = []
+    while len(silent) < 6:
+        chosen = choose_relays("dc-0", candidates)
+        silent += chosen
+        candidates = [item for item in candidates if item.host not in chosen]
+    fall_silent(context, set(silent))
+
+
 def fall_silent(context, names):
     """End some hosts without a last message."""
     silent = [host for host in context.hosts if host._own.host in names]
