Split socket options and gauges of the fleet from two large modules.

Options of sockets are http1/socket_options.py, gauges of the fleet entry/fleet_gauges.py; the age that messages carry is derived in entry/store_topology.py, and the scenarios of fleets share the start of their store. No change of behaviour: relays, host, boundary, connections, unreadable_objects, silent_watches and state_transfer, 152 scenarios passed.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -15,6 +15,7 @@
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.crash_protection import CrashProtection
 from damasktally.entry.draining import drain_requests
+from damasktally.entry.fleet_gauges import update_fleet_gauges
 from damasktally.entry.follower_role import FollowerRole
 from damasktally.entry.forwarded_requests import ForwardedRequests
 from damasktally.entry.forwarder import Forwarder
@@ -176,7 +177,7 @@
             PeerReports(self._server_reports, crashes.reports),
             self._share_updates.handle_counts,
         )
-        reach.on_lost = self._announce_store_loss
+        reach.on_lost = self._peer_protocol.announce_store_loss
         self._capacity_log = CapacityLog(self._view)
         self._connection_pool = ConnectionPool(response_memory, crashes.link_breaks)
         self._reachability = ReachabilityMonitor(
@@ -377,11 +378,9 @@
             report_dropped_lines(self._output, self._metrics)
         metrics = self._metrics
         metrics.body_bytes_held.set(self._streams.held_bytes)
-        metrics.hosts_heard.set(len(self._members.live_records(now)))
         metrics.blocked_requests.set(self._crash_suspects.blocked_count(now))
+        update_fleet_gauges(metrics, self._members, self._view, now)
         update_server_gauges(metrics, self._candidates, self._reachability, now)
-        for topic, age_s in self._view.staleness.confirmed_ages_s(now):
-            metrics.view_age.labels(topic.value).set(age_s)
 
     def _detect_suspension(self) -> None:
         suspended_s = self._suspension_detector.measure_s()
@@ -392,23 +391,15 @@
             self._store_sync.reconnect()
 
     def _own_state(self) -> OwnState:
-        now = self._loop.time()
-        store_age_s = self._store_sync.store_age_s
-        if not self._topology.is_full_mesh(now):
-            relayed_age_s = self._store_topology.relayed_store_age_s(now)
-            store_age_s = min(store_age_s, relayed_age_s)
+        own_age_s = self._store_sync.store_age_s
         return OwnState(
             self.is_ready,
             self._is_stopped,
-            store_age_s,
+            self._store_topology.announced_age_s(own_age_s, self._loop.time()),
             self._reachability.unreachable_services(),
             self._store_sync.has_lost_store,
         )
 
-    def _announce_store_loss(self) -> None:
-        self._store_topology.invalidate()
-        self._peer_protocol.announce_store_loss()
-
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this host."""
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -270,6 +270,7 @@
 
     def announce_store_loss(self) -> None:
         """Tell all relays at once that this one does not reach the store any more."""
+        self._store_topology.invalidate()
         now = self._loop.time()
         if not self._is_active_relay(now):
             return
--- a/damasktally/entry/store_topology.py
+++ b/damasktally/entry/store_topology.py
@@ -156,6 +156,15 @@
         """
         return now - self._get_snapshot(now).reached_at
 
+    def announced_age_s(self, own_age_s: float, now: float) -> float:
+        """Return the age of this host's state of the store, as its messages carry it.
+
+        :param own_age_s: age of what it has from the store itself, in seconds.
+        """
+        if self._topology.is_full_mesh(now):
+            return own_age_s
+        return min(own_age_s, self.relayed_store_age_s(now))
+
     def has_store_following_relay(self, now: float) -> bool:
         """Return whether another relay here is alive and has the store's state.
 
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -8,18 +8,6 @@
     timeout,
 )
 from collections.abc import Callable
-from socket import (
-    IPPROTO_TCP,
-    SO_KEEPALIVE,
-    SO_LINGER,
-    SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
-    TCP_USER_TIMEOUT,
-    socket,
-)
-from struct import pack
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
@@ -36,20 +24,13 @@
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.http1.response_stream import ResponseStream
 from damasktally.http1.shared_reads import SharedReadProtocol
+from damasktally.http1.socket_options import enable_keepalive, reset_on_close
 
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 """Responses with a longer body fail, as they are held in memory."""
 MAX_SKIPPED_RESPONSES = 16
 """Interim responses, and responses to earlier requests, that may precede the response
 to a request."""
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
-"""Unanswered keepalive probes after which the kernel closes a connection."""
-USER_TIMEOUT_MS = 3000
-"""Time for which sent bytes may stay unacknowledged before the kernel gives up."""
-LINGER_FOR_NO_TIME = pack("ii", 1, 0)
-"""Option of a socket: on, 0 seconds."""
 MIN_FINAL_STATUS = 200
 """Lower status codes are interim responses, which a final one follows."""
 MAX_SUCCESS_STATUS = 299
@@ -400,17 +381,3 @@
         ) from exc
     enable_keepalive(transport.get_extra_info("socket"))
     return conn
-
-
-def reset_on_close(sock: socket) -> None:
-    """Let the kernel discard unsent bytes and reset the connection when it closes."""
-    sock.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_FOR_NO_TIME)
-
-
-def enable_keepalive(sock: socket) -> None:
-    """Enable TCP keepalive, so that the kernel closes a dead connection."""
-    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
-    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/damasktally/http1/socket_options.py
@@ -0,0 +1,37 @@
+"""Options of the sockets that connect to backend servers, hosts and the store."""
+
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SO_LINGER,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+    socket,
+)
+from struct import pack
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+"""Unanswered keepalive probes after which the kernel closes a connection."""
+USER_TIMEOUT_MS = 3000
+"""Time for which sent bytes may stay unacknowledged before the kernel gives up."""
+LINGER_FOR_NO_TIME = pack("ii", 1, 0)
+"""The option is on, with a time of 0 seconds."""
+
+
+def enable_keepalive(sock: socket) -> None:
+    """Enable TCP keepalive, so that the kernel closes a dead connection."""
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
+    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def reset_on_close(sock: socket) -> None:
+    """Let the kernel discard unsent bytes and reset the connection when it closes."""
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_FOR_NO_TIME)
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -271,6 +271,17 @@
     )
 
 
+async def start_store(context):
+    """Start the store with a configuration and a server."""
+    context.store = StandInStore()
+    await context.store.start()
+    cfg = make_configuration(1, DEFAULT_ROUTES)
+    await context.store.write("config", "main", cfg)
+    server = StandInServer("s-1", zone="dc-0")
+    await server.start()
+    await context.store.write("servers", "s-1", server.registration())
+
+
 @given("{count:d} hosts in 2 data centres")
 def given_fleet(context, count):
     """Start the fleet."""
@@ -280,13 +291,7 @@
     context.version = 1
 
     async def begin():
-        context.store = StandInStore()
-        await context.store.start()
-        cfg = make_configuration(1, DEFAULT_ROUTES)
-        await context.store.write("config", "main", cfg)
-        server = StandInServer("s-1", zone="dc-0")
-        await server.start()
-        await context.store.write("servers", "s-1", server.registration())
+        await start_store(context)
         settings = [numbered_settings(context, number) for number in range(count)]
         await gather(*(start_host(context, item) for item in settings))
 
--- a/features/steps/store_loss_steps.py
+++ b/features/steps/store_loss_steps.py
@@ -5,16 +5,12 @@
 
 from behave import given, then, when
 from entry_harness import (
-    DEFAULT_ROUTES,
     LoopThread,
-    StandInServer,
-    StandInStore,
-    make_configuration,
     wait_until,
 )
 from entry_steps import make_settings, start_host
 from msgspec.structs import replace
-from relay_steps import gather_all, store_followers
+from relay_steps import gather_all, start_store, store_followers
 
 from damasktally.decisions.relays import (
     RelayCandidate,
@@ -86,13 +82,7 @@
     context.store_ports = {}
 
     async def begin():
-        context.store = StandInStore()
-        await context.store.start()
-        cfg = make_configuration(1, DEFAULT_ROUTES)
-        await context.store.write("config", "main", cfg)
-        server = StandInServer("s-1", zone="dc-0")
-        await server.start()
-        await context.store.write("servers", "s-1", server.registration())
+        await start_store(context)
         settings = []
         for number in range(count):
             port = await context.store.listen()
