Added a scenario of the store's return for a whole fleet.

Guards against hosts that list the store before their relays do, as these said that they had lost it.

--- a/features/entry/relays.feature
+++ b/features/entry/relays.feature
@@ -140,6 +140,15 @@
       | refuses |
       | ignores |
 
+  # Guards against hosts that all list the store when it returns, before their relays do.
+  Scenario: The store returns for all hosts after an outage
+    Given 36 hosts in 3 data centres, each of which reaches the store in its own way
+    Then within 8 s only 4 relays follow the store, and all hosts have the configuration
+    When the store refuses the callers among all hosts for 4 s
+    Then in the 4 s after that at most 12 hosts follow the store at any time
+    When the operator writes a new configuration
+    Then within 1 s all hosts have it
+
   # Guards against the same if the relays that could take over are turned away, too.
   Scenario: The store resets all relays as a version is written
     Given 36 hosts in 3 data centres, each of which reaches the store in its own way
--- a/features/steps/store_loss_steps.py
+++ b/features/steps/store_loss_steps.py
@@ -176,3 +176,28 @@
             await host.close()
 
     context.loop_thread.run(silence())
+
+
+@when("the store refuses the callers among all hosts for {seconds:g} s")
+def when_all_refused(context, seconds):
+    """Let the store refuse everyone for a while."""
+    turn_away(context, set(context.store_ports), "refuses")
+    context.loop_thread.run(sleep(seconds))
+    turn_away(context, set(), "refuses")
+
+
+@then(
+    "in the {seconds:g} s after that "
+    "at most {count:d} hosts follow the store at any time"
+)
+def then_no_rush(context, seconds, count):
+    """Sample which hosts follow the store."""
+    samples = []
+
+    async def observe():
+        for _ in range(int(seconds / 0.05)):
+            samples.append(len(store_followers(context)))
+            await sleep(0.05)
+
+    context.loop_thread.run(observe())
+    assert max(samples) <= count, samples
