Told a store that responds late from one that is unavailable.

Both hosts learn of it, and keep the servers in use for 2.4 s; requests reach them up to 2.3 s after the removal, and some end with 502.

Cause: a probe without a response after 0.5 s marked the store as lost, and one without a response after 1.0 s was closed, so that its answer was never seen. Other hosts took that mark for evidence of an outage (is_lost_by_others), and any removal for a registration that expired in it. At the first start, when no host had reached the store, the time before counted as an outage of 1,000,000 s. A timer that fired late after a suspension counted as a call without an answer, too.

Changed: decisions/store_calls.py records the outcome of each call. The store is unavailable if it refuses calls, or is silent on two calls for 2 s and longer than its latest response times, which has to be seen twice, 0.25 s apart. A call that times out is awaited for 4 s more; its late response shows that the store is slow, extends the timeouts of later calls, and leaves the watches as they are. Status 429 is a response. An outage has to begin when a host reached the store. Hosts announce the conclusion in a new last field of heartbeats and summaries; the late mark only chooses who follows the store now. An outage stays shown when hosts hear of the store's return in parts.

Why it works: a slow store responds to each call, so that there is no silence longer than its response time, and what is derived from silence is withdrawn by the next response, however late.

Failed before, on: 11 of the new scenarios in removed_servers.feature (all removals while the store answers late: one host, 2, 6 and 30 hosts; a start with answers of 1.5 s; a time before the first answer). A 30-host scenario that existed failed once while this was written, as a follower's mark ended before its age did; the history "but for the last 0.5 s" holds that.

One expectation changed: WatchChecks renews watches after a refusal as before, and after a timeout unless its response came late.

--- a/damasktally/decisions/watch_checks.py
+++ b/damasktally/decisions/watch_checks.py
@@ -18,19 +18,28 @@
     def __init__(self) -> None:
         self._complete_to: dict[Topic, int] = dict.fromkeys(Topic, 0)
         self._was_unreachable = False
+        self._was_late = False
 
     def record_failure(self) -> None:
-        """Record that the store did not respond to a probe or a check."""
+        """Record that the store refused a probe or a check."""
         self._was_unreachable = True
 
-    def take_failure(self) -> bool:
+    def record_timeout(self) -> None:
+        """Record that the store did not respond to a probe or a check in time."""
+        self._was_late = True
+
+    def take_failure(self, are_responses_lost: bool) -> bool:
         """Return whether the store did not respond since the last call.
 
         The connections of the watches may have been lost at the same time, so all of
-        them have to be renewed.
+        them have to be renewed. A store that was only slow lost none.
+
+        :param are_responses_lost: whether calls that timed out got no response since.
         """
-        was_unreachable, self._was_unreachable = self._was_unreachable, False
-        return was_unreachable
+        failed = self._was_unreachable or (self._was_late and are_responses_lost)
+        self._was_unreachable = False
+        self._was_late = False
+        return failed
 
     def record_complete(self, topic: Topic, revision: int) -> None:
         """Record that a check delivered all changes of a topic up to a revision."""
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -8,6 +8,7 @@
 from damasktally.decisions.link_breaks import LinkBreaks
 from damasktally.decisions.lost_responses import ServerStates
 from damasktally.decisions.quota import CustomerQuotas
+from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.body_streams import BodyStreams
 from damasktally.entry.candidates import ServerCandidates
@@ -95,8 +96,10 @@
             lambda now: self._outages.reregistration_deadline(now),
         )
         response_memory = ResponseMemory()
+        self._store_calls = StoreCalls()
         self._store = StoreClient(
             split_address(settings.store.address),
+            self._store_calls,
             lambda purpose: self._metrics.store_calls.labels(purpose).inc(),
             response_memory,
             EraProblemLog(self._metrics).record,
@@ -107,7 +110,12 @@
         reach = StoreReach()
         self._topology = FleetTopology(self._members, self._summaries)
         self._store_topology = StoreTopology(
-            self._members, self._summaries, self._topology, self._view.revisions, reach
+            self._members,
+            self._summaries,
+            self._topology,
+            self._view.revisions,
+            reach,
+            self._store_calls,
         )
         self._outages = OutageMonitor(self._store_topology)
         self._confirmations = Confirmations(self._view, self._topology)
@@ -132,6 +140,7 @@
                 lambda: self._registration.is_complete,
             ),
             reach,
+            self._store_calls,
             self._rng,
         )
         self._transfer = StateTransfer(
@@ -351,6 +360,7 @@
         self._peer_protocol.log_liveness_changes(now)
         self._transfer.catch_up(now)
         self._confirmations.record_relays(now)
+        self._store_calls.update(now)
         self._outages.update(now)
         self._view.remove_expired_servers(now)
         self._view.settle(now)
@@ -407,6 +417,7 @@
             self._store_topology.announced_age_s(own_age_s, self._loop.time()),
             self._reachability.unreachable_services(),
             self._store_sync.has_lost_store,
+            self._store_calls.show_unavailable(self._loop.time()),
         )
 
     @property
--- a/damasktally/entry/message_builder.py
+++ b/damasktally/entry/message_builder.py
@@ -226,6 +226,7 @@
             server_loads=self._load_reports.take(loads, ReportScope.OWN, now),
             lease_port=own.lease_port,
             has_lost_store=state.has_lost_store,
+            is_store_unavailable=state.is_store_unavailable,
         )
 
     def build_data_centre_summary(self, now: float) -> RelaySummary:
@@ -387,6 +388,7 @@
             leaving_servers=tuple(self._view.servers.new_leaving_marks(now)),
             server_loads=self._load_reports.take(outbox.loads, report_scope, now),
             has_lost_store=state.has_lost_store,
+            is_store_unavailable=state.is_store_unavailable,
         )
 
     def _revisions(self) -> tuple[int, ...]:
--- a/damasktally/entry/outage_monitor.py
+++ b/damasktally/entry/outage_monitor.py
@@ -23,7 +23,7 @@
 
     def update(self, now: float) -> None:
         """Record who reaches the store now, and log if an outage began or ended."""
-        self._outages.record(self._topology.observe_store(now))
+        self._outages.record(self._topology.observe_store(now), now)
         is_under_way = self._outages.is_under_way(now)
         if is_under_way and not self._is_logged:
             emit(STORE_OUTAGE_BEGAN, away_s=_rounded(self._outages.away_s(now)))
--- a/damasktally/entry/outbox.py
+++ b/damasktally/entry/outbox.py
@@ -17,7 +17,8 @@
         a host from which it gets changes, reached the store.
     :param unreachable_services: services of which this host reaches no server.
     :param has_lost_store: whether this host called the store lately and did not reach
-        it.
+        it, or got its response late.
+    :param is_store_unavailable: whether its calls show that the store is unavailable.
     """
 
     ready: bool
@@ -25,6 +26,7 @@
     store_age_s: float
     unreachable_services: tuple[str, ...] = ()
     has_lost_store: bool = False
+    is_store_unavailable: bool = False
 
 
 @dataclass(slots=True)
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -188,6 +188,7 @@
                     summary.store_age_s,
                     now,
                     summary.has_lost_store,
+                    summary.is_store_unavailable,
                 )
         # The counts of a standby only set a baseline, which can wait for an update.
         if record.summary is summary and not self._store_topology.should_follow_store(
--- a/damasktally/entry/store_sync.py
+++ b/damasktally/entry/store_sync.py
@@ -11,6 +11,7 @@
 from math import inf
 from random import Random
 
+from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.follower_role import FollowerRole
 from damasktally.entry.overdue_topics import OverdueTopics
@@ -59,7 +60,8 @@
     :param view: what is kept up to date.
     :param on_confirmed: called with a topic each time the store confirmed it.
     :param role: determines whether this host has to follow the store at all.
-    :param reach: is told whether the store responds.
+    :param reach: is told whether the store responds in time.
+    :param calls: outcomes of this host's calls to the store.
     :param rng: adds jitter, which spreads the calls of many hosts over time.
     """
 
@@ -70,6 +72,7 @@
         on_confirmed: Callable[[Topic], None],
         role: FollowerRole,
         reach: StoreReach,
+        calls: StoreCalls,
         rng: Random,
     ) -> None:
         self._store = store
@@ -86,7 +89,9 @@
             self.reconnect,
             self._renew_watch,
         )
-        self._prober = WatchProber(store, self._reader, view, reach, watches, rng)
+        self._prober = WatchProber(
+            store, self._reader, view, reach, calls, watches, rng
+        )
         self._lost_at: dict[Topic, float] = {}
         self._watch_tasks: dict[Topic, Task] = {}
         self._reach_task: Task | None = None
@@ -258,7 +263,6 @@
             if has_watched:
                 retry_delay_s = MIN_RETRY_DELAY_S
             self._log_store_regained(topic)
-            self._reach.record_answer(self._loop.time())
             self._reader.record_complete(topic)
 
     async def _watch(self, topic: Topic) -> None:
--- a/damasktally/entry/store_topology.py
+++ b/damasktally/entry/store_topology.py
@@ -10,7 +10,9 @@
     choose_store_followers,
     has_live_relay,
 )
+from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
+from damasktally.entry.topic_reader import NEVER_REACHED_AGE_S
 from damasktally.entry.topology import CACHE_LIFETIME_S, FleetTopology
 from damasktally.fleet.members import MemberTable
 from damasktally.fleet.store_outages import StoreObservation
@@ -41,7 +43,8 @@
     :param summaries: the last summary of each relay.
     :param topology: knows the size and the relays of the fleet.
     :param revisions: the revision of each topic that this host has, kept up to date.
-    :param reach: tells whether this host reaches the store.
+    :param reach: tells whether this host reaches the store in time.
+    :param calls: outcomes of this host's calls to the store.
     """
 
     def __init__(
@@ -51,12 +54,14 @@
         topology: FleetTopology,
         revisions: Mapping[Topic, int],
         reach: StoreReach,
+        calls: StoreCalls,
     ) -> None:
         self._members = members
         self._summaries = summaries
         self._topology = topology
         self._revisions = revisions
         self._reach = reach
+        self._calls = calls
         self._own = members.own
         self._cached: _Snapshot | None = None
         self._relayed_reached_at = -inf
@@ -148,10 +153,15 @@
     def observe_store(self, now: float) -> StoreObservation:
         """Return what this host knows of the store, also from other hosts."""
         known = self._members.live_records(now)
-        reached = [record.last_seen_at - record.store_age_s for record in known]
         summaries = self._summaries.live_records(now)
-        reached += [
-            record.received_at - record.summary.store_age_s for record in summaries
+        ages = [(record.last_seen_at, record.store_age_s) for record in known]
+        ages += [
+            (record.received_at, record.summary.store_age_s) for record in summaries
+        ]
+        reached = [at - age_s for at, age_s in ages if age_s < NEVER_REACHED_AGE_S]
+        says_unavailable = [record.is_store_unavailable for record in known]
+        says_unavailable += [
+            record.summary.is_store_unavailable for record in summaries
         ]
         heard = [
             record.last_seen_at
@@ -159,10 +169,10 @@
             if record.has_been_seen
         ]
         return StoreObservation(
-            reached_at=max([self._reach.reached_at, *reached]),
+            reached_at=max([self._calls.responded_at, *reached]),
             heard_at=max(heard, default=-inf),
-            is_lost=self._reach.is_lost(now),
-            is_lost_by_others=bool(self._hosts_without_store(now) - {self._own.host}),
+            is_unavailable=self._calls.show_unavailable(now),
+            is_unavailable_to_others=any(says_unavailable),
         )
 
     def relayed_store_age_s(self, now: float) -> float:
--- a/damasktally/entry/watch_prober.py
+++ b/damasktally/entry/watch_prober.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.decisions.watch_checks import WatchChecks
 from damasktally.entry.topic_reader import TopicReader
@@ -14,7 +15,8 @@
 from damasktally.fleet.model import era_of, revision_in_era
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
-from damasktally.platform.store import HistoryGone, StoreClient, StoreUnavailable
+from damasktally.platform.store import HistoryGone, StoreClient
+from damasktally.platform.store_connections import StoreTimeout, StoreUnavailable
 
 PROBE_INTERVAL_S = 0.6
 LATE_PROBE_S = 0.5
@@ -46,7 +48,8 @@
     :param store: the platform's store.
     :param reader: reads topics from it.
     :param view: has the revisions that the watches delivered.
-    :param reach: is told whether the store responds.
+    :param reach: is told whether the store responds in time.
+    :param calls: outcomes of this host's calls to the store.
     :param watches: acts on the watches.
     :param rng: adds jitter, which spreads the calls of many hosts over time.
     """
@@ -57,6 +60,7 @@
         reader: TopicReader,
         view: FleetView,
         reach: StoreReach,
+        calls: StoreCalls,
         watches: WatchControl,
         rng: Random,
     ) -> None:
@@ -64,6 +68,7 @@
         self._reader = reader
         self._view = view
         self._reach = reach
+        self._calls = calls
         self._watches = watches
         self._rng = rng
         self._loop = get_running_loop()
@@ -83,6 +88,8 @@
                 continue
             try:
                 await self._compare_with_store()
+            except StoreTimeout:
+                self._checks.record_timeout()
             except StoreUnavailable:
                 self._checks.record_failure()
 
@@ -121,7 +128,7 @@
             raise
         finally:
             late.cancel()
-        self._reach.record_success(self._loop.time())
+        self._reach.record_success()
         return revision
 
     def _record_failure(self) -> None:
@@ -138,7 +145,7 @@
             # A watch from the era before may wait without end.
             self._watches.renew_all()
             return
-        if self._checks.take_failure():
+        if self._checks.take_failure(self._calls.take_lost_responses()):
             self._log_renewal(None, "the store was unreachable", store_revision)
             self._watches.renew_all()
         if self._record_complete_topics(store_revision):
@@ -174,6 +181,9 @@
             self._log_renewal(topic, "its history is gone", known)
             self._watches.renew(topic)
             return
+        except StoreTimeout:
+            self._checks.record_timeout()
+            return
         except StoreUnavailable:
             self._checks.record_failure()
             return
--- a/damasktally/fleet/members.py
+++ b/damasktally/fleet/members.py
@@ -62,7 +62,9 @@
     :param server_loads: loads of busy servers, from responses to the sender.
     :param lease_port: port where the sender takes messages about leases, or 0.
     :param has_lost_store: whether the sender called the store lately and did not reach
-        it.
+        it, or got its response late.
+    :param is_store_unavailable: whether the sender's calls show that the store is
+        unavailable, rather than slow.
     """
 
     host: str
@@ -90,6 +92,7 @@
     server_loads: tuple[ServerLoadReport, ...] = ()
     lease_port: int = 0
     has_lost_store: bool = False
+    is_store_unavailable: bool = False
 
 
 @dataclass(slots=True)
@@ -112,7 +115,9 @@
         message.
     :param fleet_size: number of hosts known to it, itself included.
     :param unreachable_services: services of which it reaches no server.
-    :param has_lost_store: whether it called the store lately and did not reach it.
+    :param has_lost_store: whether it called the store lately and did not reach it, or
+        got its response late.
+    :param is_store_unavailable: whether its calls show that the store is unavailable.
     """
 
     member: Member
@@ -128,6 +133,7 @@
     fleet_size: int = 1
     unreachable_services: tuple[str, ...] = ()
     has_lost_store: bool = False
+    is_store_unavailable: bool = False
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether replies have been due for too long and nothing arrived.
@@ -222,6 +228,7 @@
             fleet_size=heartbeat.fleet_size,
             unreachable_services=heartbeat.unreachable_services,
             has_lost_store=heartbeat.has_lost_store,
+            is_store_unavailable=heartbeat.is_store_unavailable,
         )
         return is_new
 
@@ -255,6 +262,7 @@
         store_age_s: float,
         now: float,
         has_lost_store: bool = False,
+        is_store_unavailable: bool = False,
     ) -> None:
         """Update a relay's record from its summary, which shows that it is alive.
 
@@ -263,6 +271,7 @@
         :param store_age_s: age of the relay's state of the store in seconds.
         :param now: seconds on the event loop's clock.
         :param has_lost_store: whether the relay does not reach the store itself.
+        :param is_store_unavailable: whether its calls show that it is unavailable.
         """
         record = self._records.get(member.host)
         if record is None or record.member.started_ms < member.started_ms:
@@ -273,6 +282,7 @@
             record.revisions = revisions
             record.store_age_s = store_age_s
             record.has_lost_store = has_lost_store
+            record.is_store_unavailable = is_store_unavailable
 
     def remove_silent(self, now: float) -> list[str]:
         """Remove the hosts that sent nothing for :data:`REMOVAL_TIMEOUT_S`.
--- a/damasktally/fleet/store_outages.py
+++ b/damasktally/fleet/store_outages.py
@@ -28,14 +28,15 @@
     :param reached_at: when this host, or one whose messages it gets, last reached the
         store.
     :param heard_at: when the last message of another host arrived.
-    :param is_lost: whether this host's own calls fail.
-    :param is_lost_by_others: whether another live host says that its calls fail.
+    :param is_unavailable: whether this host's own calls show that the store is
+        unavailable, rather than slow.
+    :param is_unavailable_to_others: whether another live host says so of its calls.
     """
 
     reached_at: float
     heard_at: float
-    is_lost: bool
-    is_lost_by_others: bool
+    is_unavailable: bool
+    is_unavailable_to_others: bool
 
     @property
     def shows_outage(self) -> bool:
@@ -43,10 +44,10 @@
 
         Another host has to say so, unless this one was alone before it lost the store.
         """
-        if self.is_lost_by_others:
+        if self.is_unavailable_to_others:
             return True
         was_alone = self.reached_at - self.heard_at > ISOLATION_WINDOW_S
-        return self.is_lost and was_alone
+        return self.is_unavailable and was_alone
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,24 +69,31 @@
 class StoreOutages:
     """Keep track of the present or the last outage of the store.
 
+    What came before any known host reached the store is none: no registration that a
+    host knows can have expired in it.
+
     Times called ``now`` are in seconds on the event loop's clock.
     """
 
     def __init__(self) -> None:
         self._reached_at = -inf
-        self._is_confirmed = False
+        self._shown_at = -inf
         self.last: StoreOutage | None = None
 
-    def record(self, observation: StoreObservation) -> None:
+    @property
+    def _is_confirmed(self) -> bool:
+        """Return whether an outage was shown since a host last reached the store."""
+        return self._shown_at > self._reached_at > -inf
+
+    def record(self, observation: StoreObservation, now: float) -> None:
         """Record what this host knows of the store now."""
         if observation.reached_at > self._reached_at:
             outage = StoreOutage(self._reached_at, observation.reached_at)
             if self._is_confirmed and outage.duration_s >= MIN_OUTAGE_S:
                 self.last = outage
             self._reached_at = observation.reached_at
-            self._is_confirmed = False
         if observation.shows_outage:
-            self._is_confirmed = True
+            self._shown_at = now
 
     def is_under_way(self, now: float) -> bool:
         """Return whether the store is away, as far as this host knows."""
--- a/damasktally/fleet/summaries.py
+++ b/damasktally/fleet/summaries.py
@@ -93,7 +93,9 @@
     :param leaving_servers: id and start of server processes that said that they leave.
     :param server_loads: loads of busy servers, from responses to these hosts.
     :param has_lost_store: whether the relay called the store lately and did not reach
-        it.
+        it, or got its response late.
+    :param is_store_unavailable: whether the relay's calls show that the store is
+        unavailable, rather than slow.
     """
 
     relay: str
@@ -116,6 +118,7 @@
     leaving_servers: tuple[tuple[str, int], ...] = ()
     server_loads: tuple[ServerLoadReport, ...] = ()
     has_lost_store: bool = False
+    is_store_unavailable: bool = False
 
 
 LISTING_LIFETIME_S = 8.0
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -46,6 +46,10 @@
     """No connection could be established, so nothing was sent."""
 
 
+class ConnectTimeout(ConnectFailed):
+    """A connection was not established in time."""
+
+
 class AnswerLost(DamasktallyError):
     """A request was sent, but no complete response was received."""
 
@@ -365,7 +369,8 @@
 
     :param address: host and port.
     :param memory: limits the bytes of all responses that are being received.
-    :raises ConnectFailed: if no connection is established within ``timeout_s``.
+    :raises ConnectFailed: if no connection is established within ``timeout_s``;
+        :class:`ConnectTimeout` if nothing refused it.
     """
     loop = get_running_loop()
     try:
@@ -375,7 +380,8 @@
                 lambda: ServerConnection(memory), *address
             )
     except (OSError, TimeoutError) as exc:
-        raise ConnectFailed(
+        error = ConnectTimeout if isinstance(exc, TimeoutError) else ConnectFailed
+        raise error(
             f"Cannot connect to {address[0]}:{address[1]}: {type(exc).__name__}.",
             "Check that the server is running and reachable.",
         ) from exc
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -4,7 +4,6 @@
 purpose.
 """
 
-from asyncio import Future, timeout
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
@@ -16,15 +15,14 @@
 from damasktally.errors import DamasktallyError
 from damasktally.fleet.model import compose_revision, era_of, revision_in_era
 from damasktally.http1.messages import Response, encode_request
-from damasktally.http1.outbound import (
-    AnswerLost,
-    ConnectFailed,
-    ServerConnection,
-    connect,
-)
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.era import EraTracker
 from damasktally.platform.headers import STORE_ERA
+from damasktally.platform.store_connections import (
+    CallRecorder,
+    StoreConnections,
+    StoreUnavailable,
+)
 from damasktally.platform.stored_objects import (
     DECODING_ERRORS,
     ObjectDecoder,
@@ -42,17 +40,12 @@
 
 ALLOW_STALE = "AllowStale=1"
 """Query parameter that lets the store respond from a replica that is seconds old."""
-CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_MARGIN_S = 1.0
 """Time that a watch may take beyond the wait that it asks for."""
 
 
-class StoreUnavailable(DamasktallyError):
-    """The store did not respond, or responded with an error."""
-
-
 class HistoryGone(DamasktallyError):
     """The store has dropped the history since a watch's revision: a list is needed."""
 
@@ -84,7 +77,9 @@
 class StoreClient:
     """Client of the store, which keeps idle connections for later calls.
 
+
     :param address: host and port of the store.
+    :param calls: is told the outcome of each call.
     :param count_call: called with the purpose of each call that is made.
     :param memory: limits the bytes of all responses that are being received.
     :param report_era_problem: called when a response names an era that cannot be right.
@@ -95,6 +90,7 @@
     def __init__(
         self,
         address: tuple[str, int],
+        calls: CallRecorder,
         count_call: Callable[[str], None],
         memory: ResponseMemory,
         report_era_problem: Callable[[str], None],
@@ -103,9 +99,8 @@
         self._address = address
         self._eras = EraTracker(report_era_problem)
         self._report_unreadable = report_unreadable
-        self._memory = memory
         self._count_call = count_call
-        self._idle_connections: list[ServerConnection] = []
+        self._connections = StoreConnections(address, calls, memory)
 
     @property
     def era(self) -> int:
@@ -238,6 +233,13 @@
         path = f"/objects/{kind}/{quote(name, safe='')}"
         await self._call("DELETE", path, None, "delete", CALL_TIMEOUT_S, (200, 404))
 
+    def close_idle_connections(self) -> None:
+        """Close all idle connections.
+
+        After a suspension of the host they may be dead without notice.
+        """
+        self._connections.close_idle()
+
     async def _call(
         self,
         method: str,
@@ -254,7 +256,11 @@
         if payload:
             headers.append((b"content-type", b"application/json"))
         data = encode_request(method.encode(), path.encode(), headers, payload)
-        response = await self._exchange(data, timeout_s)
+        if purpose == "watch":
+            response = await self._connections.wait_for_change(data, timeout_s)
+        else:
+            is_read = method == "GET"
+            response = await self._connections.exchange(data, timeout_s, is_read)
         if not self._eras.observe(response.header(STORE_ERA)):
             raise StoreUnavailable(
                 "The response is of an earlier era of the store.", "Check the store."
@@ -271,47 +277,6 @@
             )
         return response
 
-    async def _exchange(self, data: bytes, timeout_s: float) -> Response:
-        conn = await self._acquire_connection()
-        pending = conn.send(data, _accept_any_response)
-        try:
-            response = await _wait_for_response(pending, timeout_s)
-        except (AnswerLost, TimeoutError) as exc:
-            conn.close()
-            raise StoreUnavailable(
-                f"The store did not respond ({type(exc).__name__}).", "Try again later."
-            ) from exc
-        except BaseException:
-            conn.close()
-            raise
-        if conn.can_send:
-            self._idle_connections.append(conn)
-        return response
-
-    async def _acquire_connection(self) -> ServerConnection:
-        while self._idle_connections:
-            conn = self._idle_connections.pop()
-            if conn.can_send:
-                return conn
-        try:
-            return await connect(self._address, CONNECT_TIMEOUT_S, self._memory)
-        except ConnectFailed as exc:
-            raise StoreUnavailable(
-                "The store cannot be reached.", "Check the network to it."
-            ) from exc
-
-    def close_idle_connections(self) -> None:
-        """Close all idle connections.
-
-        After a suspension of the host they may be dead without notice.
-        """
-        while self._idle_connections:
-            self._idle_connections.pop().close()
-
-
-def _accept_any_response(response: Response) -> bool:
-    return True
-
 
 def _change_of(event: WireEvent) -> Change:
     """Return a change; an object without content has an empty one."""
@@ -323,11 +288,6 @@
     return Change(event.Object.Metadata.Name, spec)
 
 
-async def _wait_for_response(pending: Future[Response], timeout_s: float) -> Response:
-    async with timeout(timeout_s):
-        return await pending
-
-
 def _decode(response: Response, response_type: Any) -> Any:
     decode = partial(msgspec.json.decode, type=response_type)
     return _decode_with(decode, response)
--- a/features/entry/decisions.feature
+++ b/features/entry/decisions.feature
@@ -85,6 +85,7 @@
   # Guards against a topic that counts as complete because another one is.
   Scenario: Watches are renewed after an outage, and each topic is checked by itself
     Then a probe that answers after one that failed renews the watches once
+    And a probe that answers after one that was late renews no watch
     And a topic is behind until its watch or a check of it reaches the probe's revision
     And a store that stays ahead leaves a topic behind at each probe
 
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -16,6 +16,7 @@
 from damasktally.decisions.quota import CustomerQuotas
 from damasktally.decisions.relays import RelayCandidate, choose_relays
 from damasktally.decisions.server_limits import ServerLimits
+from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.outbox import OwnState
@@ -106,7 +107,12 @@
         )
         transfer = SimpleNamespace(handle_peer_revisions=lambda revisions: None)
         store_topology = StoreTopology(
-            self.members, self.summaries, self.topology, view.revisions, StoreReach()
+            self.members,
+            self.summaries,
+            self.topology,
+            view.revisions,
+            StoreReach(),
+            StoreCalls(),
         )
         self.peer_protocol = PeerProtocol(
             self.members,
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -293,6 +293,7 @@
         "server_loads": (ServerLoadReport("s-3", 8, 6, 2, 250, 90),),
         "lease_port": 8,
         "has_lost_store": True,
+        "is_store_unavailable": True,
     }
     values = msgspec.msgpack.decode(
         msgspec.msgpack.encode(make_heartbeat(**later_fields))
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -108,7 +108,8 @@
 
     If ``refusal_status`` is not 0, every answer has it. ``is_silent`` suppresses
     all answers; ``lose_answers`` closes the connection instead of answering a write.
-    ``delay_by_kind`` delays answers to calls of some kinds, in seconds.
+    ``delay_by_kind`` delays answers to calls of some kinds, in seconds, and
+    ``answer_delay_s`` those to each ``delayed_every``-th call of all.
     ``page_size`` is the largest number of objects in a page of a list, and
     ``writes_between_pages`` are done once when a list is to be continued.
     ``silent_kinds`` are those whose waiting watches get no answer. It listens on
@@ -126,6 +127,8 @@
         self.is_silent = False
         self.lose_answers = False
         self.delay_by_kind: dict[str, float] = {}
+        self.answer_delay_s = 0.0
+        self.delayed_every = 1
         self.silent_kinds: set[str] = set()
         self.page_size = 500
         self.writes_between_pages: list[tuple[str, str, Any]] = []
@@ -226,6 +229,8 @@
             self._watched_kinds[writer] = kind
             status, content = await self._answer(method, target, body)
             del self._watched_kinds[writer]
+            if self.answer_delay_s and len(self.calls) % self.delayed_every == 0:
+                await sleep(self.answer_delay_s)
             if conduct == "refuses":
                 status, content = 503, {}
             if kind in self.silent_kinds:
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -12,6 +12,7 @@
     MAX_RELAY_STORE_AGE_S,
     choose_store_followers,
 )
+from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.state_messages import (
     ResponseFrames,
@@ -73,7 +74,9 @@
     members = MemberTable(own)
     revisions = dict.fromkeys(Topic, 1)
     fleet = FleetTopology(members, summaries)
-    topology = StoreTopology(members, summaries, fleet, revisions, StoreReach())
+    topology = StoreTopology(
+        members, summaries, fleet, revisions, StoreReach(), StoreCalls()
+    )
     return topology, summaries
 
 
--- a/features/steps/removed_server_steps.py
+++ b/features/steps/removed_server_steps.py
@@ -417,6 +417,16 @@
         0.0,
     ),
     "5 s in which this host stood still": (5.0, None, 0.0),
+    "5 s in which all hosts lost the store, but for the last 0.5 s": (
+        5.0,
+        lambda now: StoreObservation(0.01 * now, now - 0.1, now < 4.6, now < 4.6),
+        0.0,
+    ),
+    "5 s before any host reached the store": (
+        5.0,
+        lambda now: StoreObservation(-inf, now - 0.1, True, True),
+        0.0,
+    ),
     "5 s of which nobody says anything": (
         5.0,
         lambda now: StoreObservation(0.0, now - 0.1, False, False),
@@ -432,13 +442,15 @@
     duration_s, observation, ago_s = HISTORIES[history]
     outages = StoreOutages()
     alone = observation is not None and observation(0.0).heard_at < -1.0
-    outages.record(StoreObservation(0.0, -9.0 if alone else 0.0, False, False))
+    reached_at = min(0.0, observation(0.0).reached_at) if observation else 0.0
+    heard_at = -9.0 if alone else 0.0
+    outages.record(StoreObservation(reached_at, heard_at, False, False), 0.0)
     if observation is not None:
         for step in range(1, round(duration_s / TICK_S) + 1):
-            outages.record(observation(step * TICK_S))
+            outages.record(observation(step * TICK_S), step * TICK_S)
     back_at = duration_s + 0.01
-    outages.record(StoreObservation(back_at, back_at, False, False))
+    outages.record(StoreObservation(back_at, back_at, False, False), back_at)
     now = back_at + ago_s
-    outages.record(StoreObservation(now, now, False, False))
+    outages.record(StoreObservation(now, now, False, False), now)
     deadline = outages.reregistration_deadline(now)
     assert (deadline is not None) == (expected == "expired"), deadline
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -16,6 +16,7 @@
     wait_until,
 )
 
+from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.follower_role import FollowerRole
 from damasktally.entry.state_transfer import StateTransfer
@@ -199,8 +200,10 @@
     )
 
     async def begin():
+        calls = StoreCalls()
         client = StoreClient(
             ("127.0.0.1", context.store.port),
+            calls,
             lambda purpose: None,
             ResponseMemory(),
             lambda problem: None,
@@ -210,7 +213,13 @@
             listing = await client.list_objects(kind)
             context.view.replace(topic, listing.revision, listing.specs, "peer", 0.0)
         sync = StoreSync(
-            client, context.view, lambda topic: None, role, StoreReach(), Random(1)
+            client,
+            context.view,
+            lambda topic: None,
+            role,
+            StoreReach(),
+            calls,
+            Random(1),
         )
         sync.start()
         return sync
