Waited for a port that is in use as a host starts.

A connection may use a port of a host for a moment, on a restart also one of the process before.

Cause: each port was bound once, and any error ended the start with a traceback.

Changed: entry/listening.py binds a port again for up to 5 s, logs port-in-use (event 112) once, and then ends the start with an error that names the address and what to do. All ports use it: callers, readiness, directory, metrics, forwarding, peers by TCP and UDP, leases.

--- a/damasktally/entry/leases/endpoint.py
+++ b/damasktally/entry/leases/endpoint.py
@@ -5,11 +5,13 @@
 
 from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
 from damasktally.entry.leases.client import lease_address
 from damasktally.entry.leases.messages import LeaseEnd, LeaseReply, LeaseRequest
+from damasktally.entry.listening import bind_port
 from damasktally.entry.metrics import EntryMetrics
 from damasktally.fleet.model import Member
 
@@ -53,7 +55,8 @@
         :param address: host and port to bind.
         """
         loop = get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        bind = partial(loop.create_datagram_endpoint, lambda: self, local_addr=address)
+        await bind_port(bind, address)
 
     def close(self) -> None:
         """Stop listening and sending."""
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -10,10 +10,12 @@
     get_running_loop,
 )
 from collections.abc import Callable
+from functools import partial
 from math import inf
 
 import msgspec
 
+from damasktally.entry.listening import bind_port
 from damasktally.entry.message_builder import FleetMessageBuilder
 from damasktally.entry.peer_reports import PeerReports
 from damasktally.entry.state_transfer import StateTransfer
@@ -87,7 +89,10 @@
 
         :param address: host and port to bind.
         """
-        await self._loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        bind = partial(
+            self._loop.create_datagram_endpoint, lambda: self, local_addr=address
+        )
+        await bind_port(bind, address)
 
     def close(self) -> None:
         """Stop listening and sending."""
--- a/damasktally/entry/ports.py
+++ b/damasktally/entry/ports.py
@@ -2,9 +2,11 @@
 
 from asyncio import Server, get_running_loop, sleep
 from collections.abc import Callable
+from functools import partial
 
 from damasktally.addresses import split_address
 from damasktally.entry.host_handlers import HostHandlers
+from damasktally.entry.listening import bind_port
 from damasktally.entry.settings import ListenSection
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.inbound import CallerPort
@@ -63,11 +65,15 @@
     async def listen(self) -> None:
         """Accept connections on all ports."""
         loop = get_running_loop()
-        for address, port in self._by_address.items():
-            server = await loop.create_server(
-                port.create_protocol, *split_address(address), backlog=LISTEN_BACKLOG
+        for name, port in self._by_address.items():
+            address = split_address(name)
+            bind = partial(
+                loop.create_server,
+                port.create_protocol,
+                *address,
+                backlog=LISTEN_BACKLOG,
             )
-            self._servers.append(server)
+            self._servers.append(await bind_port(bind, address))
 
     def drain(self) -> None:
         """Let each response close its connection, so that callers go elsewhere."""
--- a/damasktally/entry/program.py
+++ b/damasktally/entry/program.py
@@ -9,11 +9,12 @@
 
 from damasktally.entry.checks import run_entry_checks
 from damasktally.entry.host import EntryHost
+from damasktally.entry.listening import PortInUse
 from damasktally.entry.output import LogOutput
 from damasktally.entry.settings import SettingsInvalid, load_entry_settings
 from damasktally.platform.bounds import SETTINGS_VARIABLE
 
-EXIT_INVALID_SETTINGS = 2
+EXIT_CANNOT_START = 2
 EXIT_REQUESTS_ABORTED = 1
 
 
@@ -56,7 +57,7 @@
     freeze()
     try:
         aborted_count = run(_serve(Path(path)))
-    except SettingsInvalid as exc:
+    except (SettingsInvalid, PortInUse) as exc:
         print(exc, file=sys.stderr)
-        return EXIT_INVALID_SETTINGS
+        return EXIT_CANNOT_START
     return EXIT_REQUESTS_ABORTED if aborted_count else 0
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -18,11 +18,13 @@
 )
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 import msgspec
 
 from damasktally.decisions.source_selection import choose_source
+from damasktally.entry.listening import bind_port
 from damasktally.entry.state_messages import (
     ResponseFrames,
     StateRequest,
@@ -129,7 +131,8 @@
 
         :param address: host and port to bind.
         """
-        self._server = await start_server(self._serve, *address)
+        bind = partial(start_server, self._serve, *address)
+        self._server = await bind_port(bind, address)
 
     def close(self) -> None:
         """Stop listening and cancel pending requests."""
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -281,6 +281,12 @@
     "The process was suspended; connections and the view are renewed.",
     "None.",
 )
+PORT_IN_USE = Event(
+    112,
+    "port-in-use",
+    "Another socket uses a port of this host; the start waits up to 5 s for it.",
+    "None, unless the start fails: then end the process that listens there.",
+)
 LOG_LINES_LEFT_OUT = Event(
     901,
     "log-lines-left-out",
