Logged what shows an outage of the store.

What was missing: `store-outage-began` did not tell whether the host's own calls got no response or another host said so, which are different hypotheses in each incident with this event.

Changed: the event has `own_calls_show_it` and `others_say_so`. No decision changes.

--- a/damasktally/entry/outage_monitor.py
+++ b/damasktally/entry/outage_monitor.py
@@ -23,10 +23,16 @@
 
     def update(self, now: float) -> None:
         """Record who reaches the store now, and log if an outage began or ended."""
-        self._outages.record(self._topology.observe_store(now), now)
+        observation = self._topology.observe_store(now)
+        self._outages.record(observation, now)
         is_under_way = self._outages.is_under_way(now)
         if is_under_way and not self._is_logged:
-            emit(STORE_OUTAGE_BEGAN, away_s=_rounded(self._outages.away_s(now)))
+            emit(
+                STORE_OUTAGE_BEGAN,
+                away_s=_rounded(self._outages.away_s(now)),
+                own_calls_show_it=observation.is_unavailable,
+                others_say_so=observation.is_unavailable_to_others,
+            )
         self._is_logged = is_under_way
         last = self._outages.last
         if last is not self._last_logged:
