Paused between calls for a revision that the store does not have.

What was wrong: a host that hears of a revision which nobody can deliver, and which the store does not have, asked the store for it about ten times a second, as the pause came after a failed call only.

Changed: OverdueTopics waits for RETRY_DELAY_S also if the topic is still overdue after a call.

Evidence: the scenario of state_transfer.feature goes on with a store that answers without that revision; before, the host made over 6 calls in 3 s, now at most 6.

--- a/damasktally/entry/overdue_topics.py
+++ b/damasktally/entry/overdue_topics.py
@@ -51,9 +51,8 @@
         """Begin to fetch the topics that are overdue, if that has not begun yet."""
         now = self._loop.time()
         for topic in Topic:
-            behind_s = self._view.staleness.behind_s(topic, now)
-            if behind_s > MAX_BEHIND_S and topic not in self._tasks:
-                self._begin(topic, behind_s)
+            if self._is_overdue(topic, now) and topic not in self._tasks:
+                self._begin(topic, self._view.staleness.behind_s(topic, now))
 
     def fetch_unheard(self) -> None:
         """Begin to fetch all topics, of whose changes no other host tells this one.
@@ -80,13 +79,19 @@
         task.add_done_callback(lambda _, key=topic: self._tasks.pop(key, None))
 
     async def _run(self, topic: Topic) -> None:
-        """Fetch a topic; wait before the next attempt if the store does not respond."""
+        """Fetch a topic; wait before the next attempt if the store did not have it."""
         await sleep(MAX_JITTER_S * self._rng.random())
         try:
             await self._fetch(topic)
+            is_missing = self._is_overdue(topic, self._loop.time())
         except StoreUnavailable:
+            is_missing = True
+        if is_missing:
             await sleep(RETRY_DELAY_S * self._rng.uniform(0.5, 1.5))
 
+    def _is_overdue(self, topic: Topic, now: float) -> bool:
+        return self._view.staleness.behind_s(topic, now) > MAX_BEHIND_S
+
     async def _fetch(self, topic: Topic) -> None:
         revision = self._view.revisions[topic]
         if not revision:
--- a/features/entry/state_transfer.feature
+++ b/features/entry/state_transfer.feature
@@ -43,3 +43,5 @@
     And it made 1 call to the store for it, and follows the store no more than before
     When the store refuses all calls, and peers name a still newer revision
     Then in 3 s the host makes at most 6 calls to the store
+    When the store answers again, without that revision
+    Then in 3 s the host makes at most 6 calls to the store
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -271,6 +271,14 @@
     hear_of_newer(context, context.store.revision + 5)
 
 
+@when("the store answers again, without that revision")
+def when_store_answers(context):
+    """Answer calls for a revision that the store does not have."""
+    context.store.refusal_status = 0
+    context.loop_thread.run(sleep(1.5))
+    context.store.calls.clear()
+
+
 @then("in {seconds:g} s the host makes at most {count:d} calls to the store")
 def then_few_calls(context, seconds, count):
     """Check that the calls are spread."""
