--- a/damasktally/fleet/servers.py
+++ b/damasktally/fleet/servers.py
@@ -108,9 +108,9 @@
     def usable(self) -> list[Server]:
         """Return the servers that neither drain nor said that they leave."""
         return [
-            item.server
-            for item in self._records.values()
-            if not item.server.is_draining and not self.is_leaving(item.server)
+            record.server
+            for record in self._records.values()
+            if self._takes_requests(record)
         ]
 
     def is_usable(self, server: Server) -> bool:
@@ -118,7 +118,10 @@
         record = self._records.get(server.id)
         if record is None or record.server.started_ms != server.started_ms:
             return False
-        return not record.server.is_draining and not self.is_leaving(server)
+        return self._takes_requests(record)
+
+    def _takes_requests(self, record: ServerRecord) -> bool:
+        return not record.server.is_draining and not self.is_leaving(record.server)
 
     def services(self) -> set[str]:
         """Return the names of the services that have registered servers."""
--- a/damasktally/platform/stored_objects.py
+++ b/damasktally/platform/stored_objects.py
@@ -98,11 +98,8 @@
             return msgspec.json.decode(body, type=WireListing)
         except DECODING_ERRORS:
             page = _parse(body, AnyListing)
-        items = [self._decode_one(item, WireObject) for item in page.items]
-        known = [item for item in items if item is not None]
-        for item in known:
-            self._check_spec(item)
-        return WireListing(page.StoreRevision, known, page.More)
+        items = self._decode_each(page.items, WireObject)
+        return WireListing(page.StoreRevision, items, page.More)
 
     def decode_events(self, body: bytes) -> WireEvents:
         """Decode the response to a watch, as :meth:`decode_listing` does a list."""
@@ -110,20 +107,24 @@
             return msgspec.json.decode(body, type=WireEvents)
         except DECODING_ERRORS:
             page = _parse(body, AnyEvents)
-        events = [self._decode_one(event, WireEvent) for event in page.events]
-        known = [event for event in events if event is not None]
-        for event in known:
-            self._check_spec(event.Object)
-        return WireEvents(page.StoreRevision, known)
+        events = self._decode_each(page.events, WireEvent)
+        return WireEvents(page.StoreRevision, events)
+
+    def _decode_each(self, items: list[Any], wire_type: Any) -> list[Any]:
+        """Decode objects, or events of objects, without those that have no name."""
+        decoded = [self._decode_one(item, wire_type) for item in items]
+        return [item for item in decoded if item is not None]
 
     def _decode_one(self, item: Any, wire_type: Any) -> Any:
+        """Decode an object, or an event of one; return None if it has no name."""
         try:
             decoded = msgspec.convert(item, wire_type)
-            metadata = getattr(decoded, "Object", decoded).Metadata
-            metadata.Name.encode()
+            stored = getattr(decoded, "Object", decoded)
+            stored.Metadata.Name.encode()
         except DECODING_ERRORS:
             self.report(self.kind, "")
             return None
+        self._check_spec(stored)
         return decoded
 
     def _check_spec(self, item: WireObject) -> None:
