--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,18 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: run test build bench soak clean
+.PHONY: run test deps build bench soak clean
 
 run: $(STAMP)
 	$(BIN)/damasktally demo
 
-test: $(STAMP)
+test: $(STAMP) deps
 	$(BIN)/python features/run_all.py
 
+# What the deploy file's build command does on the platform.
+deps:
+	sh deploy/build.sh
+
 build: $(STAMP)
 	$(BIN)/python scripts/build.py
 
