Named want of time as a reason of its own in the line of a refusal.

Cause: a request that a host refuses since the rest of its time is shorter than a fast run got the reason no-room, with "held by ...: 0".

Change: the reason is no-time if a server has room, and the line has what was left, what was expected, from how many runs and how old. No decision changes.

--- a/damasktally/decisions/response_times.py
+++ b/damasktally/decisions/response_times.py
@@ -4,6 +4,8 @@
 long as its latest responses took.
 """
 
+from collections import Counter
+
 MOVING_AVERAGE_WEIGHT = 0.1
 """Weight of one response in the moving average."""
 DEFAULT_RESPONSE_TIME_S = 0.5
@@ -23,12 +25,17 @@
     def __init__(self) -> None:
         self._average_s: dict[str, float] = {}
         self._fast_s: dict[str, float] = {}
+        self._recorded_at: dict[str, float] = {}
+        self._counts: Counter[str] = Counter()
 
-    def record(self, service: str, seconds: float) -> None:
+    def record(self, service: str, seconds: float, now: float) -> None:
         """Add one response time of a service.
 
         :param seconds: time from sending the request until its response.
+        :param now: time of the event loop's clock in seconds.
         """
+        self._recorded_at[service] = now
+        self._counts[service] += 1
         average_s = self._average_s.get(service)
         if average_s is None:
             self._average_s[service] = seconds
@@ -49,6 +56,14 @@
         """
         return self._fast_s.get(service, 0.0)
 
+    def inputs(self, service: str, now: float) -> dict[str, float]:
+        """Return what is known of a service that has responded, for the log."""
+        return {
+            "expected s": round(self.fast_response_s(service), 3),
+            "runs": self._counts[service],
+            "newest run age s": round(now - self._recorded_at[service], 2),
+        }
+
     def average_s(self, service: str) -> float:
         """Return the seconds that a request to a service is expected to take."""
         return self._average_s.get(service, DEFAULT_RESPONSE_TIME_S)
--- a/damasktally/entry/requests.py
+++ b/damasktally/entry/requests.py
@@ -282,7 +282,9 @@
         """Add an attempt to the trace, and its duration to the response times."""
         trace.attempts.append(attempt)
         if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.TIMED_OUT):
-            self._response_times.record(trace.service, attempt.server_duration_s)
+            self._response_times.record(
+                trace.service, attempt.server_duration_s, self._loop.time()
+            )
 
     async def _send_to_host(
         self,
--- a/damasktally/entry/target_selection.py
+++ b/damasktally/entry/target_selection.py
@@ -123,25 +123,51 @@
         time for a run.
         """
         trace.needs_lease = False
+        fast_s = self._response_times.fast_response_s(trace.service)
+        max_relative_time = (trace.deadline - now) / fast_s if fast_s else inf
+        selected = self._choose_with_room(ranked, trace, max_relative_time, now)
+        if selected is None:
+            self._explain_refusal(ranked, trace, now)
+            return self._choose_server_to_lease(ranked, trace, now)
+        self._observe_report_age(selected, now)
+        return selected
+
+    def _choose_with_room(
+        self,
+        ranked: list[Server],
+        trace: RequestTrace,
+        max_relative_time: float,
+        now: float,
+    ) -> Server | None:
+        """Return the server that has room and ends the request soonest, if any.
+
+        :param max_relative_time: time that is left, relative to that of a fast run.
+        """
         estimated_load = self._candidates.loads.estimate
         slowdown = self._candidates.loads.slowdown
-        fast_s = self._response_times.fast_response_s(trace.service)
-        selected = choose_server(
+        return choose_server(
             ranked,
             lambda server: estimated_load(server.id, now),
             priority_of(trace.route, trace.customer),
             slowdown=lambda server: slowdown(server.id, now),
-            max_relative_time=(trace.deadline - now) / fast_s if fast_s else inf,
+            max_relative_time=max_relative_time,
             is_service_full=self._candidates.diversions.is_service_full(trace.service),
         )
-        if selected is None:
-            trace.inputs = {
-                f"held by {server.id}": round(estimated_load(server.id, now), 1)
-                for server in ranked[:MAX_CANDIDATE_SERVERS]
-            }
-            return self._choose_server_to_lease(ranked, trace, now)
-        self._observe_report_age(selected, now)
-        return selected
+
+    def _explain_refusal(
+        self, ranked: list[Server], trace: RequestTrace, now: float
+    ) -> None:
+        """Set whether room or time is missing, and by which figures."""
+        estimated_load = self._candidates.loads.estimate
+        trace.reason = Reason.NO_ROOM
+        trace.inputs = {
+            f"held by {server.id}": round(estimated_load(server.id, now), 1)
+            for server in ranked[:MAX_CANDIDATE_SERVERS]
+        }
+        if self._choose_with_room(ranked, trace, inf, now) is not None:
+            trace.reason = Reason.NO_TIME
+            trace.inputs["left s"] = round(trace.deadline - now, 3)
+            trace.inputs |= self._response_times.inputs(trace.service, now)
 
     def _observe_report_age(self, server: Server, now: float) -> None:
         age_s = self._candidates.loads.report_age_s(server.id, now)
--- a/damasktally/events/reasons.py
+++ b/damasktally/events/reasons.py
@@ -52,6 +52,10 @@
         "the host had no memory to forward a large body as it arrives",
     )
     NO_ROOM = ("no-room", "the preferred servers for its object were at capacity")
+    NO_TIME = (
+        "no-time",
+        "the route's latest runs took longer than the time that was left",
+    )
     NO_ROUTE = ("no-route", "no route of this configuration matches the request")
     NO_SERVER = ("no-server", "the service has no usable server")
     OLDER_CONFIGURATION = (
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -56,9 +56,9 @@
         set_event_loop(self.loop)
         self.loop.run_forever()
 
-    def run(self, coro: Any) -> Any:
+    def run(self, coro: Any, timeout_s: float = CALL_TIMEOUT_S) -> Any:
         """Run a coroutine on the loop and return its result."""
-        return run_coroutine_threadsafe(coro, self.loop).result(CALL_TIMEOUT_S)
+        return run_coroutine_threadsafe(coro, self.loop).result(timeout_s)
 
     async def _cancel_all(self) -> None:
         tasks = all_tasks() - {current_task()}
@@ -424,7 +424,8 @@
                     head[0], head[1], await read_body(reader, head[1])
                 )
                 self.received.append(request)
-                if self.delay_s and not await self._wait_for_delay(reader):
+                delay_s = self.delay_for(request)
+                if delay_s and not await self._wait(reader, delay_s):
                     return
                 data = (self.respond or self.default_answer)(request)
                 if data is None:
@@ -438,10 +439,14 @@
             self.open_writers.discard(writer)
             writer.close()
 
-    async def _wait_for_delay(self, reader: StreamReader) -> bool:
+    def delay_for(self, request: ReceivedRequest) -> float:
+        """Return the seconds that a request takes."""
+        return self.delay_s
+
+    async def _wait(self, reader: StreamReader, delay_s: float) -> bool:
         """Wait for the delay; return whether the connection stayed open."""
         try:
-            await wait_for(reader.read(1), self.delay_s)
+            await wait_for(reader.read(1), delay_s)
         except TimeoutError:
             return True
         except ConnectionError:
--- a/features/steps/server_choice_steps.py
+++ b/features/steps/server_choice_steps.py
@@ -53,7 +53,7 @@
     rng = Random(1)
     for number in range(300):
         seconds = 1.3 if number % 5 == 0 else rng.uniform(0.35, 0.45)
-        context.response_times.record("svc", seconds)
+        context.response_times.record("svc", seconds, now=0.0)
 
 
 @then("a fast response takes {low:g} to {high:g} s")
--- a/features/steps/server_cut_steps.py
+++ b/features/steps/server_cut_steps.py
@@ -148,29 +148,39 @@
 @given("a fleet of {hosts:d} hosts and {servers:d} servers")
 def given_fleet(context, hosts, servers):
     """Start the fleet in two data centres, and wait until it is complete."""
+    start_fleet(
+        context,
+        hosts,
+        [
+            StandInServer(f"s-{number}", zone=f"dc-{number % 2}", slots=40)
+            for number in range(servers)
+        ],
+    )
+
+
+def start_fleet(context, host_count, servers, routes=DEFAULT_ROUTES):
+    """Start hosts in two data centres with some servers, and wait for each other."""
     context.loop_thread = LoopThread()
     context.add_cleanup(context.loop_thread.close)
-    context.hosts, context.servers = [], []
+    context.hosts, context.servers = [], servers
     context.store = StandInStore()
 
     async def begin():
         await context.store.start()
-        cfg = make_configuration(1, DEFAULT_ROUTES)
+        cfg = make_configuration(1, routes)
         await context.store.write("config", "main", cfg)
-        for number in range(servers):
-            server = StandInServer(f"s-{number}", zone=f"dc-{number % 2}", slots=40)
+        for server in servers:
             await server.start()
-            context.servers.append(server)
             await context.store.write("servers", server.id, server.registration())
-        settings = [numbered_settings(context, number) for number in range(hosts)]
+        settings = [numbered_settings(context, number) for number in range(host_count)]
         await gather(*(start_host(context, item) for item in settings))
         context.links = [ServerLinks(host) for host in context.hosts]
         await wait_until(
             lambda: all(
                 host.is_ready
-                and len(host._view.servers) == servers
-                and host._topology.fleet_size(host._loop.time()) == hosts
-                and (hosts == 1 or host._topology.ready_hosts(host._loop.time()))
+                and len(host._view.servers) == len(servers)
+                and host._topology.fleet_size(host._loop.time()) == host_count
+                and (host_count == 1 or host._topology.ready_hosts(host._loop.time()))
                 for host in context.hosts
             ),
             15.0,
