Kept servers that registered again when a request to their last process is rejected.

A host gives a server up when its address responds for another one (421). It did so by the id alone. If the server had registered since as another process or at another address, the new registration was removed. Nothing brought it back at that host, as its entry does not change any more.

Change: the process and the address that the request was sent to have to be the registered ones.

--- a/damasktally/fleet/servers.py
+++ b/damasktally/fleet/servers.py
@@ -231,13 +231,27 @@
         """Forget which processes were removed, so that they may come back."""
         self._removed.clear()
 
-    def drop(self, server: str) -> None:
-        """Remove a server at once, since another process responds at its address.
+    def discard(self, server: str) -> None:
+        """Remove a server at once.
 
         :param server: its id.
         """
         self._records.pop(server, None)
 
+    def drop(self, server: Server) -> bool:
+        """Remove a server since another process responds at its address.
+
+        :returns: whether it was removed. It is not if it has registered as another
+            process or at another address since the request was sent.
+        """
+        record = self._records.get(server.id)
+        if record is None or record.server.started_ms != server.started_ms:
+            return False
+        if record.server.address != server.address:
+            return False
+        self.discard(server.id)
+        return True
+
     def remove_expired(self, now: float) -> list[str]:
         """Remove the servers that did not register again in time.
 
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -257,7 +257,7 @@
         }
         missing = [name for name in self.servers.ids() if name not in stored]
         for name in missing:
-            self.servers.drop(name)
+            self.servers.discard(name)
         if written or missing:
             self._apply_servers(written, [], OWN_SOURCE, now)
 
@@ -297,15 +297,16 @@
                 Topic.SERVERS, OWN_SOURCE, f"not registered again: {', '.join(expired)}"
             )
 
-    def drop_server(self, server: str) -> None:
-        """Remove a server at once, since another process responds at its address.
+    def drop_server(self, server: Server) -> None:
+        """Remove a server since another process responds at its address.
 
-        :param server: its id.
+        :param server: the server as it was when the request was sent.
         """
-        self.servers.drop(server)
+        if not self.servers.drop(server):
+            return
         self.generation += 1
         self._report_change(
-            Topic.SERVERS, OWN_SOURCE, f"replaced at its address: {server}"
+            Topic.SERVERS, OWN_SOURCE, f"replaced at its address: {server.id}"
         )
 
     def mark_leaving(
