Tried servers again whose addresses responded for other ones, while they are registered.

A host that got 421 from a server's address gave the server up until its entry changed. If the response was wrong, nothing ended that: a registration that stays as it is is not delivered again, a list that is read again brings differences only, and no request goes there that would show it.

Change: the server is dropped for 10 s. If its entry is still stored then, it is used again; a request that meets another process again is rejected without being run, as it names the server, and goes to another one.

--- a/damasktally/entry/forwarder.py
+++ b/damasktally/entry/forwarder.py
@@ -145,7 +145,7 @@
         now = self._loop.time()
         if outcome is AttemptOutcome.REPLACED:
             self._pool.close_server(server.id)
-            self._view.drop_server(server)
+            self._view.drop_server(server, now)
         elif outcome is AttemptOutcome.ANSWERED and response.status < 500:
             if outlier_detector.record_success(server.id):
                 self._view.servers.extend_warm_up(server.id, now + RECOVERY_WARMUP_S)
--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -366,6 +366,7 @@
         self._store_calls.update(now)
         self._outages.update(now)
         self._view.remove_expired_servers(now)
+        self._view.return_dropped_servers(now)
         self._view.settle(now)
         self._era_follower.follow()
         self._crash_reports.handle_block_changes()
--- a/damasktally/fleet/servers.py
+++ b/damasktally/fleet/servers.py
@@ -11,6 +11,9 @@
 """How long a new mark is passed on to other hosts."""
 MAX_LEAVING_REPORTS = 32
 """Maximum number of marks in one message."""
+DROPPED_S = 10.0
+"""A server whose address responded for another one is tried again after this time, if
+it is still registered there."""
 REMOVAL_MEMORY_S = 60.0
 """How long a removed process is remembered, so that an older copy does not bring it
 back."""
@@ -68,6 +71,7 @@
         self._records: dict[str, ServerRecord] = {}
         self._leaving: dict[str, LeavingMark] = {}
         self._removed: dict[str, RemovedProcess] = {}
+        self._dropped_until: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -238,9 +242,10 @@
         """
         self._records.pop(server, None)
 
-    def drop(self, server: Server) -> bool:
-        """Remove a server since another process responds at its address.
+    def drop(self, server: Server, now: float) -> bool:
+        """Remove a server for a while since another process responds at its address.
 
+        :param now: seconds on the event loop's clock.
         :returns: whether it was removed. It is not if it has registered as another
             process or at another address since the request was sent.
         """
@@ -250,8 +255,19 @@
         if record.server.address != server.address:
             return False
         self.discard(server.id)
+        self._dropped_until[server.id] = now + DROPPED_S
         return True
 
+    def take_returning(self, now: float) -> list[str]:
+        """Return the ids of dropped servers that may be tried again, once each.
+
+        :param now: seconds on the event loop's clock.
+        """
+        due = [name for name, until in self._dropped_until.items() if until <= now]
+        for name in due:
+            del self._dropped_until[name]
+        return [name for name in due if name not in self._records]
+
     def remove_expired(self, now: float) -> list[str]:
         """Remove the servers that did not register again in time.
 
--- a/damasktally/fleet/view.py
+++ b/damasktally/fleet/view.py
@@ -297,18 +297,36 @@
                 Topic.SERVERS, OWN_SOURCE, f"not registered again: {', '.join(expired)}"
             )
 
-    def drop_server(self, server: Server) -> None:
-        """Remove a server since another process responds at its address.
+    def drop_server(self, server: Server, now: float) -> None:
+        """Remove a server for a while since another process responds at its address.
 
         :param server: the server as it was when the request was sent.
+        :param now: seconds on the event loop's clock.
         """
-        if not self.servers.drop(server):
+        if not self.servers.drop(server, now):
             return
         self.generation += 1
         self._report_change(
             Topic.SERVERS, OWN_SOURCE, f"replaced at its address: {server.id}"
         )
 
+    def return_dropped_servers(self, now: float) -> None:
+        """Use dropped servers again that are still registered.
+
+        A registration that does not change is not delivered again, so that a server
+        which was dropped by mistake would stay out of use.
+
+        :param now: seconds on the event loop's clock.
+        """
+        stored = self._stored_objects[Topic.SERVERS]
+        written = {
+            name: stored[name]
+            for name in self.servers.take_returning(now)
+            if name in stored and self._is_new(name, stored[name])
+        }
+        if written:
+            self._apply_changes(Topic.SERVERS, written, [], OWN_SOURCE, now)
+
     def mark_leaving(
         self, server: str, started_ms: int, source: str, now: float
     ) -> None:
--- a/features/entry/replaced_servers.feature
+++ b/features/entry/replaced_servers.feature
@@ -21,3 +21,20 @@
     Given a registered server to which a request is on its way
     When the request is rejected by another server at the address
     Then the server is not in use
+
+  # Guards against a server that stays out of use at one host for good, after a rejection
+  # that was wrong: only a request could show that, and none is sent.
+  Scenario: A server that is still registered is tried again
+    Given a registered server to which a request is on its way
+    When the request is rejected by another server at the address
+    And its registration goes on for 9.5 s
+    Then the server is not in use
+    When its registration goes on for 0.5 s
+    Then the server is in use
+
+  Scenario: A server whose registration is removed meanwhile is not
+    Given a registered server to which a request is on its way
+    When the request is rejected by another server at the address
+    And its registration is removed
+    And 20 s more pass
+    Then the server is not in use
--- a/features/steps/replaced_server_steps.py
+++ b/features/steps/replaced_server_steps.py
@@ -8,6 +8,7 @@
 from damasktally.platform.codec import decode_configuration, decode_server
 
 SERVER = "s-1"
+TICK_S = 0.25
 FIRST_PORT, OTHER_PORT = 4001, 4002
 FIRST_START_MS, OTHER_START_MS = 1, 2
 
@@ -44,7 +45,26 @@
 @when("the request is rejected by another server at the address")
 def when_rejected(context):
     """Take in a response with status 421."""
-    context.view.drop_server(context.sent_to)
+    context.view.drop_server(context.sent_to, context.now)
+
+
+@when("its registration is removed")
+def when_removed(context):
+    """Remove the registration."""
+    context.revision += 1
+    context.view.apply(
+        Topic.SERVERS, context.revision, [(SERVER, None)], "store", context.now
+    )
+
+
+@when("its registration goes on for {seconds:g} s")
+@when("{seconds:g} s more pass")
+def when_time_passes(context, seconds):
+    """Let the host do its frequent work until some time has passed."""
+    end = context.now + seconds
+    while context.now < end:
+        context.now = min(end, context.now + TICK_S)
+        context.view.return_dropped_servers(context.now)
 
 
 @then("the server is in use")
