Read the whole body of requests that offer another protocol.

Cause: the library's parser ends such a message at its head, reports it as complete, and stops. The request was queued without its body, and the stop counted as malformed bytes.

Change: RequestParser reports the end of a request only when all of it was read. After an offer it goes on with a second parser, which is given a head that states the same body. CONNECT gets 501 and ends the connection. HTTP2-Settings is hop-by-hop.

Why this works: nothing is queued before its last byte, whatever stops the parser, and the parser that goes on knows no offer.

--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from traceback import format_exc
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from httptools import HttpParserError
 
 from damasktally.events import emit
 from damasktally.events.catalogue import HANDLER_FAILED
@@ -22,6 +22,7 @@
 from damasktally.http1.port_state import PortState
 from damasktally.http1.request_body import RequestBody
 from damasktally.http1.request_head import RequestHead
+from damasktally.http1.request_parser import RequestParser, TunnelRequested
 from damasktally.http1.response_stream import ResponseStream
 from damasktally.http1.shared_reads import SharedReadProtocol
 
@@ -55,7 +56,7 @@
         super().__init__(port.read_buffer)
         self._port = port
         self._loop = get_running_loop()
-        self._parser = HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._transport: Transport | None = None
         self._queue: deque[Request] = deque()
         self._queue_task: Task | None = None
@@ -152,10 +153,13 @@
         else:
             self._framing.add_received(len(data))
         try:
-            self._parser.feed_data(data)
-        except (HttpParserError, HttpParserUpgrade):
+            self._parser.feed(data)
+        except HttpParserError:
             self._refuse(400)
             return
+        except TunnelRequested:
+            self._refuse(501)
+            return
         is_too_long = self._head_bytes > self._port.limits().head_bytes
         if (self._in_head and is_too_long) or self._framing.is_exceeded():
             self._refuse(431)
@@ -246,7 +250,7 @@
     def _make_request(self) -> Request:
         """Return the request whose head, and body if it has one, were read."""
         return Request(
-            method=self._parser.get_method(),
+            method=self._parser.method,
             target=self._head.target,
             headers=self._head.headers,
             body=bytes(self._body),
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -17,6 +17,7 @@
         b"connection",
         b"content-length",
         b"expect",
+        b"http2-settings",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
