Served targets that name their host, as clients send to proxies.

Cause: a target was looked up as a path, whatever its form.

Change: an absolute target is replaced by its path and query, and the Host header by its host.

--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -195,6 +195,7 @@
         if length > limits.body_bytes:
             self._refuse(413)
             return
+        head.resolve_target()
         uploads = self._port.uploads
         if uploads is not None and length >= uploads.min_bytes:
             self._begin_upload()
--- a/damasktally/http1/request_head.py
+++ b/damasktally/http1/request_head.py
@@ -1,9 +1,14 @@
 """The head of a request, collected while it is parsed."""
 
+import re
+
 from damasktally.http1.messages import Headers, find_header
 
 HEADER_SEPARATOR_BYTES = 4
 """A colon, a space and a line end."""
+ABSOLUTE_TARGET = re.compile(rb"https?://([^/?#@]+)([^#]*)", re.IGNORECASE)
+"""Target that names its host, as clients send to proxies: the host with its port, and
+path and query."""
 
 
 class RequestHead:
@@ -19,6 +24,21 @@
         self.target = b""
         self.headers: Headers = []
 
+    def resolve_target(self) -> None:
+        """Replace an absolute target by its path and query, and ``Host`` by its host.
+
+        A server has to accept such a target, and to ignore the header beside it.
+        """
+        if self.target.startswith(b"/"):
+            return
+        found = ABSOLUTE_TARGET.fullmatch(self.target)
+        if found is None:
+            return
+        host, path = found.groups()
+        self.target = path if path.startswith(b"/") else b"/" + path
+        self.headers = [item for item in self.headers if item[0] != b"host"]
+        self.headers.insert(0, (b"host", host))
+
     @property
     def byte_count(self) -> int:
         """Return the bytes of the target and of all headers."""
