Read past every stored value that cannot be decoded, whatever it is.

With 400 digits as Slots, each request got 500.

Cause: a response that the decoder did not take was parsed as a whole by another parser, which does not take everything either. Numbers had no bounds. The same held for the object of a host's own name (it never registered) and for blocked requests (none was read).

Change: such a response is split into its objects without decoding their values; each object is decoded by itself. Fields have ranges; what cannot be encoded for other hosts, or is nested deeper than 32, is unreadable. Decoders of other hosts' messages drop whatever they cannot decode.

Why this works: no value of one object is looked at when the others are found, and what is accepted fits its field and the messages.

--- a/damasktally/entry/blocked_requests.py
+++ b/damasktally/entry/blocked_requests.py
@@ -8,15 +8,18 @@
 from collections.abc import Coroutine
 from random import Random
 from time import time
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from damasktally.decisions.crash_suspects import CRASH_LIFETIME_S
 from damasktally.entry.crash_reports import CrashReports
+from damasktally.errors import DECODING_ERRORS
 from damasktally.events import emit
 from damasktally.events.catalogue import BLOCKED_REQUEST_INVALID
 from damasktally.fleet.crash_reports import CrashEntry, CrashReport
+from damasktally.platform.codec import MAX_INTEGER
 from damasktally.platform.store import (
     BLOCKED_REQUESTS_KIND,
     StoreClient,
@@ -35,7 +38,7 @@
         window follows its name after a slash.
     """
 
-    lost_ms: dict[str, int]
+    lost_ms: dict[str, Annotated[int, Meta(ge=0, le=MAX_INTEGER)]]
 
 
 class BlockedRequests:
@@ -110,7 +113,7 @@
         for fingerprint, spec in specs.items():
             try:
                 report = decode_block(fingerprint, spec, time())
-            except msgspec.ValidationError as exc:
+            except DECODING_ERRORS as exc:
                 emit(BLOCKED_REQUEST_INVALID, name=fingerprint, reason=str(exc))
                 continue
             if report.entries:
--- a/damasktally/entry/leases/endpoint.py
+++ b/damasktally/entry/leases/endpoint.py
@@ -13,6 +13,7 @@
 from damasktally.entry.leases.messages import LeaseEnd, LeaseReply, LeaseRequest
 from damasktally.entry.listening import bind_port
 from damasktally.entry.metrics import EntryMetrics
+from damasktally.errors import DECODING_ERRORS
 from damasktally.fleet.model import Member
 
 UNDECODABLE = "undecodable"
@@ -74,7 +75,7 @@
         """Handle a message; one that cannot be decoded is counted and dropped."""
         try:
             message = self._decoder.decode(data)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             self._count_dropped(UNDECODABLE)
             return
         self._handle(message, addr[:2])
--- a/damasktally/entry/peers.py
+++ b/damasktally/entry/peers.py
@@ -21,6 +21,7 @@
 from damasktally.entry.state_transfer import StateTransfer
 from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.topology import Address, FleetTopology
+from damasktally.errors import DECODING_ERRORS
 from damasktally.events import emit
 from damasktally.events.catalogue import PEER_LOST, PEER_REGAINED, RELAY_FAILED
 from damasktally.fleet.members import Heartbeat, MemberTable
@@ -112,7 +113,7 @@
         """Process a heartbeat or a summary; log a message that cannot be decoded."""
         try:
             message = self._decoder.decode(data)
-        except msgspec.MsgspecError as exc:
+        except DECODING_ERRORS as exc:
             emit(RELAY_FAILED, peer=addr[0], reason=f"cannot decode message: {exc}")
             return
         now = self._loop.time()
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -35,6 +35,7 @@
 )
 from damasktally.entry.store_topology import StoreTopology
 from damasktally.entry.topology import Address, FleetTopology
+from damasktally.errors import DECODING_ERRORS
 from damasktally.events import emit
 from damasktally.events.catalogue import RELAY_FAILED
 from damasktally.fleet.members import MemberTable
@@ -63,8 +64,7 @@
     OSError,
     TimeoutError,
     IncompleteReadError,
-    ValueError,
-    msgspec.MsgspecError,
+    *DECODING_ERRORS,
 )
 
 
--- a/damasktally/platform/codec.py
+++ b/damasktally/platform/codec.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Mapping
 from math import inf
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -29,6 +29,17 @@
 DRAINING_STATE = "draining"
 VERSION_PREFIX = "r"
 MAX_PORT = 65535
+MAX_INTEGER = 2**53
+"""Largest whole number in a field: JSON numbers are exact up to there."""
+MAX_SLOTS = 1_000_000
+MAX_RATE = 1e12
+"""Largest rate, burst, weight or capacity."""
+
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
 
 
 class MalformedObject(DamasktallyError):
@@ -39,7 +50,7 @@
     """Service of a route, with its weight among the services of the route."""
 
     Service: str
-    Weight: float
+    Weight: Rate
 
 
 class WirePath(msgspec.Struct):
@@ -48,10 +59,10 @@
     Name: str
     PathPrefix: str
     Kind: str
-    MaxAttempts: int
+    MaxAttempts: Integer
     Timeout: str | None = None
     TargetLatency: str | None = None
-    Prio: int = 0
+    Prio: Integer = 0
     Service: str | None = None
     Split: list[WireWeightedService] | None = None
     Public: bool = False
@@ -71,9 +82,9 @@
 
     Name: str
     HealthPath: str = "/"
-    MaxConns: int = 0
+    MaxConns: Count = 0
     Cold: str | None = None
-    ColdPerS: float = 0.0
+    ColdPerS: Rate = 0.0
 
 
 class WireCustomer(msgspec.Struct):
@@ -81,17 +92,17 @@
 
     Name: str
     ApiKeys: list[str] | None = None
-    Prio: int | None = None
-    RatePerS: float | None = None
-    Burst: float | None = None
+    Prio: Integer | None = None
+    RatePerS: Rate | None = None
+    Burst: Rate | None = None
     HomeRegions: list[str] | None = None
 
 
 class WireLimits(msgspec.Struct):
     """Limits on callers' requests."""
 
-    MaxHeaderBytes: int = 16_384
-    MaxBodyBytes: int = 67_108_864
+    MaxHeaderBytes: Count = 16_384
+    MaxBodyBytes: Count = 67_108_864
     HeaderTimeout: str = "3s"
     IdleTimeout: str = "15s"
 
@@ -111,7 +122,7 @@
 
     Service: str
     Zone: str
-    Slots: int
+    Slots: Slots
 
 
 class WireServerStatus(msgspec.Struct):
@@ -127,20 +138,20 @@
     Addr: str
     Info: WireServerInfo
     Status: WireServerStatus
-    born: int = 0
+    born: Count = 0
 
 
 class WireMember(msgspec.Struct):
     """Registration of an entry host; this project chose the names of its fields."""
 
     host: str
-    started_ms: int
+    started_ms: Count
     region: str
     data_centre: str
     caller_address: str
     peer_host: str
-    peer_port: int
-    capacity: float = 1.0
+    peer_port: Port
+    capacity: Rate = 1.0
 
 
 def parse_duration(text: str | None) -> float:
@@ -171,7 +182,7 @@
         wire = msgspec.convert(spec, WireConfiguration)
         limits = wire.Limits or WireLimits()
         return Configuration(
-            version=int(wire.Version.removeprefix(VERSION_PREFIX)),
+            version=_decode_version(wire.Version),
             routes=tuple(
                 _decode_route(host.Host, path)
                 for host in wire.Vhosts
@@ -204,8 +215,8 @@
     try:
         wire = msgspec.convert(spec, WireServer)
         host, _, port = wire.Addr.rpartition(":")
-        if wire.Status.State not in SERVER_STATES or wire.Info.Slots < 1:
-            raise ValueError("its state or its number of slots is invalid")
+        if wire.Status.State not in SERVER_STATES:
+            raise ValueError("its state is invalid")
         if not host or not 0 < int(port) <= MAX_PORT:
             raise ValueError("its address is invalid")
         return Server(
@@ -265,6 +276,13 @@
     return msgspec.to_builtins(wire)
 
 
+def _decode_version(text: str) -> int:
+    version = int(text.removeprefix(VERSION_PREFIX))
+    if not 0 <= version <= MAX_INTEGER:
+        raise ValueError("its version is out of range")
+    return version
+
+
 def _decode_route(host: str, wire: WirePath) -> Route:
     parts = wire.Split or [WireWeightedService(wire.Service or "", 1.0)]
     return Route(
--- a/damasktally/platform/store.py
+++ b/damasktally/platform/store.py
@@ -6,13 +6,12 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from functools import partial
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
-from damasktally.errors import DamasktallyError
+from damasktally.errors import DECODING_ERRORS, DamasktallyError
 from damasktally.fleet.model import compose_revision, era_of, revision_in_era
 from damasktally.http1.messages import Response, encode_request
 from damasktally.http1.response_memory import ResponseMemory
@@ -24,11 +23,10 @@
     StoreUnavailable,
 )
 from damasktally.platform.stored_objects import (
-    DECODING_ERRORS,
+    UNREADABLE_SPEC,
     ObjectDecoder,
     UnreadableReporter,
     WireEvent,
-    WireObject,
 )
 
 CONFIGURATION_KIND = "config"
@@ -206,7 +204,7 @@
         """Create an object.
 
         :returns: the stored spec; if an object of that name existed, the spec of that
-            object.
+            object, which is empty if it cannot be decoded.
         :raises StoreUnavailable: if the store does not respond, or reports another
             error.
         """
@@ -214,7 +212,9 @@
         response = await self._call(
             "POST", f"/objects/{kind}", body, "create", CALL_TIMEOUT_S, (200, 201, 409)
         )
-        return _decode(response, WireObject).Spec
+        decoder = ObjectDecoder(kind, self._report_unreadable)
+        stored = decoder.decode_object(response.body)
+        return UNREADABLE_SPEC if stored is None else stored.Spec
 
     async def replace(self, kind: str, name: str, spec: Any) -> None:
         """Replace an object, regardless of its revision.
@@ -288,11 +288,6 @@
     return Change(event.Object.Metadata.Name, spec)
 
 
-def _decode(response: Response, response_type: Any) -> Any:
-    decode = partial(msgspec.json.decode, type=response_type)
-    return _decode_with(decode, response)
-
-
 def _decode_with(decode: Callable[[bytes], Any], response: Response) -> Any:
     try:
         return decode(response.body)
--- a/damasktally/platform/stored_objects.py
+++ b/damasktally/platform/stored_objects.py
@@ -1,18 +1,27 @@
 """Decode the objects in the store's responses.
 
 Other programs write into the store, too. An object that cannot be decoded does not keep
-the others from being read: a response that cannot be decoded as a whole is decoded
-object by object.
+the others from being read: a response that cannot be decoded as a whole is split, and
+decoded object by object.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from json import loads
 from typing import Any
 
 import msgspec
 
-DECODING_ERRORS = (msgspec.MsgspecError, UnicodeError, ValueError, RecursionError)
+from damasktally.errors import DECODING_ERRORS
+from damasktally.platform.json_parts import (
+    depth,
+    is_nested_deeper,
+    split_array,
+    split_object,
+)
+
+MAX_DEPTH = 32
+"""Objects that are nested deeper count as unreadable: what handles them may need a
+frame for each level."""
 UNREADABLE_SPEC: dict[str, Any] = {}
 """Content of an object whose name is known and whose content cannot be decoded. No
 object of a kind that has content is valid with it."""
@@ -23,10 +32,9 @@
 
 
 class WireMetadata(msgspec.Struct):
-    """Metadata of an object; ``Rev`` is the revision of its last change."""
+    """Metadata of an object, as far as it is used."""
 
     Name: str
-    Rev: int = 0
 
 
 class WireObject(msgspec.Struct):
@@ -58,21 +66,6 @@
     events: list[WireEvent]
 
 
-class AnyListing(msgspec.Struct):
-    """Page of a list whose objects are not decoded yet."""
-
-    StoreRevision: int
-    items: list[Any]
-    More: bool = False
-
-
-class AnyEvents(msgspec.Struct):
-    """Response to a watch whose changes are not decoded yet."""
-
-    StoreRevision: int
-    events: list[Any]
-
-
 @dataclass(frozen=True, slots=True)
 class ObjectDecoder:
     """Decode the objects of one kind.
@@ -91,51 +84,98 @@
         cannot be decoded is :data:`UNREADABLE_SPEC`.
 
         :raises msgspec.MsgspecError: if the page itself cannot be decoded.
-        :raises ValueError: if it cannot be parsed at all.
-        :raises RecursionError: if it is nested too deeply.
+        :raises ValueError: if it is no JSON object, or lacks a field.
         """
-        try:
-            return msgspec.json.decode(body, type=WireListing)
-        except DECODING_ERRORS:
-            page = _parse(body, AnyListing)
-        items = self._decode_each(page.items, WireObject)
-        return WireListing(page.StoreRevision, items, page.More)
+        page = _decode_whole(body, WireListing)
+        if page is not None:
+            return page
+        fields = split_object(body)
+        items = [self._decode_object(item) for item in _split_field(fields, "items")]
+        return WireListing(
+            _decode_field(fields, "StoreRevision", int),
+            [item for item in items if item is not None],
+            "More" in fields and _decode_field(fields, "More", bool),
+        )
 
     def decode_events(self, body: bytes) -> WireEvents:
         """Decode the response to a watch, as :meth:`decode_listing` does a list."""
-        try:
-            return msgspec.json.decode(body, type=WireEvents)
-        except DECODING_ERRORS:
-            page = _parse(body, AnyEvents)
-        events = self._decode_each(page.events, WireEvent)
-        return WireEvents(page.StoreRevision, events)
-
-    def _decode_each(self, items: list[Any], wire_type: Any) -> list[Any]:
-        """Decode objects, or events of objects, without those that have no name."""
-        decoded = [self._decode_one(item, wire_type) for item in items]
-        return [item for item in decoded if item is not None]
+        page = _decode_whole(body, WireEvents)
+        if page is not None:
+            return page
+        fields = split_object(body)
+        events = [self._decode_event(item) for item in _split_field(fields, "events")]
+        return WireEvents(
+            _decode_field(fields, "StoreRevision", int),
+            [event for event in events if event is not None],
+        )
+
+    def decode_object(self, body: bytes) -> WireObject | None:
+        """Decode the response to a call for one object.
+
+        :returns: the object, or ``None`` if its name cannot be decoded.
+        """
+        return _decode_whole(body, WireObject) or self._decode_object(body)
 
-    def _decode_one(self, item: Any, wire_type: Any) -> Any:
-        """Decode an object, or an event of one; return None if it has no name."""
+    def _decode_event(self, text: bytes) -> WireEvent | None:
+        """Decode a change of an object, or return ``None`` if it names none."""
+        event = _decode_whole(text, WireEvent)
+        if event is not None:
+            return event
         try:
-            decoded = msgspec.convert(item, wire_type)
-            stored = getattr(decoded, "Object", decoded)
-            stored.Metadata.Name.encode()
+            fields = split_object(text)
+            stored = self._decode_object(_field(fields, "Object"))
+            is_removal = "Tombstone" in fields and _decode_field(
+                fields, "Tombstone", bool
+            )
         except DECODING_ERRORS:
             self.report(self.kind, "")
             return None
-        self._check_spec(stored)
-        return decoded
+        return None if stored is None else WireEvent(stored, is_removal)
 
-    def _check_spec(self, item: WireObject) -> None:
-        """Replace content that cannot be passed on, such as text that is no text."""
+    def _decode_object(self, text: bytes) -> WireObject | None:
+        """Decode an object, or return ``None`` if its name cannot be decoded."""
+        stored = _decode_whole(text, WireObject)
+        if stored is not None:
+            return stored
         try:
-            msgspec.json.encode(item.Spec)
+            metadata = _decode_field(split_object(text), "Metadata", WireMetadata)
         except DECODING_ERRORS:
-            self.report(self.kind, item.Metadata.Name)
-            item.Spec = UNREADABLE_SPEC
+            self.report(self.kind, "")
+            return None
+        self.report(self.kind, metadata.Name)
+        return WireObject(metadata, UNREADABLE_SPEC)
+
+
+def _decode_whole(text: bytes, wire_type: Any) -> Any:
+    """Decode a text, or return ``None`` if something in it cannot be decoded.
+
+    What cannot be passed on to other hosts, such as a number beyond 64 bits, cannot be
+    decoded either.
+    """
+    if is_nested_deeper(text, MAX_DEPTH) and depth(text) > MAX_DEPTH:
+        return None
+    try:
+        decoded = msgspec.json.decode(text, type=wire_type)
+        msgspec.msgpack.encode(decoded)
+    except DECODING_ERRORS:
+        return None
+    return decoded
+
+
+def _field(fields: dict[str, bytes], name: str) -> bytes:
+    """Return a member of an object that was split.
+
+    :raises ValueError: if it is missing.
+    """
+    text = fields.get(name)
+    if text is None:
+        raise ValueError(f"{name} is missing")
+    return text
+
+
+def _split_field(fields: dict[str, bytes], name: str) -> list[bytes]:
+    return split_array(_field(fields, name))
 
 
-def _parse(body: bytes, wire_type: Any) -> Any:
-    """Parse a response leniently, with whatever its objects hold."""
-    return msgspec.convert(loads(body.decode("utf-8", "replace")), wire_type)
+def _decode_field(fields: dict[str, bytes], name: str, field_type: Any) -> Any:
+    return msgspec.json.decode(_field(fields, name), type=field_type)
--- a/features/steps/entry_harness.py
+++ b/features/steps/entry_harness.py
@@ -112,6 +112,7 @@
     ``answer_delay_s`` those to each ``delayed_every``-th call of all.
     ``page_size`` is the largest number of objects in a page of a list, and
     ``writes_between_pages`` are done once when a list is to be continued.
+    ``raw_values`` holds bytes that replace some texts of what objects contain.
     ``silent_kinds`` are those whose waiting watches get no answer. It listens on
     several ports if :meth:`listen` is called, and can turn the callers of some away.
     ``era`` is in the header ``Store-Era`` of all answers unless it is ``None``.
@@ -130,6 +131,7 @@
         self.answer_delay_s = 0.0
         self.delayed_every = 1
         self.silent_kinds: set[str] = set()
+        self.raw_values: dict[str, bytes] = {}
         self.page_size = 500
         self.writes_between_pages: list[tuple[str, str, Any]] = []
         self._watched_kinds: dict[StreamWriter, str] = {}
@@ -242,6 +244,8 @@
                 writer.transport.abort()
                 return
             data = json.dumps(content).encode()
+            for text, raw in self.raw_values.items():
+                data = data.replace(json.dumps(text).encode(), raw)
             era = b"" if self.era is None else f"Store-Era: {self.era}\r\n".encode()
             writer.write(
                 b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n"
