Passed request bodies in chunks on as they arrive.

Cause: a body without a length was received whole, and held as it was read, in the request, in what was sent, and at the server's connection.

Change: once as much of it has arrived as makes a body large, it is an upload like those with a length, with the same window and back-pressure, and is passed on in chunks. The last chunk follows only if the caller's body is complete; a body that passes the limit gets 413 and ends at the server.

Tests: "A chunked body is received whole first" asked for the cause; what a server gets of bodies in chunks of five lengths takes its place, with bodies that break off, pass the limit or find no memory.

--- a/benchmarks/slow_readers.py
+++ b/benchmarks/slow_readers.py
@@ -6,27 +6,21 @@
 otherwise.
 """
 
-import json
 import socket
 import sys
 from asyncio import (
     StreamReader,
     StreamWriter,
-    create_subprocess_exec,
     gather,
     open_connection,
     run,
     sleep,
 )
-from asyncio.subprocess import Process
 from dataclasses import dataclass
-from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from damasktally.standins.ports import free_port
-from features.steps.endless_client import KIB_PER_MB
+from benchmarks.entry_process import MAX_MEMORY_MB, read_memory_mb, start_host
 from features.steps.entry_harness import (
-    BOUNDS,
     StandInServer,
     StandInStore,
     make_configuration,
@@ -48,30 +42,6 @@
 SEGMENT_BYTES = 1400
 RECEIVE_BUFFER_BYTES = 4096
 READ_INTERVAL_S = 0.1
-MAX_MEMORY_MB = 64
-"""Memory that the responses may take, on top of that of an idle host."""
-
-SETTINGS = """
-[host]
-name = host-1
-region = north
-data_centre = dc-1
-[listen]
-callers = 127.0.0.1:{callers}
-readiness = 127.0.0.1:{readiness}
-directory = 127.0.0.1:{directory}
-peers = 127.0.0.1:{peers}
-metrics_port = 0
-[fleet]
-data_centres = {{"dc-1": "north"}}
-first_start = true
-[store]
-address = 127.0.0.1:{store}
-[bounds]
-agreed = {bounds}
-[limits]
-link_mbps = {link_mbps}
-"""
 
 
 @dataclass(frozen=True)
@@ -122,39 +92,6 @@
     return store
 
 
-async def start_host(directory: str, store_port: int, link_mbps: int):
-    """Start a host and wait until it is ready.
-
-    :returns: its process, and its port for callers.
-    """
-    names = ("callers", "readiness", "directory", "peers")
-    ports = {name: free_port() for name in names}
-    text = SETTINGS.format(
-        **ports, store=store_port, bounds=json.dumps(BOUNDS), link_mbps=link_mbps
-    )
-    path = Path(directory) / f"host-{link_mbps}.ini"
-    path.write_text(text, encoding="utf-8")
-    log = (Path(directory) / f"host-{link_mbps}.log").open("wb")
-    process = await create_subprocess_exec(
-        sys.executable, "-m", "damasktally.entry", str(path), stdout=log, stderr=log
-    )
-    while not await is_ready(ports["readiness"]):
-        await sleep(0.1)
-    return process, ports["callers"]
-
-
-async def is_ready(port: int) -> bool:
-    """Return whether the host says that it is ready."""
-    try:
-        reader, writer = await open_connection("127.0.0.1", port)
-    except OSError:
-        return False
-    writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-    line = await reader.readline()
-    writer.close()
-    return b" 200 " in line
-
-
 async def begin(port: int, number: int) -> tuple[StreamReader, StreamWriter]:
     """Send a request on a connection that takes few bytes unread."""
     sock = socket.socket()
@@ -180,16 +117,6 @@
     return body == body_of(RESPONSE_BYTES)
 
 
-def read_memory_mb(process: Process, key: str) -> float:
-    """Return a figure of a process's memory in MB.
-
-    :param key: its name in the process's status file.
-    """
-    text = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
-    line = next(line for line in text.splitlines() if line.startswith(key + ":"))
-    return int(line.split()[1]) / KIB_PER_MB
-
-
 async def read_slowly(reader: StreamReader, writer: StreamWriter) -> bool:
     """Read at a bounded speed for a while, then leave; return whether bytes came."""
     received = 0
@@ -229,16 +156,19 @@
         await process.wait()
 
 
-async def measure_all(callers: int) -> None:
+async def measure_all(chosen: list[Case]) -> None:
     """Measure each case with a host of its own."""
     with TemporaryDirectory() as directory:
-        for case in cases(callers):
+        for case in chosen:
             await measure(directory, case)
 
 
-def main(callers: int = DEFAULT_CALLERS) -> None:
-    """Measure with a number of callers."""
-    run(measure_all(callers))
+def main(callers: int = DEFAULT_CALLERS, case_count: int | None = None) -> None:
+    """Measure with a number of callers.
+
+    :param case_count: how many of the cases are measured; all by default.
+    """
+    run(measure_all(cases(callers)[:case_count]))
 
 
 if __name__ == "__main__":
--- a/damasktally/entry/fingerprint.py
+++ b/damasktally/entry/fingerprint.py
@@ -20,6 +20,6 @@
     name = customer.name.encode() if customer is not None else b""
     head = (req.method, req.header(b"host") or b"", req.target, name)
     digest = blake2b(SEPARATOR.join(head), digest_size=FINGERPRINT_BYTES)
-    body = req.body if req.upload is None else b"%d" % req.upload.length
+    body = req.body if req.upload is None else str(req.upload.length).encode()
     digest.update(SEPARATOR + body)
     return digest.hexdigest()
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -204,28 +204,40 @@
             self._transport.write(CONTINUE_RESPONSE)
 
     def _begin_upload(self) -> None:
-        """Queue a request whose body is forwarded as it arrives."""
+        """Queue a request whose body is forwarded as it arrives.
+
+        What has arrived of a body in chunks is its first part.
+        """
         body = RequestBody(self._head, self._transport, self._loop)
         if not self._port.uploads.admit(body):
             body.refuse()
+        received, self._body = bytes(self._body), bytearray()
+        self._adjust_buffered_bytes(-len(received))
         self._upload = body
         self._queue_request(self._make_request())
+        body.feed(received)
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body, or append it and enforce the body limits."""
         if self._closing:
             return
         self._framing.add_body(len(data))
+        self._body_bytes += len(data)
+        if self._body_bytes > self._port.limits().body_bytes:
+            self._refuse(413)
+            if self._upload is not None:
+                self._handle_disconnect()
+            return
         if self._upload is not None:
             self._upload.feed(data)
             return
         self._body += data
-        self._body_bytes += len(data)
         self._adjust_buffered_bytes(len(data))
-        if self._port.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
+        uploads = self._port.uploads
+        if uploads is not None and len(self._body) >= uploads.min_bytes:
+            self._begin_upload()
+        elif self._port.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
             self._refuse(503, [OVERLOAD_RETRY_AFTER])
-        elif self._body_bytes > self._port.limits().body_bytes:
-            self._refuse(413)
 
     def _adjust_buffered_bytes(self, delta: int) -> None:
         """Add to the buffered bytes of this connection and of its port.
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -35,6 +35,8 @@
 of the response and the length of its body, if that is known. Returns ``None`` if the
 caller has left."""
 
+LAST_CHUNK = b"0\r\n\r\n"
+"""Says that a body in chunks is complete."""
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BODYLESS_STATUSES = frozenset({204, 304})
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -144,13 +146,20 @@
     """
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines += [key + b": " + value for key, value in headers]
-    if upload is not None:
+    if upload is not None and upload.length is None:
+        lines.append(b"transfer-encoding: chunked")
+    elif upload is not None:
         lines.append(b"content-length: %d" % upload.length)
     elif body or method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def encode_chunk(data: bytes) -> bytes:
+    """Encode a part of a body that is sent in chunks; it must not be empty."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def encode_response(response: Response, close: bool, head_only: bool) -> bytes:
     """Encode a response, with its ``Content-Length``.
 
--- a/damasktally/http1/request_body.py
+++ b/damasktally/http1/request_body.py
@@ -3,7 +3,7 @@
 from asyncio import AbstractEventLoop, Transport
 from typing import Protocol
 
-from damasktally.http1.messages import CONTINUE_RESPONSE
+from damasktally.http1.messages import CONTINUE_RESPONSE, LAST_CHUNK, encode_chunk
 from damasktally.http1.request_head import RequestHead
 
 MAX_WAITING_BYTES = 32 * 1024
@@ -22,10 +22,11 @@
 
     A caller that waits for a ``100 Continue`` gets it once there is a server.
 
-    :param head: head of the request, which states the length of the body.
+    :param head: head of the request, which tells how the body is sent.
     :param source: the caller's connection.
 
-    ``length`` is the stated length in bytes. ``is_complete`` is whether the whole body
+    ``length`` is the stated length in bytes, or ``None`` if the body is sent in chunks,
+    in which it is then passed on, too. ``is_complete`` is whether the whole body
     was received, ``is_started`` whether a server may have got a part of it, and
     ``is_refused`` whether it is dropped for lack of memory.
     """
@@ -34,7 +35,8 @@
         self, head: RequestHead, source: Transport, loop: AbstractEventLoop
     ) -> None:
         self._source = source
-        self._is_continue_awaited = head.is_continue_awaited
+        # A body in chunks is forwarded when a part of it has arrived.
+        self._is_continue_awaited = head.is_continue_awaited and not head.is_chunked
         self._loop = loop
         self._waiting = bytearray()
         self._server: Transport | None = None
@@ -42,7 +44,8 @@
         self._is_scheduled = False
         self._forwarded_bytes = 0
         self._forwarded_at = 0.0
-        self.length = head.content_length
+        self._is_end_forwarded = False
+        self.length = None if head.is_chunked else head.content_length
         self.is_complete = False
         self.is_started = False
         self.is_refused = False
@@ -50,6 +53,8 @@
     @property
     def is_forwarded(self) -> bool:
         """Return whether the whole body was written to the server's connection."""
+        if self.length is None:
+            return self._is_end_forwarded
         return self._forwarded_bytes == self.length
 
     @property
@@ -86,6 +91,7 @@
     def finish(self) -> None:
         """Record that the whole body was received."""
         self.is_complete = True
+        self._schedule()
 
     def attach(self, server: Transport) -> None:
         """Begin to forward the body to a server."""
@@ -114,13 +120,19 @@
         self._source.resume_reading()
         self._schedule()
 
+    @property
+    def _has_more(self) -> bool:
+        """Return whether bytes of the body wait, or its last chunk does."""
+        is_end_due = self.is_complete and self.length is None
+        return bool(self._waiting) or (is_end_due and not self._is_end_forwarded)
+
     def _schedule(self) -> None:
         """Forward what waits, after the events that have arrived were handled.
 
         One of them may be the server's early response. A write to a connection that
         the server has reset would lose it.
         """
-        if self._server is None or self._is_scheduled or not self._waiting:
+        if self._server is None or self._is_scheduled or not self._has_more:
             return
         self._is_scheduled = True
         self._loop.call_soon(self._forward)
@@ -129,17 +141,25 @@
         """Write what waits to the server's connection."""
         self._is_scheduled = False
         is_ready = self._server is not None and self._is_server_ready
-        if not is_ready or not self._waiting or self._server.is_closing():
+        if not is_ready or not self._has_more or self._server.is_closing():
             return
         self.is_started = True
         data = bytes(self._waiting)
         self._waiting.clear()
         self._forwarded_bytes += len(data)
         self._forwarded_at = self._loop.time()
+        if self.length is None:
+            data = self._encode_chunks(data)
         self._server.write(data)
         if self._is_server_ready:
             self._source.resume_reading()
 
+    def _encode_chunks(self, data: bytes) -> bytes:
+        """Encode a part of a body in chunks, and its end once it is complete."""
+        chunks = encode_chunk(data) if data else b""
+        self._is_end_forwarded = self.is_complete
+        return chunks + LAST_CHUNK if self.is_complete else chunks
+
 
 class UploadAdmission(Protocol):
     """Decides which request bodies are forwarded as they arrive."""
--- a/damasktally/http1/request_head.py
+++ b/damasktally/http1/request_head.py
@@ -53,6 +53,11 @@
         text = find_header(self.headers, b"content-length") or b""
         return int(text) if text.isdigit() else 0
 
+    @property
+    def is_chunked(self) -> bool:
+        """Return whether the body is sent in chunks, so that its length is unknown."""
+        return find_header(self.headers, b"transfer-encoding") is not None
+
     @property
     def is_continue_awaited(self) -> bool:
         """Return whether the caller waits for a ``100 Continue``."""
--- a/damasktally/http1/response_stream.py
+++ b/damasktally/http1/response_stream.py
@@ -3,7 +3,12 @@
 from asyncio import Transport
 from collections.abc import Callable
 
-from damasktally.http1.messages import Response, encode_response_head
+from damasktally.http1.messages import (
+    LAST_CHUNK,
+    Response,
+    encode_chunk,
+    encode_response_head,
+)
 from damasktally.http1.socket_options import limit_send_buffer
 
 MAX_UNSENT_BYTES = 32 * 1024
@@ -13,7 +18,6 @@
 """
 RESUME_UNSENT_BYTES = 16 * 1024
 """Unsent bytes at which reading from the server goes on."""
-LAST_CHUNK = b"0\r\n\r\n"
 
 Clock = Callable[[], float]
 
@@ -97,7 +101,7 @@
         if self.is_discarded or not data:
             return
         if self.length is None:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
+            data = encode_chunk(data)
         self._transport.write(data)
 
     def finish(self) -> None:
--- a/features/benchmarks/benchmarks.feature
+++ b/features/benchmarks/benchmarks.feature
@@ -12,3 +12,5 @@
       | relays    | 26 hosts in  2 |
       | requests  | CPU a request  |
       | control   | 1 hosts        |
+      | readers   | read by 1 of 1 |
+      | uploads   | served 1 of 1  |
--- a/features/entry/streaming_uploads.feature
+++ b/features/entry/streaming_uploads.feature
@@ -27,10 +27,41 @@
       | 700000   | 1        |
       | 20000000 | 1        |
 
-  Scenario: A chunked body is received whole first
-    When a chunked upload of 40000 bytes to /bigpay/1 is sent
+  Scenario Outline: What a server gets of a body in chunks: <length> bytes
+    When a chunked upload of <length> bytes to /bigpay/1 is sent
     Then the upload is answered with 200 and the connection stays open
-    And 0 request bodies were forwarded as they arrived
+    And a server received the body of <length> bytes
+    And <forwarded> request bodies were forwarded as they arrived
+
+    Examples:
+      | length   | forwarded |
+      | 0        | 0         |
+      | 9000     | 0         |
+      | 40000    | 1         |
+      | 700000   | 1         |
+      | 20000000 | 1         |
+
+  # Guards against a part of a body that a server takes for all of it.
+  Scenario Outline: A caller that breaks off a body in chunks ends the request at the server: <path>
+    When a chunked upload to <path> breaks off after 40000 bytes
+    Then a server saw the connection end in the body
+    And the servers got 1 request together
+
+    Examples:
+      | path      |
+      | /big/1    |
+      | /bigpay/1 |
+
+  Scenario: A body in chunks that passes the limit is refused, and ends at the server
+    When a chunked upload of 70000000 bytes to /bigpay/1 is sent
+    Then the upload is answered with 413 and the connection is closed
+    And a server saw the connection end in the body
+
+  Scenario: Bodies in chunks beyond the host's memory are refused
+    Given the host has memory for 0 body that is forwarded as it arrives
+    When a chunked upload of 700000 bytes to /bigpay/1 is sent
+    Then the upload is answered with 503 and the connection is closed
+    And no server got a request
 
   Scenario Outline: A caller that breaks off ends the request at the server: <path>
     When an upload of 40000 bytes to <path> begins with 20000 bytes
--- a/features/steps/benchmark_steps.py
+++ b/features/steps/benchmark_steps.py
@@ -5,9 +5,19 @@
 
 from behave import then, when
 
-from benchmarks import control, decisions, loans, relays, requests
+from benchmarks import (
+    control,
+    decisions,
+    loans,
+    relays,
+    requests,
+    slow_readers,
+    slow_uploads,
+)
 
 SMALLEST_RUNS = {
+    "readers": lambda: slow_readers.main(1, 1),
+    "uploads": lambda: slow_uploads.main(1, 1),
     "decisions": lambda: decisions.main(decisions.SMALLEST_SIZE),
     "loans": lambda: loans.main([loans.SMALLEST_CASE]),
     "relays": lambda: print(
--- a/features/steps/streaming_servers.py
+++ b/features/steps/streaming_servers.py
@@ -1,6 +1,6 @@
 """Conversations of stand-in servers that send large responses."""
 
-from asyncio import Event, StreamReader, StreamWriter, sleep
+from asyncio import Event, IncompleteReadError, StreamReader, StreamWriter, sleep
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -188,10 +188,9 @@
         """Receive a body, the first part only after a pause, and answer."""
 
         async def converse(request, reader, writer) -> bool:
-            length = int(request.headers["content-length"])
             await sleep(pause_s)
-            body = await self._receive(reader, length)
-            if len(body) < length:
+            body = await self._receive_whole(request, reader)
+            if body is None:
                 self.gone += 1
                 return False
             self.bodies.append(body)
@@ -201,6 +200,25 @@
 
         return converse
 
+    async def _receive_whole(
+        self, request: ReceivedRequest, reader: StreamReader
+    ) -> bytes | None:
+        """Receive a body with a length or in chunks, or nothing if it breaks off."""
+        if "content-length" in request.headers:
+            length = int(request.headers["content-length"])
+            body = await self._receive(reader, length)
+            return body if len(body) == length else None
+        body = bytearray()
+        try:
+            while size := int(await reader.readline() or b"none", 16):
+                part = await self._receive(reader, size)
+                assert len(part) == size and await reader.readexactly(2) == b"\r\n"
+                body += part
+            await reader.readexactly(2)
+        except (ValueError, AssertionError, IncompleteReadError, ConnectionError):
+            return None
+        return bytes(body)
+
     async def _receive(self, reader: StreamReader, size: int) -> bytes:
         """Receive bytes of a body, or as many as come before an end or a reset."""
         body = bytearray()
--- a/features/steps/streaming_upload_steps.py
+++ b/features/steps/streaming_upload_steps.py
@@ -172,15 +172,41 @@
     """Send an upload without a length."""
 
     async def send():
-        extra = "Transfer-Encoding: chunked\r\n"
-        head = make_request(path, method="POST", extra=extra)
-        body = b"%x\r\n" % size + body_of(size) + b"\r\n0\r\n\r\n"
-        context.caller = await begin_request(context.port, head + body)
+        data = make_chunked_upload(path, size) + b"0\r\n\r\n"
+        context.caller = await begin_request(context.port, data)
         await context.caller.read_whole()
 
     context.loop_thread.run(send())
 
 
+def make_chunked_upload(path, size):
+    """Return a request with a body in chunks, without the last one."""
+    extra = "Transfer-Encoding: chunked\r\n"
+    chunk = b"%x\r\n%b\r\n" % (size, body_of(size)) if size else b""
+    return make_request(path, method="POST", extra=extra) + chunk
+
+
+@when("a chunked upload to {path:S} breaks off after {size:d} bytes")
+def when_chunked_breaks_off(context, path, size):
+    """Send a part of an upload without a length, then leave."""
+
+    async def send():
+        data = make_chunked_upload(path, size)
+        caller = await begin_request(context.port, data)
+        await sleep(0.3)
+        caller.writer.transport.abort()
+        await wait_until(lambda: context.conversations.gone == 1)
+
+    context.loop_thread.run(send())
+
+
+@then("a server saw the connection end in the body")
+def then_body_broken_off(context):
+    """Check that no server got all of the body."""
+    context.loop_thread.run(wait_until(lambda: context.conversations.gone == 1))
+    assert not context.conversations.bodies
+
+
 @when("the rest of the upload is sent")
 def when_rest(context):
     """Send the rest and read the response."""
