Reserved shares of limits for the hosts that others count.

Cause: a host that restarts while the store is away knows the hosts that its settings name, and those that did not restart. In a full mesh it divided each limit, and the excess that all hosts together may use, among these.

Change: the size of the fleet that others name counts, as it does in large fleets. Hosts that are missing are silent ones, for each of which an equal share is reserved.

Why this works: whoever knows all hosts names their number in each heartbeat, so that each host that hears one of them takes no more than its part.

--- a/damasktally/entry/quota_reports.py
+++ b/damasktally/entry/quota_reports.py
@@ -41,10 +41,13 @@
         """
         if self._topology.is_full_mesh(now):
             live = self._members.live_records(now)
-            silent_count = len(self._members.records()) - len(live)
+            # A host that started while the store was away knows few of the others.
+            other_count = max(
+                len(self._members.records()), self._topology.fleet_size(now) - 1
+            )
             return (
                 [_report_from_record(record) for record in live],
-                silent_count,
+                other_count - len(live),
                 REPORT_LAG_S,
             )
         live = (
