Divided a server's warm-up by the size of the fleet that others name.

Hosts that restart while the store is away divided the requests that a server in its warm-up tolerates among the few hosts that they know, so that all together sent too many.

Change: what a host divides is only the part of the hosts that it knows.

Result: two of the four new scenarios fail without the change (19 and 33 requests a second to a server that tolerates 9.2, of which the agreed bound allows 18) and pass.

--- a/damasktally/entry/candidates.py
+++ b/damasktally/entry/candidates.py
@@ -265,7 +265,8 @@
         host_names = self._topology.warmup_senders(server.data_centre, now)
         if self._own.host not in host_names:
             return 0
-        return warmup_tokens(self._own.host, host_names, server.id, service.warmup_rate)
+        known_rate = service.warmup_rate * self._topology.known_ratio(now)
+        return warmup_tokens(self._own.host, host_names, server.id, known_rate)
 
     def record_send(self, server: str, now: float) -> None:
         """Count a request that is sent to a server.
--- a/damasktally/entry/topology.py
+++ b/damasktally/entry/topology.py
@@ -241,6 +241,16 @@
             return []
         return sorted(self._live_local_members(now))
 
+    def known_ratio(self, now: float) -> float:
+        """Return the ratio of the hosts that this one knows, in a full mesh.
+
+        A host that started while the store was away knows few of the others. What it
+        divides among those that it knows is only their part.
+        """
+        if not self.is_full_mesh(now):
+            return 1.0
+        return len(self._members.names()) / self.fleet_size(now)
+
     def limit_senders(self, data_centre: str, region: str, now: float) -> list[str]:
         """Return the hosts among which the rate limit of a server may be divided.
 
--- a/features/entry/quota_restarts.feature
+++ b/features/entry/quota_restarts.feature
@@ -18,6 +18,21 @@
       | 12    | 9         | 240  |
       | 24    | 1         | 120  |
 
+  # Guards against hosts each of which divides a server's warm-up among the few that it
+  # knows, so that their requests together end the server.
+  Scenario Outline: A server in its warm-up gets no more than it tolerates: <survivors> of <hosts> hosts did not restart
+    Given <hosts> hosts of which <survivors> did not restart, and 3 that settings name
+    When the hosts exchange heartbeats for 2 s
+    Then they send a server that tolerates 9.2 requests a second at most 18 together
+    And a server that tolerates 120 requests a second gets at least 90
+
+    Examples:
+      | hosts | survivors |
+      | 12    | 1         |
+      | 12    | 6         |
+      | 12    | 12        |
+      | 24    | 1         |
+
   # Guards against hosts that refuse all for want of knowledge.
   Scenario: The customer still gets a part of its rate meanwhile
     Given 12 hosts of which 1 did not restart, and 3 that settings name
--- a/features/steps/quota_restart_steps.py
+++ b/features/steps/quota_restart_steps.py
@@ -5,15 +5,20 @@
 knows all hosts.
 """
 
+from asyncio import run
+from random import Random
+from types import SimpleNamespace
+
 from behave import given, then, when
 from boundary_steps import make_heartbeat
 
 from damasktally.decisions.heartbeat_history import HeartbeatHistory
 from damasktally.decisions.quota import CustomerQuotas
+from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.quota_reports import QuotaReports
 from damasktally.entry.topology import FleetTopology
 from damasktally.fleet.members import MemberTable, member_from_heartbeat
-from damasktally.fleet.model import Bounds, Customer
+from damasktally.fleet.model import Bounds, Customer, Server
 from damasktally.fleet.summaries import SummaryTable
 
 BOUNDS = Bounds(6.0, 5.0, 0.2, 10.0, 64.0, 20.0, 0.1, 5.0)
@@ -118,3 +123,45 @@
     """Check the end."""
     late = sum(at >= context.end - window for at in context.admitted_at)
     assert late >= count, late
+
+
+@when("the hosts exchange heartbeats for {seconds:d} s")
+def when_heartbeats(context, seconds):
+    """Let the hosts learn of each other."""
+    context.end = BEGIN_S + seconds
+    for step in range(0, round(seconds / STEP_S), HEARTBEAT_STEPS):
+        exchange_heartbeats(context, BEGIN_S + step * STEP_S)
+
+
+def warmup_requests(context, rate):
+    """Return how many requests a second all hosts may send to a server together."""
+    cfg = SimpleNamespace(services={"svc": SimpleNamespace(warmup_rate=rate)})
+    view = SimpleNamespace(configuration=cfg)
+    server = Server("i-1", "svc", ("", 0), "dc-1", 4, False, 0, 1)
+
+    async def count():
+        return sum(
+            ServerCandidates(
+                view, host.members.own, host.topology, {}, Random(1)
+            )._warmup_tokens(server, context.end)
+            for host in context.hosts
+        )
+
+    return run(count())
+
+
+@then(
+    "they send a server that tolerates {rate:g} requests a second at most {most:d} "
+    "together"
+)
+def then_warmup_bounded(context, rate, most):
+    """Check the sum."""
+    total = warmup_requests(context, rate)
+    assert total <= most, total
+
+
+@then("a server that tolerates {rate:g} requests a second gets at least {least:d}")
+def then_warmup_used(context, rate, least):
+    """Check that most of it is used."""
+    total = warmup_requests(context, rate)
+    assert total >= least, total
