Waited for the last byte of each response before a connection or a host ends.

Cause: a response that was received whole counted as done once it was written. A closing connection was aborted after a second, whether its bytes were sent or not.

Change: a connection is busy until the caller's side has taken all bytes, those in the kernel included. A closing connection ends a second after that, or when the caller takes nothing for the idle timeout. A stop waits for busy connections as before, until shortly before the process is killed.

--- a/damasktally/http1/caller_output.py
+++ b/damasktally/http1/caller_output.py
@@ -7,9 +7,10 @@
 
 from damasktally.http1.messages import Response
 from damasktally.http1.response_stream import ResponseStream
+from damasktally.http1.socket_options import unacknowledged_bytes
 
 LINGERING_CLOSE_S = 1.0
-"""Seconds for which a connection is still read after its last response.
+"""Seconds for which a connection is still read after its last response was sent.
 
 Closing a socket that holds unread bytes resets the connection, and the caller could
 lose the response.
@@ -39,6 +40,12 @@
         self._flushed: Future[None] | None = None
         self._abort_timer: TimerHandle | None = None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the caller's side has not taken yet."""
+        sock = self._transport.get_extra_info("socket")
+        return self._transport.get_write_buffer_size() + unacknowledged_bytes(sock)
+
     @property
     def has_stream(self) -> bool:
         """Return whether a response was begun that is not ended yet."""
@@ -92,15 +99,38 @@
         return not stream.closes_connection
 
     def end(self) -> None:
-        """Close the writing side, and abort after :data:`LINGERING_CLOSE_S`."""
+        """Close the writing side, and abort once all was sent, or the caller stops.
+
+        The caller may read slowly. It is given up if it takes nothing for the idle
+        timeout.
+        """
         if self._transport.is_closing():
             return
+        unsent_bytes = self.unsent_bytes
         if self._transport.can_write_eof():
             self._transport.write_eof()
+        self._check_later(unsent_bytes, 0.0)
+
+    def _check_later(self, unsent_bytes: int, stalled_s: float) -> None:
         self._abort_timer = self._loop.call_later(
-            LINGERING_CLOSE_S, self._transport.abort
+            LINGERING_CLOSE_S, self._abort_unless_sending, unsent_bytes, stalled_s
         )
 
+    def _abort_unless_sending(self, last_unsent_bytes: int, stalled_s: float) -> None:
+        """Abort if all was sent for a while, or nothing is taken any more.
+
+        :param last_unsent_bytes: bytes that were unsent at the last check.
+        :param stalled_s: seconds for which they did not become fewer.
+        """
+        unsent_bytes = self.unsent_bytes
+        has_progress = unsent_bytes < last_unsent_bytes
+        stalled_s = 0.0 if has_progress else stalled_s + LINGERING_CLOSE_S
+        is_over = stalled_s >= self._idle_timeout_s() if unsent_bytes else stalled_s > 0
+        if is_over:
+            self._transport.abort()
+        else:
+            self._check_later(unsent_bytes, stalled_s)
+
     def cancel_abort(self) -> None:
         """Cancel the abort, as the connection was lost."""
         if self._abort_timer is not None:
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -81,8 +81,10 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is being read or handled."""
-        return self._queue_task is not None or self._request_started_at is not None
+        """Return whether a request is being read or handled, or a response is sent."""
+        if self._queue_task is not None or self._request_started_at is not None:
+            return True
+        return self._output.unsent_bytes > 0
 
     def connection_made(self, transport: Transport) -> None:
         """Register the connection, or abort it if the port is closed."""
--- a/damasktally/http1/socket_options.py
+++ b/damasktally/http1/socket_options.py
@@ -1,5 +1,7 @@
-"""Options of sockets."""
+"""Options of sockets, and what their kernel buffers hold."""
 
+from array import array
+from fcntl import ioctl
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -14,6 +16,7 @@
     socket,
 )
 from struct import pack
+from termios import TIOCOUTQ
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -53,3 +56,16 @@
     """Limit the bytes that the kernel holds until they are read here."""
     if sock is not None:
         sock.setsockopt(SOL_SOCKET, SO_RCVBUF, STREAM_BUFFER_BYTES)
+
+
+def unacknowledged_bytes(sock: socket | None) -> int:
+    """Return the sent bytes that the peer's side has not taken yet.
+
+    :returns: 0 if that is unknown, as for a closed socket.
+    """
+    count = array("i", [0])
+    try:
+        ioctl(sock, TIOCOUTQ, count)
+    except (OSError, TypeError, ValueError):
+        return 0
+    return count[0]
--- a/features/steps/streaming_steps.py
+++ b/features/steps/streaming_steps.py
@@ -36,6 +36,8 @@
 
 LINK_MBPS = 8.0
 """A body of 10 kB takes 10 ms on this link."""
+FAST_LINK_MBPS = 1000.0
+"""A body of 1.25 MB takes 10 ms on this link."""
 SMALL_BUFFER_BYTES = 4096
 READ_TIMEOUT_S = 15.0
 ROUTES = [
@@ -136,8 +138,19 @@
 
 @given("an entry host that forwards bodies of 10 kB or more as they arrive")
 def given_streaming_host(context):
-    """Start a host on a slow link, with routes that allow more time."""
-    limits = LimitsSection(link_mbps=LINK_MBPS)
+    """Start a host on a slow link."""
+    start_streaming_host(context, LINK_MBPS)
+
+
+@given("an entry host that receives bodies of up to 1.2 MB whole")
+def given_whole_host(context):
+    """Start a host on a fast link."""
+    start_streaming_host(context, FAST_LINK_MBPS)
+
+
+def start_streaming_host(context, link_mbps):
+    """Start a host with routes that allow more time than others."""
+    limits = LimitsSection(link_mbps=link_mbps)
     context.settings = replace(make_settings(context.store.port), limits=limits)
     context.port = port_of(context.settings, "callers")
     context.log = []
