Moved the types of changes out of the view's module.

Change: what describes a change (decoders, deltas, what is told of them) has a module of its own; names and behaviour stay.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -62,7 +62,8 @@
 from damasktally.fleet.members import MemberTable
 from damasktally.fleet.model import CallerLimits
 from damasktally.fleet.summaries import SummaryTable
-from damasktally.fleet.view import Decoders, FleetView, ViewChange
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import Decoders, ViewChange
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.bounds import decode_bounds
 from damasktally.platform.codec import decode_configuration, decode_server
--- a/damasktally/entry/view_log.py
+++ b/damasktally/entry/view_log.py
@@ -3,7 +3,7 @@
 from damasktally.events import emit
 from damasktally.events.catalogue import VIEW_CHANGED
 from damasktally.fleet.model import era_of, revision_in_era
-from damasktally.fleet.view import ViewChange
+from damasktally.fleet.view_changes import ViewChange
 
 
 def log_view_change(change: ViewChange) -> None:
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -32,7 +32,8 @@
     RelaySummary,
     SummaryTable,
 )
-from damasktally.fleet.view import Decoders, FleetView
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import Decoders
 
 HOSTS_PER_DATA_CENTRE = 15
 NEW_HOST = "far-new"
--- a/features/steps/boundary_steps.py
+++ b/features/steps/boundary_steps.py
@@ -24,7 +24,8 @@
 from damasktally.fleet.server_loads import ServerLoadReport
 from damasktally.fleet.summaries import RelaySummary
 from damasktally.fleet.topics import Topic, revisions_by_topic
-from damasktally.fleet.view import Decoders, FleetView
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import Decoders
 from damasktally.platform.bounds import decode_bounds
 from damasktally.platform.codec import (
     MalformedObject,
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -5,7 +5,8 @@
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.fleet.model import Server
 from damasktally.fleet.topics import Topic
-from damasktally.fleet.view import Decoders, FleetView
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import Decoders
 
 SLOTS = 4
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -42,7 +42,8 @@
 from damasktally.entry.settings import HostSection, LimitsSection
 from damasktally.fleet.model import Customer
 from damasktally.fleet.topics import Topic
-from damasktally.fleet.view import MAX_KEPT_VIEW_DELTAS, Decoders, FleetView
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import MAX_KEPT_VIEW_DELTAS, Decoders
 from damasktally.platform.codec import decode_configuration, decode_server
 
 SIMULATION_STEP_S = 0.01
--- a/features/steps/replaced_server_steps.py
+++ b/features/steps/replaced_server_steps.py
@@ -4,7 +4,8 @@
 from entry_harness import StandInServer
 
 from damasktally.fleet.topics import Topic
-from damasktally.fleet.view import Decoders, FleetView
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import Decoders
 from damasktally.platform.codec import decode_configuration, decode_server
 
 SERVER = "s-1"
--- a/features/steps/state_transfer_steps.py
+++ b/features/steps/state_transfer_steps.py
@@ -27,7 +27,8 @@
 from damasktally.fleet.model import Member
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.topics import Topic
-from damasktally.fleet.view import Decoders, FleetView
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import Decoders
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.platform.codec import decode_configuration, decode_server
 from damasktally.platform.store import StoreClient
