Split the reading of requests from their handling, and bounded bodies received whole.

The bound on request bodies that are received whole was 96 MiB, whatever [limits] memory_mb says.

Change: http1/request_reader.py reads requests within their limits; inbound.py handles them in order. Once bodies that are received whole take a sixteenth of the memory, those from 64 KiB on are forwarded as they arrive, as responses are. The benchmarks share the code that starts a host and reads its memory.

--- a/benchmarks/entry_process.py
+++ b/benchmarks/entry_process.py
@@ -4,6 +4,8 @@
 import sys
 from asyncio import create_subprocess_exec, open_connection, sleep
 from asyncio.subprocess import Process
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from damasktally.standins.ports import free_port
@@ -76,3 +78,44 @@
     text = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
     line = next(line for line in text.splitlines() if line.startswith(key + ":"))
     return int(line.split()[1]) / KIB_PER_MB
+
+
+@dataclass(frozen=True)
+class Measured:
+    """Memory of a host before and during a load, in MB.
+
+    :param result: what the load returned.
+    """
+
+    before_mb: float
+    peak_mb: float
+    result: int
+
+    @property
+    def text(self) -> str:
+        """Return the figures as a part of a line."""
+        return (
+            f"before {self.before_mb:5.1f} MB  peak {self.peak_mb:6.1f} MB  "
+            f"more {self.peak_mb - self.before_mb:6.1f} (bound {MAX_MEMORY_MB})"
+        )
+
+
+async def measure_memory(
+    directory: str,
+    store_port: int,
+    link_mbps: int,
+    load: Callable[[int], Awaitable[int]],
+) -> Measured:
+    """Start a host, put a load on it, and return what memory that took.
+
+    :param load: called with the host's port for callers.
+    """
+    process, port = await start_host(directory, store_port, link_mbps)
+    try:
+        await sleep(1.0)
+        before_mb = read_memory_mb(process, "VmRSS")
+        result = await load(port)
+        return Measured(before_mb, read_memory_mb(process, "VmHWM"), result)
+    finally:
+        process.terminate()
+        await process.wait()
--- a/benchmarks/relays.py
+++ b/benchmarks/relays.py
@@ -22,7 +22,8 @@
 from damasktally.fleet.members import Heartbeat, MemberTable
 from damasktally.fleet.model import Customer, Member
 from damasktally.fleet.summaries import RelaySummary, SummaryTable
-from damasktally.fleet.view import Decoders, FleetView
+from damasktally.fleet.view import FleetView
+from damasktally.fleet.view_changes import Decoders
 
 TICK_S = 0.2
 TICKS = 50
--- a/benchmarks/slow_readers.py
+++ b/benchmarks/slow_readers.py
@@ -17,9 +17,10 @@
     sleep,
 )
 from dataclasses import dataclass
+from functools import partial
 from tempfile import TemporaryDirectory
 
-from benchmarks.entry_process import MAX_MEMORY_MB, read_memory_mb, start_host
+from benchmarks.entry_process import measure_memory
 from features.steps.entry_harness import (
     StandInServer,
     StandInStore,
@@ -28,8 +29,6 @@
 )
 from features.steps.streaming_servers import Conversations, Converse, body_of
 
-Connection = tuple[StreamReader, StreamWriter]
-
 DEFAULT_CALLERS = 200
 RESPONSE_BYTES = 540_000
 LONG_RESPONSE_BYTES = 16_000_000
@@ -127,8 +126,9 @@
     return received > 0
 
 
-async def read_all(case: Case, connections: list[Connection]) -> int:
-    """Read the responses; return how many callers got what they expect."""
+async def read_all(port: int, case: Case) -> int:
+    """Ask for all responses; return how many callers got what they expect."""
+    connections = await gather(*(begin(port, n) for n in range(case.callers)))
     if not case.is_whole_read:
         return sum(await gather(*(read_slowly(*item) for item in connections)))
     await sleep(UNREAD_S)
@@ -138,22 +138,13 @@
 async def measure(directory: str, case: Case) -> None:
     """Print the memory of one host before and during the slow responses."""
     store = await start_platform(case)
-    process, port = await start_host(directory, store.port, case.link_mbps)
-    try:
-        await sleep(1.0)
-        before_mb = read_memory_mb(process, "VmRSS")
-        connections = await gather(*(begin(port, n) for n in range(case.callers)))
-        read_count = await read_all(case, connections)
-        peak_mb = read_memory_mb(process, "VmHWM")
-        print(
-            f"link {case.link_mbps:5} Mbit/s  {case.callers:3} x {case.size:8} bytes "
-            f"{case.framing:16}  before {before_mb:5.1f} MB  peak {peak_mb:6.1f} MB  "
-            f"more {peak_mb - before_mb:6.1f} (bound {MAX_MEMORY_MB})  "
-            f"read by {read_count} of {case.callers}"
-        )
-    finally:
-        process.terminate()
-        await process.wait()
+    load = partial(read_all, case=case)
+    measured = await measure_memory(directory, store.port, case.link_mbps, load)
+    print(
+        f"link {case.link_mbps:5} Mbit/s  {case.callers:3} x {case.size:8} bytes "
+        f"{case.framing:16}  {measured.text}  "
+        f"read by {measured.result} of {case.callers}"
+    )
 
 
 async def measure_all(chosen: list[Case]) -> None:
--- a/benchmarks/slow_uploads.py
+++ b/benchmarks/slow_uploads.py
@@ -5,11 +5,12 @@
 """
 
 import sys
-from asyncio import gather, open_connection, run, sleep, wait_for
+from asyncio import gather, open_connection, run, wait_for
 from dataclasses import dataclass
+from functools import partial
 from tempfile import TemporaryDirectory
 
-from benchmarks.entry_process import MAX_MEMORY_MB, read_memory_mb, start_host
+from benchmarks.entry_process import measure_memory
 from features.steps.entry_harness import (
     StandInServer,
     StandInStore,
@@ -99,25 +100,22 @@
     return answer.status == 200
 
 
+async def upload_all(port: int, case: Case) -> int:
+    """Send all uploads; return how many were served."""
+    uploads = (upload(port, number, case) for number in range(case.callers))
+    results = await gather(*uploads, return_exceptions=True)
+    return sum(item is True for item in results)
+
+
 async def measure(directory: str, case: Case) -> None:
     """Print the memory of one host before and during the uploads."""
     store = await start_platform(case)
-    process, port = await start_host(directory, store.port, LINK_MBPS)
-    try:
-        await sleep(1.0)
-        before_mb = read_memory_mb(process, "VmRSS")
-        uploads = (upload(port, number, case) for number in range(case.callers))
-        served = await gather(*uploads, return_exceptions=True)
-        peak_mb = read_memory_mb(process, "VmHWM")
-        print(
-            f"{case.callers:3} x {case.size:9} bytes {case.framing:13}  "
-            f"before {before_mb:5.1f} MB  peak {peak_mb:6.1f} MB  "
-            f"more {peak_mb - before_mb:6.1f} (bound {MAX_MEMORY_MB})  "
-            f"served {sum(item is True for item in served)} of {case.callers}"
-        )
-    finally:
-        process.terminate()
-        await process.wait()
+    load = partial(upload_all, case=case)
+    measured = await measure_memory(directory, store.port, LINK_MBPS, load)
+    print(
+        f"{case.callers:3} x {case.size:9} bytes {case.framing:13}  {measured.text}  "
+        f"served {measured.result} of {case.callers}"
+    )
 
 
 async def measure_all(chosen: list[Case]) -> None:
--- a/damasktally/entry/body_streams.py
+++ b/damasktally/entry/body_streams.py
@@ -126,6 +126,17 @@
         self._responses.discard(stream)
         self._memory.release(stream.grant)
 
+    def is_large(self, byte_count: int, buffered_bytes: int) -> bool:
+        """Return whether the body of a request is forwarded as it arrives.
+
+        :param byte_count: its length, or how much of it has arrived.
+        :param buffered_bytes: bytes of bodies that are being received whole.
+        """
+        if byte_count >= self.min_bytes:
+            return True
+        is_short = buffered_bytes + byte_count > self._max_whole_bytes
+        return is_short and byte_count >= WINDOW_BYTES
+
     def admit(self, body: RequestBody) -> bool:
         """Reserve memory for the body of a request.
 
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -5,24 +5,13 @@
 from dataclasses import dataclass
 from traceback import format_exc
 
-from httptools import HttpParserError
-
 from damasktally.events import emit
 from damasktally.events.catalogue import HANDLER_FAILED
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.caller_output import CallerOutput
-from damasktally.http1.framing import FramingCounter
-from damasktally.http1.messages import (
-    CONTINUE_RESPONSE,
-    Headers,
-    Request,
-    Response,
-    encode_response,
-)
+from damasktally.http1.messages import Headers, Request, Response, encode_response
 from damasktally.http1.port_state import PortState
-from damasktally.http1.request_body import RequestBody
-from damasktally.http1.request_head import RequestHead
-from damasktally.http1.request_parser import RequestParser, TunnelRequested
+from damasktally.http1.request_reader import RequestReader
 from damasktally.http1.response_stream import ResponseStream
 from damasktally.http1.shared_reads import SharedReadProtocol
 
@@ -30,10 +19,6 @@
 """Seconds from a request's first byte until all of it has to be received."""
 MAX_QUEUED_REQUESTS = 2
 """Pipelined requests that may wait on a connection before reading is paused."""
-MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024
-"""Bytes of request bodies in memory for one port; beyond this, bodies get a 503."""
-OVERLOAD_RETRY_AFTER = (b"retry-after", b"0.5")
-"""Header of that 503; the value is in seconds."""
 
 
 @dataclass(slots=True)
@@ -49,46 +34,31 @@
     """Protocol of one caller connection.
 
     Requests are handled one at a time, in the order of arrival, as pipelining requires.
-    They are read whole, unless the port forwards large bodies as they arrive.
     """
 
     def __init__(self, port: CallerPort) -> None:
         super().__init__(port.read_buffer)
         self._port = port
         self._loop = get_running_loop()
-        self._parser = RequestParser(self)
+        self._reader = RequestReader(port, self, self._loop)
         self._transport: Transport | None = None
         self._queue: deque[Request] = deque()
         self._queue_task: Task | None = None
         self._active_request: Request | None = None
         self._output: CallerOutput | None = None
-        self._upload: RequestBody | None = None
         self._refusal: Response | None = None
-        self._closing = False
-        self._buffered_bytes = 0
-        self._last_byte_at = self._loop.time()
-        self._reset_message()
-
-    def _reset_message(self) -> None:
-        """Clear what was read of the current request."""
-        self._head = RequestHead()
-        self._body = bytearray()
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._framing = FramingCounter(self._port.limits().head_bytes)
-        self._request_started_at: float | None = None
-        self._in_head = True
 
     @property
     def is_busy(self) -> bool:
         """Return whether a request is being read or handled, or a response is sent."""
-        if self._queue_task is not None or self._request_started_at is not None:
+        if self._queue_task is not None or self._reader.started_at is not None:
             return True
         return self._output.unsent_bytes > 0
 
     def connection_made(self, transport: Transport) -> None:
         """Register the connection, or abort it if the port is closed."""
         self._transport = transport
+        self._reader.attach(transport)
         self._output = CallerOutput(transport, self._loop, self._port.idle_timeout_s)
         if self._port.closed:
             # The process is about to exit and would not wait for the request.
@@ -99,9 +69,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the buffered bytes and cancel the connection's requests."""
         self._port.connections.discard(self)
-        self._adjust_buffered_bytes(-self._buffered_bytes)
+        self._reader.release()
         self._output.cancel_abort()
-        self._handle_disconnect()
+        self.handle_disconnect()
         # Ends the wait for the last bytes of a response.
         self.resume_writing()
 
@@ -118,10 +88,10 @@
 
         :returns: ``False``, so that the transport closes itself.
         """
-        self._handle_disconnect()
+        self.handle_disconnect()
         return False
 
-    def _handle_disconnect(self) -> None:
+    def handle_disconnect(self) -> None:
         """Drop the queued requests and notify the one that is being handled."""
         for req in self._queue:
             self._end_upload(req)
@@ -136,149 +106,20 @@
     @property
     def is_body_received_whole(self) -> bool:
         """Return whether a body is being received that is not forwarded yet."""
-        return not self._in_head and self._upload is None
+        return not self._reader.is_in_head and self._reader.upload is None
 
     def data_received(self, data: bytes | memoryview) -> None:
-        """Feed received bytes to the parser and check the head size.
-
-        The head is limited while it arrives, too, so that an endless one does not
-        fill the memory.
-        """
-        now = self._loop.time()
-        self._last_byte_at = now
-        if self._closing:
-            return
-        if self._request_started_at is None:
-            self._request_started_at = now
-        if self._in_head:
-            self._head_bytes += len(data)
-        else:
-            self._framing.add_received(len(data))
-        try:
-            self._parser.feed(data)
-        except HttpParserError:
-            self._refuse(400)
-            return
-        except TunnelRequested:
-            self._refuse(501)
-            return
-        is_too_long = self._head_bytes > self._port.limits().head_bytes
-        if (self._in_head and is_too_long) or self._framing.is_exceeded():
-            self._refuse(431)
-
-    def on_message_begin(self) -> None:
-        """Reset the parser state for a new request."""
-        self._reset_message()
-        self._request_started_at = self._last_byte_at
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        self._head.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header with its name in lower case; drop a trailer.
+        """Read requests from received bytes."""
+        self._reader.feed(data)
 
-        Trailers arrive after the body. They could change the meaning of the headers,
-        and are dropped, which HTTP allows.
-        """
-        if self._in_head:
-            self._head.headers.append((name.lower(), value))
-        else:
-            self._framing.add_header(len(name) + len(value))
-
-    def on_headers_complete(self) -> None:
-        """Enforce the size limits, and begin to receive the body."""
-        self._in_head = False
-        head, limits = self._head, self._port.limits()
-        if head.byte_count > limits.head_bytes:
-            self._refuse(431)
-            return
-        length = head.content_length
-        if length > limits.body_bytes:
-            self._refuse(413)
-            return
-        head.resolve_target()
-        uploads = self._port.uploads
-        if uploads is not None and length >= uploads.min_bytes:
-            self._begin_upload()
-        elif head.is_continue_awaited and not self._output.has_stream:
-            # The interim response must not interrupt an earlier response.
-            self._transport.write(CONTINUE_RESPONSE)
-
-    def _begin_upload(self) -> None:
-        """Queue a request whose body is forwarded as it arrives.
-
-        What has arrived of a body in chunks is its first part.
-        """
-        body = RequestBody(self._head, self._transport, self._loop)
-        if not self._port.uploads.admit(body):
-            body.refuse()
-        received, self._body = bytes(self._body), bytearray()
-        self._adjust_buffered_bytes(-len(received))
-        self._upload = body
-        self._queue_request(self._make_request())
-        body.feed(received)
-
-    def on_body(self, data: bytes) -> None:
-        """Forward a part of the body, or append it and enforce the body limits."""
-        if self._closing:
-            return
-        self._framing.add_body(len(data))
-        self._body_bytes += len(data)
-        if self._body_bytes > self._port.limits().body_bytes:
-            self._refuse(413)
-            if self._upload is not None:
-                self._handle_disconnect()
-            return
-        if self._upload is not None:
-            self._upload.feed(data)
-            return
-        self._body += data
-        self._adjust_buffered_bytes(len(data))
-        uploads = self._port.uploads
-        if uploads is not None and len(self._body) >= uploads.min_bytes:
-            self._begin_upload()
-        elif self._port.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
-            self._refuse(503, [OVERLOAD_RETRY_AFTER])
-
-    def _adjust_buffered_bytes(self, delta: int) -> None:
-        """Add to the buffered bytes of this connection and of its port.
-
-        All bytes are released when the connection is lost, also those of a request
-        that is still being handled and whose end releases them again.
-        """
-        delta = max(delta, -self._buffered_bytes)
-        self._buffered_bytes += delta
-        self._port.buffered_bytes += delta
+    @property
+    def may_interrupt(self) -> bool:
+        """Return whether an interim response would interrupt no other one."""
+        return not self._output.has_stream
 
-    def on_message_complete(self) -> None:
-        """Queue the request, unless it was queued before its body arrived."""
-        if self._closing:
-            return
-        if self._upload is None:
-            self._queue_request(self._make_request())
-        else:
-            self._upload.finish()
-            self._upload = None
-        self._reset_message()
-
-    def _make_request(self) -> Request:
-        """Return the request whose head, and body if it has one, were read."""
-        return Request(
-            method=self._parser.method,
-            target=self._head.target,
-            headers=self._head.headers,
-            body=bytes(self._body),
-            first_byte_at=self._request_started_at or self._last_byte_at,
-            last_byte_at=self._last_byte_at,
-            keep_alive=self._parser.should_keep_alive(),
-            upload=self._upload,
-            accepts_chunks=not self._parser.is_http_1_0,
-            begin_stream=self._begin_stream,
-        )
-
-    def _queue_request(self, req: Request) -> None:
+    def queue_request(self, req: Request) -> None:
         """Queue a request, and start the queue task unless it is running."""
+        req.begin_stream = self._begin_stream
         self._queue.append(req)
         if len(self._queue) > MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
@@ -293,7 +134,7 @@
                 self._active_request = req
                 response = await self._handle(req)
                 self._active_request = None
-                self._adjust_buffered_bytes(-len(req.body))
+                self._reader.adjust_buffered_bytes(-len(req.body))
                 if req.upload is not None:
                     self._end_upload(req)
                 if self._output.has_stream:
@@ -310,7 +151,7 @@
         finally:
             self._active_request = None
             self._queue_task = None
-            self._last_byte_at = self._loop.time()
+            self._reader.last_byte_at = self._loop.time()
             self._resume_reading()
 
     async def _handle(self, req: Request) -> Response:
@@ -368,14 +209,14 @@
         if req.upload is not None:
             self._port.uploads.end(req.upload)
 
-    def _refuse(self, status: int, headers: Headers | None = None) -> None:
+    def refuse(self, status: int, headers: Headers | None = None) -> None:
         """Respond with an error status and close the connection.
 
         The responses to earlier requests on the connection come first.
         """
-        if self._closing:
+        if self._reader.is_closed:
             return
-        self._closing = True
+        self._reader.is_closed = True
         self._refusal = Response(status, headers or [], b"")
         if self._queue_task is None:
             self._write_refusal()
@@ -388,7 +229,7 @@
 
     def _close_after_response(self) -> None:
         """Take no more requests, and close the connection."""
-        self._closing = True
+        self._reader.is_closed = True
         self._output.end()
 
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
@@ -398,21 +239,22 @@
 
         :param now: time of the event loop's clock in seconds.
         """
-        if self._closing:
+        reader = self._reader
+        if reader.is_closed:
             return
-        is_idle = now - self._last_byte_at > limits.idle_timeout_s
-        if is_idle and self._upload is not None and self._upload.is_awaited:
-            self._refuse(408)
-            self._handle_disconnect()
+        is_idle = now - reader.last_byte_at > limits.idle_timeout_s
+        if is_idle and reader.upload is not None and reader.upload.is_awaited:
+            self.refuse(408)
+            self.handle_disconnect()
         if self._queue_task is not None:
             return
-        if self._request_started_at is None:
+        if reader.started_at is None:
             if is_idle:
                 self._transport.close()
-        elif self._in_head and now - self._request_started_at > limits.head_timeout_s:
-            self._refuse(408)
-        elif is_idle or now - self._request_started_at > MAX_ARRIVAL_S:
-            self._refuse(408)
+        elif reader.is_in_head and now - reader.started_at > limits.head_timeout_s:
+            self.refuse(408)
+        elif is_idle or now - reader.started_at > MAX_ARRIVAL_S:
+            self.refuse(408)
 
     def abort(self) -> None:
         """Close the connection immediately."""
@@ -420,5 +262,5 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in flight."""
-        if not self.is_busy and not self._closing:
+        if not self.is_busy and not self._reader.is_closed:
             self._transport.close()
--- a/damasktally/http1/request_body.py
+++ b/damasktally/http1/request_body.py
@@ -164,8 +164,12 @@
 class UploadAdmission(Protocol):
     """Decides which request bodies are forwarded as they arrive."""
 
-    min_bytes: float
-    """Length from which on a body is forwarded as it arrives."""
+    def is_large(self, byte_count: int, buffered_bytes: int) -> bool:
+        """Return whether a body is forwarded as it arrives.
+
+        :param byte_count: its length, or how much of it has arrived.
+        :param buffered_bytes: bytes of bodies that are being received whole.
+        """
 
     def admit(self, body: RequestBody) -> bool:
         """Return whether there is memory for a body, and reserve it."""
--- /dev/null
+++ b/damasktally/http1/request_reader.py
@@ -0,0 +1,227 @@
+"""Read the requests that arrive on a caller's connection, within their limits."""
+
+from asyncio import AbstractEventLoop, Transport
+from typing import Protocol
+
+from httptools import HttpParserError
+
+from damasktally.http1.framing import FramingCounter
+from damasktally.http1.messages import CONTINUE_RESPONSE, Headers, Request
+from damasktally.http1.port_state import PortState
+from damasktally.http1.request_body import RequestBody
+from damasktally.http1.request_head import RequestHead
+from damasktally.http1.request_parser import RequestParser, TunnelRequested
+
+MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024
+"""Bytes of request bodies in memory for one port; beyond this, bodies get a 503."""
+OVERLOAD_RETRY_AFTER = (b"retry-after", b"0.5")
+"""Header of that 503; the value is in seconds."""
+
+
+class RequestReceiver(Protocol):
+    """The connection whose requests are read."""
+
+    def queue_request(self, req: Request) -> None:
+        """Handle a request, or the head of one whose body is forwarded."""
+
+    def refuse(self, status: int, headers: Headers | None = None) -> None:
+        """Respond with an error status and close the connection."""
+
+    def handle_disconnect(self) -> None:
+        """End the requests of the connection."""
+
+    @property
+    def may_interrupt(self) -> bool:
+        """Return whether an interim response may be written now."""
+
+
+class RequestReader:
+    """Read requests from the bytes of a connection.
+
+    They are read whole, unless the port forwards large bodies as they arrive.
+
+    :param port: limits of requests, and the account of their bodies.
+    :param receiver: handles what was read.
+
+    ``last_byte_at`` is when bytes arrived last, and ``started_at`` when the first byte
+    of the request did that is being read, or ``None``; both in seconds on the event
+    loop's clock. ``is_in_head`` is whether its head is being read, ``upload`` its body,
+    if that is forwarded. ``is_closed`` is set when no more requests are taken.
+    """
+
+    def __init__(
+        self,
+        port: PortState,
+        receiver: RequestReceiver,
+        loop: AbstractEventLoop,
+    ) -> None:
+        self._port = port
+        self._receiver = receiver
+        self._loop = loop
+        self._parser = RequestParser(self)
+        self._transport: Transport | None = None
+        self._buffered_bytes = 0
+        self.upload: RequestBody | None = None
+        self.last_byte_at = loop.time()
+        self.is_closed = False
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        """Clear what was read of the current request."""
+        self._head = RequestHead()
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._framing = FramingCounter(self._port.limits().head_bytes)
+        self.started_at: float | None = None
+        self.is_in_head = True
+
+    def attach(self, transport: Transport) -> None:
+        """Set the connection's transport."""
+        self._transport = transport
+
+    def feed(self, data: bytes | memoryview) -> None:
+        """Parse received bytes and check the size of the head.
+
+        The head is limited while it arrives, too, so that an endless one does not
+        fill the memory.
+        """
+        now = self._loop.time()
+        self.last_byte_at = now
+        if self.is_closed:
+            return
+        if self.started_at is None:
+            self.started_at = now
+        if self.is_in_head:
+            self._head_bytes += len(data)
+        else:
+            self._framing.add_received(len(data))
+        try:
+            self._parser.feed(data)
+        except HttpParserError:
+            self._receiver.refuse(400)
+            return
+        except TunnelRequested:
+            self._receiver.refuse(501)
+            return
+        is_too_long = self._head_bytes > self._port.limits().head_bytes
+        if (self.is_in_head and is_too_long) or self._framing.is_exceeded():
+            self._receiver.refuse(431)
+
+    def on_message_begin(self) -> None:
+        """Reset the parser state for a new request."""
+        self._reset_message()
+        self.started_at = self.last_byte_at
+
+    def on_url(self, url: bytes) -> None:
+        """Append a part of the request target."""
+        self._head.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append a header with its name in lower case; drop a trailer.
+
+        Trailers arrive after the body. They could change the meaning of the headers,
+        and are dropped, which HTTP allows.
+        """
+        if self.is_in_head:
+            self._head.headers.append((name.lower(), value))
+        else:
+            self._framing.add_header(len(name) + len(value))
+
+    def on_headers_complete(self) -> None:
+        """Enforce the size limits, and begin to receive the body."""
+        self.is_in_head = False
+        head, limits = self._head, self._port.limits()
+        if head.byte_count > limits.head_bytes:
+            self._receiver.refuse(431)
+            return
+        if head.content_length > limits.body_bytes:
+            self._receiver.refuse(413)
+            return
+        head.resolve_target()
+        if self._is_large(head.content_length):
+            self._begin_upload()
+        elif head.is_continue_awaited and self._receiver.may_interrupt:
+            self._transport.write(CONTINUE_RESPONSE)
+
+    def _is_large(self, byte_count: int) -> bool:
+        """Return whether a body is forwarded as it arrives."""
+        uploads = self._port.uploads
+        return uploads is not None and uploads.is_large(
+            byte_count, self._port.buffered_bytes
+        )
+
+    def _begin_upload(self) -> None:
+        """Queue a request whose body is forwarded as it arrives.
+
+        What has arrived of a body in chunks is its first part.
+        """
+        body = RequestBody(self._head, self._transport, self._loop)
+        if not self._port.uploads.admit(body):
+            body.refuse()
+        received, self._body = bytes(self._body), bytearray()
+        self.adjust_buffered_bytes(-len(received))
+        self.upload = body
+        self._queue_request()
+        body.feed(received)
+
+    def on_body(self, data: bytes) -> None:
+        """Forward a part of the body, or append it and enforce the body limits."""
+        if self.is_closed:
+            return
+        self._framing.add_body(len(data))
+        self._body_bytes += len(data)
+        if self._body_bytes > self._port.limits().body_bytes:
+            self._receiver.refuse(413)
+            if self.upload is not None:
+                self._receiver.handle_disconnect()
+            return
+        if self.upload is not None:
+            self.upload.feed(data)
+            return
+        self._body += data
+        self.adjust_buffered_bytes(len(data))
+        if self._head.is_chunked and self._is_large(len(self._body)):
+            self._begin_upload()
+        elif self._port.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
+            self._receiver.refuse(503, [OVERLOAD_RETRY_AFTER])
+
+    def adjust_buffered_bytes(self, delta: int) -> None:
+        """Add to the buffered bytes of this connection and of its port.
+
+        All bytes are released when the connection is lost, also those of a request
+        that is still being handled and whose end releases them again.
+        """
+        delta = max(delta, -self._buffered_bytes)
+        self._buffered_bytes += delta
+        self._port.buffered_bytes += delta
+
+    def release(self) -> None:
+        """Release all buffered bytes, as the connection is lost."""
+        self.adjust_buffered_bytes(-self._buffered_bytes)
+
+    def on_message_complete(self) -> None:
+        """Queue the request, unless it was queued before its body arrived."""
+        if self.is_closed:
+            return
+        if self.upload is None:
+            self._queue_request()
+        else:
+            self.upload.finish()
+            self.upload = None
+        self._reset_message()
+
+    def _queue_request(self) -> None:
+        """Queue the request whose head, and body if it has one, were read."""
+        req = Request(
+            method=self._parser.method,
+            target=self._head.target,
+            headers=self._head.headers,
+            body=bytes(self._body),
+            first_byte_at=self.started_at or self.last_byte_at,
+            last_byte_at=self.last_byte_at,
+            keep_alive=self._parser.should_keep_alive(),
+            upload=self.upload,
+            accepts_chunks=not self._parser.is_http_1_0,
+        )
+        self._receiver.queue_request(req)
--- a/features/entry/streaming_unknown_length.feature
+++ b/features/entry/streaming_unknown_length.feature
@@ -80,3 +80,12 @@
       | kind                               |
       | announced                          |
       | written to callers that do not read |
+
+  Scenario: Shorter request bodies are forwarded, too, once whole ones take their part
+    Given bodies from 1250000 bytes are forwarded, and whole ones may take 12500000
+    Then a request body is forwarded or received whole
+      | bytes   | buffered | forwarded |
+      | 1250000 | 0        | yes       |
+      | 540000  | 11900000 | no        |
+      | 540000  | 12000000 | yes       |
+      | 60000   | 90000000 | no        |
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -10,7 +10,7 @@
 from damasktally.decisions.affinity import rank_servers
 from damasktally.entry.host import EntryHost
 from damasktally.entry.settings import EntrySettings
-from damasktally.http1 import inbound
+from damasktally.http1 import request_reader
 from damasktally.standins.ports import free_port
 from features.steps.entry_harness import (
     BOUNDS,
@@ -798,9 +798,9 @@
 @given("the host may buffer {count:d} bytes of bodies")
 def given_body_limit(context, count):
     """Lower the host's limit on buffered bodies."""
-    old = inbound.MAX_BUFFERED_BODY_BYTES
-    inbound.MAX_BUFFERED_BODY_BYTES = count
-    context.add_cleanup(setattr, inbound, "MAX_BUFFERED_BODY_BYTES", old)
+    old = request_reader.MAX_BUFFERED_BODY_BYTES
+    request_reader.MAX_BUFFERED_BODY_BYTES = count
+    context.add_cleanup(setattr, request_reader, "MAX_BUFFERED_BODY_BYTES", old)
 
 
 @when("3 callers begin bodies of 1000 bytes and finish them later")
--- a/features/steps/streaming_unknown_length_steps.py
+++ b/features/steps/streaming_unknown_length_steps.py
@@ -222,3 +222,11 @@
 def then_short_whole(context, size):
     """Check that short responses are not asked about."""
     assert size < context.streams.min_response_bytes
+
+
+@then("a request body is forwarded or received whole")
+def then_body_decided(context):
+    """Check each row."""
+    for row in context.table:
+        is_large = context.streams.is_large(int(row["bytes"]), int(row["buffered"]))
+        assert is_large == (row["forwarded"] == "yes"), row
