--- a/damasktally/entry/time_guard.py
+++ b/damasktally/entry/time_guard.py
@@ -128,21 +128,21 @@
         """
         if trace.is_time_trial:
             self._metrics.time_trials.labels(attempt.outcome.value).inc()
-        relative_time = max(trace.relative_time, self._loads.slowdown(server, now))
-        run = (
+        is_cut_off = _is_cut_off(attempt)
+        if not is_cut_off and not _is_completed(attempt):
+            return
+        times = self._run_times
+        record = times.record_cut_off if is_cut_off else times.record_run
+        record(
             trace.service,
             trace.route.name,
             attempt.server_duration_s,
-            relative_time,
+            max(trace.relative_time, self._loads.slowdown(server, now)),
             now,
         )
-        if _is_cut_off(attempt):
-            self._run_times.record_cut_off(*run)
-        elif _is_completed(attempt):
-            self._run_times.record_run(*run)
-            if trace.is_time_trial:
-                # The servers are well again: no other route needs a trial of its own.
-                self._run_times.forget_other_routes(trace.service, trace.route.name)
+        if trace.is_time_trial and not is_cut_off:
+            # The servers are well again: no other route needs a trial of its own.
+            times.forget_other_routes(trace.service, trace.route.name)
 
     def run_maintenance(self, now: float) -> None:
         """Log which routes recovered, and remove what no longer counts."""
