Let the kernel hold 256 KiB of a body that is forwarded.

Cause: with 128 KiB on each side, one response from a region 35 ms away one way passes at about 2 to 4 MB/s, whatever the link carries; by itself the kernel would open its window. Change: 256 KiB.

--- a/damasktally/http1/socket_options.py
+++ b/damasktally/http1/socket_options.py
@@ -24,7 +24,7 @@
 """Unanswered keepalive probes after which the kernel closes a connection."""
 USER_TIMEOUT_MS = 3000
 """Time for which sent bytes may stay unacknowledged before the kernel gives up."""
-STREAM_BUFFER_BYTES = 128 * 1024
+STREAM_BUFFER_BYTES = 256 * 1024
 """Bytes of a body that is forwarded as it arrives which the kernel may hold on each
 side. By itself it takes several megabytes from a sender that is faster than its reader.
 """
