Dropped heads over the limit at once, and read heads in smaller pieces.

A crowd of 150 connections that sends headers of four bytes without end took a host to 368 to 380 MB. Cause: whole reads of 32 KiB were parsed before the limit was looked at, and what they held, some forty times their length, stayed until the connection had ended, a second or two after the refusal. Change: a refusal drops what was received of the request; a read of a head takes at most 4 KiB, and a body that is received whole 256 KiB as before. The new scenario of the connection failed before.

--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -104,9 +104,9 @@
                 req.on_disconnect()
 
     @property
-    def is_body_received_whole(self) -> bool:
-        """Return whether a body is being received that is not forwarded yet."""
-        return not self._reader.is_in_head and self._reader.upload is None
+    def max_read_bytes(self) -> int:
+        """Return the bytes that the next read takes at most."""
+        return self._reader.max_read_bytes
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Read requests from received bytes."""
@@ -216,7 +216,7 @@
         """
         if self._reader.is_closed:
             return
-        self._reader.is_closed = True
+        self._reader.close()
         self._refusal = Response(status, headers or [], b"")
         if self._queue_task is None:
             self._write_refusal()
@@ -229,7 +229,7 @@
 
     def _close_after_response(self) -> None:
         """Take no more requests, and close the connection."""
-        self._reader.is_closed = True
+        self._reader.close()
         self._output.end()
 
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -17,7 +17,11 @@
 from damasktally.http1.request_body import RequestBody
 from damasktally.http1.response_memory import ResponseMemory
 from damasktally.http1.response_stream import ResponseStream
-from damasktally.http1.shared_reads import SharedReadProtocol
+from damasktally.http1.shared_reads import (
+    READ_BYTES,
+    SMALL_READ_BYTES,
+    SharedReadProtocol,
+)
 from damasktally.http1.socket_options import (
     limit_receive_buffer,
     reset_on_close,
@@ -166,9 +170,10 @@
         self._transport.abort()
 
     @property
-    def is_body_received_whole(self) -> bool:
-        """Return whether a body is being received that is not forwarded yet."""
-        return self._in_body and self._stream is None
+    def max_read_bytes(self) -> int:
+        """Return the bytes of the next read, more for a body that is received whole."""
+        is_body_received_whole = self._in_body and self._stream is None
+        return READ_BYTES if is_body_received_whole else SMALL_READ_BYTES
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Feed received bytes to the parser; close if no request is pending."""
--- a/damasktally/http1/request_reader.py
+++ b/damasktally/http1/request_reader.py
@@ -11,6 +11,11 @@
 from damasktally.http1.request_body import RequestBody
 from damasktally.http1.request_head import RequestHead
 from damasktally.http1.request_parser import RequestParser, TunnelRequested
+from damasktally.http1.shared_reads import (
+    HEAD_READ_BYTES,
+    READ_BYTES,
+    SMALL_READ_BYTES,
+)
 
 MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024
 """Bytes of request bodies in memory for one port; beyond this, bodies get a 503."""
@@ -76,6 +81,18 @@
         self.started_at: float | None = None
         self.is_in_head = True
 
+    @property
+    def max_read_bytes(self) -> int:
+        """Return the bytes that the next read takes at most.
+
+        More are read of a body that is received whole, and of what is dropped.
+        """
+        if self.is_closed:
+            return READ_BYTES
+        if self.is_in_head:
+            return HEAD_READ_BYTES
+        return READ_BYTES if self.upload is None else SMALL_READ_BYTES
+
     def attach(self, transport: Transport) -> None:
         """Set the connection's transport."""
         self._transport = transport
@@ -113,9 +130,17 @@
         self._reset_message()
         self.started_at = self.last_byte_at
 
+    def close(self) -> None:
+        """Take no more requests, and drop what was received of the current one."""
+        self.is_closed = True
+        if self.upload is None:
+            self.adjust_buffered_bytes(-len(self._body))
+            self._reset_message()
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._head.target += url
+        if not self.is_closed:
+            self._head.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header with its name in lower case; drop a trailer.
@@ -123,6 +148,8 @@
         Trailers arrive after the body. They could change the meaning of the headers,
         and are dropped, which HTTP allows.
         """
+        if self.is_closed:
+            return
         if self.is_in_head:
             self._head.headers.append((name.lower(), value))
         else:
@@ -130,6 +157,8 @@
 
     def on_headers_complete(self) -> None:
         """Enforce the size limits, and begin to receive the body."""
+        if self.is_closed:
+            return
         self.is_in_head = False
         head, limits = self._head, self._port.limits()
         if head.byte_count > limits.head_bytes:
--- a/damasktally/http1/shared_reads.py
+++ b/damasktally/http1/shared_reads.py
@@ -11,6 +11,9 @@
 SMALL_READ_BYTES = 32 * 1024
 """Bytes that any other read takes at most: a body that is forwarded as it arrives holds
 all of them if its reader is slow."""
+HEAD_READ_BYTES = 4 * 1024
+"""Bytes that a read of a caller's request head takes at most. Small headers take many
+times their length in memory, and a read can hold many requests."""
 
 
 def make_read_buffer() -> memoryview:
@@ -32,13 +35,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which is never empty."""
-        if self.is_body_received_whole:
-            return self._read_buffer
-        return self._read_buffer[:SMALL_READ_BYTES]
+        return self._read_buffer[: self.max_read_bytes]
 
     @property
-    def is_body_received_whole(self) -> bool:
-        """Return whether a body is being received that is not forwarded yet."""
+    def max_read_bytes(self) -> int:
+        """Return the bytes that the next read takes at most."""
         raise NotImplementedError
 
     def buffer_updated(self, nbytes: int) -> None:
--- a/features/entry/caller_memory.feature
+++ b/features/entry/caller_memory.feature
@@ -11,3 +11,9 @@
       | a:\|        | 4096 |
       | a: b\|      | 1000 |
       | name: text\| | 1   |
+
+  # Guards against headers that stay in memory until the refused connection has ended.
+  Scenario: A refused head is dropped at once
+    Given a port for callers with heads of up to 4096 bytes
+    When a caller sends more headers of four bytes than the limit allows
+    Then it gets status 431 and the host holds none of them
