Bounded the memory of the requests of all callers together.

Hosts ended for lack of memory, or would have, while many callers sent heads or bodies within the limits and did not end them. Cause: heads were in no account, although small headers take some forty times their length, and bodies in one of 96 MiB a port whatever the host has. Change: one account for all ports of a host, an eighth of its memory, counts heads by the memory that they take, and bodies, until the response is complete. Beyond it the request that began first is refused with 503 and a Retry-After: a caller that keeps to the limits sends its request in one go. Requests of up to 16 KiB are never refused for it; their number is bounded with the connections. It replaces the older bound on bodies. The step that lowers that bound now sets this one, with no request counted as small, so that its check is as strict as before. Conclusion: memory no longer grows with the crowd; connections still do.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -11,6 +11,7 @@
 from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.body_streams import BodyStreams
+from damasktally.entry.caller_resources import request_memory
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.confirmations import Confirmations
@@ -264,6 +265,7 @@
             handlers,
             self._streams,
             self._streams.unsent,
+            request_memory(settings.limits),
         )
         self._tasks: list[Task] = []
         self._is_stopping = False
--- a/damasktally/entry/ports.py
+++ b/damasktally/entry/ports.py
@@ -12,6 +12,7 @@
 from damasktally.http1.inbound import CallerPort
 from damasktally.http1.port_state import Handler
 from damasktally.http1.request_body import UploadAdmission
+from damasktally.http1.request_memory import RequestMemory
 from damasktally.http1.unsent_responses import UnsentResponses
 
 LISTEN_BACKLOG = 512
@@ -47,20 +48,23 @@
         handlers: HostHandlers,
         uploads: UploadAdmission,
         unsent: UnsentResponses,
+        memory: RequestMemory,
     ) -> "HostPorts":
         """Return the ports for a host's settings.
 
         :param limits: returns the limits that hold for callers' requests.
         :param uploads: decides which request bodies are forwarded as they arrive.
         :param unsent: receives the connections at which whole responses wait.
+        :param memory: bounds the memory of all requests.
         """
-        callers = CallerPort(handle_request, limits, uploads, unsent)
-        forwarding = CallerPort(handle_forwarded, CallerLimits, uploads, unsent)
+        create = partial(CallerPort, memory=memory)
+        callers = create(handle_request, limits, uploads, unsent)
+        forwarding = create(handle_forwarded, CallerLimits, uploads, unsent)
         others = {
             listen.forwarding: forwarding,
-            listen.readiness: CallerPort(handlers.handle_readiness, CallerLimits),
-            listen.directory: CallerPort(handlers.handle_lookup, CallerLimits),
-            listen.metrics: CallerPort(handlers.handle_metrics, CallerLimits),
+            listen.readiness: create(handlers.handle_readiness, CallerLimits),
+            listen.directory: create(handlers.handle_lookup, CallerLimits),
+            listen.metrics: create(handlers.handle_metrics, CallerLimits),
         }
         used = {address: port for address, port in others.items() if address}
         return cls((listen.callers, callers), used, [callers, forwarding])
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -67,7 +67,9 @@
     :param link_mbps: bandwidth of the host's network link, in Mbit/s. Bodies that take
         10 ms or longer on it are forwarded as they arrive.
     :param memory_mb: memory that this host may use, in MB, from 16 to 1,000,000. Bodies
-        that are forwarded as they arrive take at most a quarter of it.
+        that are forwarded as they arrive take at most a quarter of it, and requests
+        that are received whole an eighth; beyond that, those of more than 16 KiB are
+        refused with 503, first the one that began first.
     """
 
     cores: Annotated[float, Meta(gt=0)] = 1.0
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -17,6 +17,8 @@
 
 MAX_ARRIVAL_S = 60.0
 """Seconds from a request's first byte until all of it has to be received."""
+OVERLOAD_RETRY_AFTER = (b"retry-after", b"0.5")
+"""Header of a refusal for lack of memory; the value is in seconds."""
 MAX_QUEUED_REQUESTS = 2
 """Pipelined requests that may wait on a connection before reading is paused."""
 
@@ -69,7 +71,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the buffered bytes and cancel the connection's requests."""
         self._port.connections.discard(self)
-        self._reader.release()
+        self._reader.close()
         self._output.cancel_abort()
         self.handle_disconnect()
         # Ends the wait for the last bytes of a response.
@@ -94,7 +96,7 @@
     def handle_disconnect(self) -> None:
         """Drop the queued requests and notify the one that is being handled."""
         for req in self._queue:
-            self._end_upload(req)
+            self._release(req)
         self._queue.clear()
         req = self._active_request
         if req is not None and not req.is_disconnected:
@@ -134,9 +136,7 @@
                 self._active_request = req
                 response = await self._handle(req)
                 self._active_request = None
-                self._reader.adjust_buffered_bytes(-len(req.body))
-                if req.upload is not None:
-                    self._end_upload(req)
+                self._release(req)
                 if self._output.has_stream:
                     if not await self._output.end_stream():
                         self._close_after_response()
@@ -204,8 +204,9 @@
         is_unread = req.upload is not None and not req.upload.is_complete
         return self._port.draining or not req.keep_alive or is_unread
 
-    def _end_upload(self, req: Request) -> None:
-        """Release the memory of a request's body."""
+    def _release(self, req: Request) -> None:
+        """Release the memory of a request."""
+        self._port.memory.release(req.held_bytes)
         if req.upload is not None:
             self._port.uploads.end(req.upload)
 
@@ -221,6 +222,10 @@
         if self._queue_task is None:
             self._write_refusal()
 
+    def evict(self) -> None:
+        """Refuse the request that is being received, for lack of memory."""
+        self.refuse(503, [OVERLOAD_RETRY_AFTER])
+
     def _write_refusal(self) -> None:
         """Write the refusal that waits, if there is one."""
         if self._refusal is not None and not self._transport.is_closing():
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -59,6 +59,8 @@
         are sent in chunks.
     :param begin_stream: begins a response whose body is forwarded as it arrives, or
         ``None`` if the request's connection cannot forward such a response.
+    :param held_bytes: memory that counts for the request until its response is
+        complete.
     """
 
     method: bytes
@@ -73,6 +75,7 @@
     upload: "RequestBody | None" = None
     accepts_chunks: bool = True
     begin_stream: StreamBeginner | None = None
+    held_bytes: int = 0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower-case name."""
--- a/damasktally/http1/port_state.py
+++ b/damasktally/http1/port_state.py
@@ -7,6 +7,7 @@
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.messages import Request, Response
 from damasktally.http1.request_body import UploadAdmission
+from damasktally.http1.request_memory import RequestMemory
 from damasktally.http1.shared_reads import make_read_buffer
 from damasktally.http1.unsent_responses import UnsentResponses
 
@@ -25,7 +26,7 @@
     :param draining: whether each response closes its connection, so that the caller
         connects to another host.
     :param closed: whether new connections are aborted without being read.
-    :param buffered_bytes: bytes of request bodies that are in memory.
+    :param memory: bounds the memory of requests.
     :param connections: open connections.
     :param read_buffer: for the reads of all connections.
     """
@@ -36,7 +37,7 @@
     unsent: UnsentResponses = field(default_factory=UnsentResponses)
     draining: bool = False
     closed: bool = False
-    buffered_bytes: int = 0
+    memory: RequestMemory = field(default_factory=RequestMemory)
     connections: set[Any] = field(default_factory=set)
     read_buffer: memoryview = field(default_factory=make_read_buffer)
 
--- a/damasktally/http1/request_head.py
+++ b/damasktally/http1/request_head.py
@@ -3,6 +3,7 @@
 import re
 
 from damasktally.http1.messages import Headers, find_header
+from damasktally.http1.request_memory import HEADER_OVERHEAD_BYTES
 
 HEADER_SEPARATOR_BYTES = 3
 """A colon and a line end; white space around a value is optional."""
@@ -15,14 +16,28 @@
     """Target and headers of a request.
 
     ``target`` holds path and query as the caller sent them; names in ``headers`` are in
-    lower case.
+    lower case. ``byte_count`` is the length of both as they were sent, at least.
     """
 
-    __slots__ = ("headers", "target")
+    __slots__ = ("byte_count", "headers", "target")
 
     def __init__(self) -> None:
         self.target = b""
         self.headers: Headers = []
+        self.byte_count = 0
+
+    def add_target(self, part: bytes) -> None:
+        """Append a part of the target."""
+        self.target += part
+        self.byte_count += len(part)
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Append a header.
+
+        :param name: in lower case.
+        """
+        self.headers.append((name, value))
+        self.byte_count += len(name) + len(value) + HEADER_SEPARATOR_BYTES
 
     def resolve_target(self) -> None:
         """Replace an absolute target by its path and query, and ``Host`` by its host.
@@ -40,12 +55,9 @@
         self.headers.insert(0, (b"host", host))
 
     @property
-    def byte_count(self) -> int:
-        """Return the bytes of the target and of all headers."""
-        return len(self.target) + sum(
-            len(name) + len(value) + HEADER_SEPARATOR_BYTES
-            for name, value in self.headers
-        )
+    def memory_bytes(self) -> int:
+        """Return an estimate of the memory that the head takes."""
+        return self.byte_count + HEADER_OVERHEAD_BYTES * len(self.headers)
 
     @property
     def content_length(self) -> int:
--- a/damasktally/http1/request_reader.py
+++ b/damasktally/http1/request_reader.py
@@ -10,6 +10,7 @@
 from damasktally.http1.port_state import PortState
 from damasktally.http1.request_body import RequestBody
 from damasktally.http1.request_head import RequestHead
+from damasktally.http1.request_memory import RequestHolder
 from damasktally.http1.request_parser import RequestParser, TunnelRequested
 from damasktally.http1.shared_reads import (
     HEAD_READ_BYTES,
@@ -17,13 +18,8 @@
     SMALL_READ_BYTES,
 )
 
-MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024
-"""Bytes of request bodies in memory for one port; beyond this, bodies get a 503."""
-OVERLOAD_RETRY_AFTER = (b"retry-after", b"0.5")
-"""Header of that 503; the value is in seconds."""
 
-
-class RequestReceiver(Protocol):
+class RequestReceiver(RequestHolder, Protocol):
     """The connection whose requests are read."""
 
     def queue_request(self, req: Request) -> None:
@@ -45,7 +41,7 @@
 
     They are read whole, unless the port forwards large bodies as they arrive.
 
-    :param port: limits of requests, and the account of their bodies.
+    :param port: limits of requests, and of the memory that all take.
     :param receiver: handles what was read.
 
     ``last_byte_at`` is when bytes arrived last, and ``started_at`` when the first byte
@@ -65,7 +61,7 @@
         self._loop = loop
         self._parser = RequestParser(self)
         self._transport: Transport | None = None
-        self._buffered_bytes = 0
+        self._held_bytes = 0
         self.upload: RequestBody | None = None
         self.last_byte_at = loop.time()
         self.is_closed = False
@@ -124,6 +120,8 @@
         is_too_long = self._head_bytes > self._port.limits().head_bytes
         if (self.is_in_head and is_too_long) or self._framing.is_exceeded():
             self._receiver.refuse(431)
+        elif not self.is_closed:
+            self._count_memory()
 
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
@@ -134,13 +132,26 @@
         """Take no more requests, and drop what was received of the current one."""
         self.is_closed = True
         if self.upload is None:
-            self.adjust_buffered_bytes(-len(self._body))
-            self._reset_message()
+            self.drop_message()
+
+    def drop_message(self) -> None:
+        """Drop what was received of the current request."""
+        self._port.memory.settle(self._receiver)
+        self._port.memory.release(self._held_bytes)
+        self._held_bytes = 0
+        self._reset_message()
+
+    def _count_memory(self) -> None:
+        """Count the memory of what was received, which may be refused for that."""
+        held_bytes = self._head.memory_bytes + len(self._body)
+        delta = held_bytes - self._held_bytes
+        self._held_bytes = held_bytes
+        self._port.memory.grow(self._receiver, held_bytes, delta)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
         if not self.is_closed:
-            self._head.target += url
+            self._head.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header with its name in lower case; drop a trailer.
@@ -151,7 +162,7 @@
         if self.is_closed:
             return
         if self.is_in_head:
-            self._head.headers.append((name.lower(), value))
+            self._head.add_header(name.lower(), value)
         else:
             self._framing.add_header(len(name) + len(value))
 
@@ -177,7 +188,7 @@
         """Return whether a body is forwarded as it arrives."""
         uploads = self._port.uploads
         return uploads is not None and uploads.is_large(
-            byte_count, self._port.buffered_bytes
+            byte_count, self._port.memory.total_bytes
         )
 
     def _begin_upload(self) -> None:
@@ -185,11 +196,13 @@
 
         What has arrived of a body in chunks is its first part.
         """
+        self._count_memory()
+        if self.is_closed:
+            return
         body = RequestBody(self._head, self._transport, self._loop)
         if not self._port.uploads.admit(body):
             body.refuse()
         received, self._body = bytes(self._body), bytearray()
-        self.adjust_buffered_bytes(-len(received))
         self.upload = body
         self._queue_request()
         body.feed(received)
@@ -209,25 +222,8 @@
             self.upload.feed(data)
             return
         self._body += data
-        self.adjust_buffered_bytes(len(data))
         if self._head.is_chunked and self._is_large(len(self._body)):
             self._begin_upload()
-        elif self._port.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
-            self._receiver.refuse(503, [OVERLOAD_RETRY_AFTER])
-
-    def adjust_buffered_bytes(self, delta: int) -> None:
-        """Add to the buffered bytes of this connection and of its port.
-
-        All bytes are released when the connection is lost, also those of a request
-        that is still being handled and whose end releases them again.
-        """
-        delta = max(delta, -self._buffered_bytes)
-        self._buffered_bytes += delta
-        self._port.buffered_bytes += delta
-
-    def release(self) -> None:
-        """Release all buffered bytes, as the connection is lost."""
-        self.adjust_buffered_bytes(-self._buffered_bytes)
 
     def on_message_complete(self) -> None:
         """Queue the request, unless it was queued before its body arrived."""
@@ -242,6 +238,9 @@
 
     def _queue_request(self) -> None:
         """Queue the request whose head, and body if it has one, were read."""
+        self._count_memory()
+        if self.is_closed:
+            return
         req = Request(
             method=self._parser.method,
             target=self._head.target,
@@ -252,5 +251,9 @@
             keep_alive=self._parser.should_keep_alive(),
             upload=self.upload,
             accepts_chunks=not self._parser.is_http_1_0,
+            held_bytes=self._held_bytes,
         )
+        self._head, self._body = RequestHead(), bytearray()
+        self._held_bytes = 0
+        self._port.memory.settle(self._receiver)
         self._receiver.queue_request(req)
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -8,6 +8,7 @@
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.inbound import CallerConnection, CallerPort
 from damasktally.http1.messages import Response
+from damasktally.http1.request_memory import RequestMemory
 
 HEAD_BYTES = 4096
 TURNS = 50
@@ -118,3 +119,102 @@
     written = context.conn._transport.written
     assert written.startswith(b"HTTP/1.1 %d " % status), written
     assert not context.conn._reader._head.headers
+
+
+@given("memory for requests of {count:d} bytes, of which one of {small:d} is small")
+def given_memory(context, count, small):
+    """Create a port whose requests share that memory."""
+    given_port(context)
+    context.caller_port.memory = RequestMemory(count, small)
+    context.callers = {}
+
+
+def begin_body(context, caller: int, size: int) -> None:
+    """Send a request without the last byte of its body."""
+    conn = context.loop.run_until_complete(connect(context))
+    context.callers[caller] = conn
+    feed(conn, b"POST /pay/1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size)
+    feed(conn, b"x" * (size - 1))
+
+
+@when("callers {first:d} to {last:d} begin bodies of {size:d} bytes")
+def when_bodies_begin(context, first, last, size):
+    """Send all of each body but its last byte."""
+    for caller in range(first, last + 1):
+        begin_body(context, caller, size)
+
+
+@given("{count:d} requests with bodies of {size:d} bytes are being handled")
+def given_handled(context, count, size):
+    """Complete requests whose handling does not end."""
+    never = context.loop.create_future()
+
+    def end():
+        never.cancel()
+        run_turns(context)
+
+    context.cleanups.append(end)
+
+    async def wait(req) -> Response:
+        await never
+
+    handle, context.caller_port.handle = context.caller_port.handle, wait
+    for number in range(count):
+        begin_body(context, -1 - number, size)
+        feed(context.callers[-1 - number], b"x")
+    run_turns(context)
+    context.caller_port.handle = handle
+
+
+@then("callers {first:d} to {last:d} get status {status:d} with a Retry-After")
+def then_refused(context, first, last, status):
+    """Check that they are told when to come back."""
+    for caller in range(first, last + 1):
+        written = context.callers[caller]._transport.written
+        assert written.startswith(b"HTTP/1.1 %d " % status), (caller, written)
+        assert b"retry-after: " in written
+
+
+@then("callers {first:d} to {last:d} have no response yet")
+def then_waiting(context, first, last):
+    """Check that they may complete their requests."""
+    for caller in range(first, last + 1):
+        assert not context.callers[caller]._transport.written, caller
+
+
+@then("a request with a body of {size:d} bytes is served")
+def then_served(context, size):
+    """Send a whole request."""
+    begin_body(context, 0, size)
+    feed(context.callers[0], b"x")
+    run_turns(context)
+    assert context.callers[0]._transport.written.startswith(b"HTTP/1.1 200 ")
+
+
+@then("the requests that are left take at most {count:d} bytes")
+def then_memory_bounded(context, count):
+    """Check the account."""
+    assert 0 < context.caller_port.memory.total_bytes <= count
+
+
+@when("they disconnect, send bytes that are no HTTP, send too much, and complete it")
+def when_they_end(context):
+    """End the four requests, each in another way."""
+    first, second, third, fourth = (context.callers[n] for n in range(1, 5))
+    first.connection_lost(None)
+    feed(second, b"x" + b"\x00 no HTTP\r\n\r\n")
+    feed(third, b"xGET / HTTP/1.1\r\n")
+    while not third._transport.written:
+        feed(third, b"a: b\r\n" * 100)
+        run_turns(context)
+    feed(fourth, b"x")
+    run_turns(context)
+    for conn in (second, third, fourth):
+        conn.connection_lost(None)
+
+
+@then("requests take no memory")
+def then_released(context):
+    """Check that the account is neither more nor less than zero."""
+    run_turns(context)
+    assert context.caller_port.memory.total_bytes == 0
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -10,7 +10,7 @@
 from damasktally.decisions.affinity import rank_servers
 from damasktally.entry.host import EntryHost
 from damasktally.entry.settings import EntrySettings
-from damasktally.http1 import request_reader
+from damasktally.http1.request_memory import RequestMemory
 from damasktally.standins.ports import free_port
 from features.steps.entry_harness import (
     BOUNDS,
@@ -395,7 +395,7 @@
 def then_released_once(context):
     """Wait for the answer and check the counted bytes, which must not be negative."""
     context.loop_thread.run(sleep(0.8))
-    assert context.host._ports.callers.buffered_bytes == 0
+    assert context.host._ports.callers.memory.total_bytes == 0
 
 
 @given("the handler of requests raises an error")
@@ -797,10 +797,8 @@
 
 @given("the host may buffer {count:d} bytes of bodies")
 def given_body_limit(context, count):
-    """Lower the host's limit on buffered bodies."""
-    old = request_reader.MAX_BUFFERED_BODY_BYTES
-    request_reader.MAX_BUFFERED_BODY_BYTES = count
-    context.add_cleanup(setattr, request_reader, "MAX_BUFFERED_BODY_BYTES", old)
+    """Lower the host's limit on the memory of requests, of which none is small."""
+    context.host._ports.callers.memory = RequestMemory(count, small_bytes=0)
 
 
 @when("3 callers begin bodies of 1000 bytes and finish them later")
@@ -839,7 +837,7 @@
 def then_released(context):
     """Check that the buffers of refused and answered bodies are released."""
     context.loop_thread.run(
-        wait_until(lambda: context.host._ports.callers.buffered_bytes == 0)
+        wait_until(lambda: context.host._ports.callers.memory.total_bytes == 0)
     )
 
 
