Took requests that arrive together one by one, and in turn with those of others.

Cause: one read held up to 1,820 requests, all were parsed at once, handled in one turn of the event loop, and their responses written whether or not the caller read. Change: a read is parsed up to the end of a message at a time, and what follows waits in the connection until few requests are queued. After each of several requests the other connections have their turn, and the next is handled once the kernel has taken the last response, of which it holds 16 KiB. Empty lines before a request are skipped by themselves. Conclusion: a connection costs others one request a turn.

--- a/damasktally/http1/caller_output.py
+++ b/damasktally/http1/caller_output.py
@@ -1,13 +1,16 @@
 """Write to a caller's connection responses that are forwarded as they arrive."""
 
-from asyncio import AbstractEventLoop, Future, TimerHandle, Transport
+from asyncio import AbstractEventLoop, Future, TimerHandle, Transport, sleep
 from asyncio import timeout as async_timeout
 from collections.abc import Callable
 from contextlib import suppress
 
 from damasktally.http1.messages import Response
 from damasktally.http1.response_stream import ResponseStream
-from damasktally.http1.socket_options import unacknowledged_bytes
+from damasktally.http1.socket_options import (
+    limit_pipelined_responses,
+    unacknowledged_bytes,
+)
 
 LINGERING_CLOSE_S = 1.0
 """Seconds for which a connection is still read after its last response was sent.
@@ -37,6 +40,7 @@
         self._loop = loop
         self._stream: ResponseStream | None = None
         self._is_writable = True
+        self._is_pipelined = False
         self._flushed: Future[None] | None = None
         self._abort_timer: TimerHandle | None = None
 
@@ -98,6 +102,20 @@
             return False
         return not stream.closes_connection
 
+    async def end_turn(self) -> bool:
+        """Let other connections go on before the next of several requests is handled.
+
+        Its response follows once the last one was passed to the kernel, which holds
+        few bytes of a caller that does not read.
+
+        :returns: whether the connection may be used for another response.
+        """
+        if not self._is_pipelined:
+            self._is_pipelined = True
+            limit_pipelined_responses(self._transport.get_extra_info("socket"))
+        await sleep(0)
+        return await self._flush()
+
     def end(self) -> None:
         """Close the writing side, and abort once all was sent, or the caller stops.
 
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -119,11 +119,16 @@
         """Return whether an interim response would interrupt no other one."""
         return not self._output.has_stream
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether more requests have to wait until others were handled."""
+        return len(self._queue) > MAX_QUEUED_REQUESTS
+
     def queue_request(self, req: Request) -> None:
         """Queue a request, and start the queue task unless it is running."""
         req.begin_stream = self._begin_stream
         self._queue.append(req)
-        if len(self._queue) > MAX_QUEUED_REQUESTS:
+        if self.is_full:
             self._transport.pause_reading()
         if self._queue_task is None:
             self._queue_task = self._loop.create_task(self._process_queue())
@@ -132,27 +137,36 @@
         """Handle queued requests in order until none is left or the connection ends."""
         try:
             while self._queue and not self._transport.is_closing():
-                req = self._queue.popleft()
-                self._active_request = req
-                response = await self._handle(req)
-                self._active_request = None
-                self._release(req)
-                if self._output.has_stream:
-                    if not await self._output.end_stream():
-                        self._close_after_response()
-                        return
-                    continue
-                if req.is_disconnected:
-                    self._write_refusal()
+                if not await self._respond(self._queue.popleft()):
                     return
-                if not self._write_response(req, response):
+                self._reader.resume()
+                if self._queue and not await self._output.end_turn():
+                    self._transport.abort()
                     return
             self._write_refusal()
         finally:
-            self._active_request = None
             self._queue_task = None
             self._reader.last_byte_at = self._loop.time()
-            self._resume_reading()
+            self._reader.resume()
+
+    async def _respond(self, req: Request) -> bool:
+        """Handle a request and send its response.
+
+        :returns: whether the connection may be used for another response.
+        """
+        self._active_request = req
+        response = await self._handle(req)
+        self._active_request = None
+        self._release(req)
+        if self._output.has_stream:
+            if await self._output.end_stream():
+                return True
+            self._close_after_response()
+            return False
+        if req.is_disconnected:
+            self._write_refusal()
+            return False
+        return self._write_response(req, response)
 
     async def _handle(self, req: Request) -> Response:
         """Return the handler's response, or a 500 if it raises.
@@ -179,11 +193,6 @@
         close = self._closes_after(req)
         return self._output.begin_stream(head, length, close)
 
-    def _resume_reading(self) -> None:
-        """Read from the connection again if reading was paused."""
-        if not self._transport.is_closing() and not self._transport.is_reading():
-            self._transport.resume_reading()
-
     def _write_response(self, req: Request, response: Response) -> bool:
         """Write a response.
 
--- a/damasktally/http1/request_reader.py
+++ b/damasktally/http1/request_reader.py
@@ -18,6 +18,12 @@
     SMALL_READ_BYTES,
 )
 
+MESSAGE_END = b"\r\n\r\n"
+"""Ends each head, and each body in chunks."""
+LINE_END = b"\r\n"
+MIN_SLICE_BYTES = 64
+"""Bytes that are parsed at a time at least, if there are as many."""
+
 
 class RequestReceiver(RequestHolder, Protocol):
     """The connection whose requests are read."""
@@ -31,6 +37,10 @@
     def handle_disconnect(self) -> None:
         """End the requests of the connection."""
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether more requests have to wait until others were handled."""
+
     @property
     def may_interrupt(self) -> bool:
         """Return whether an interim response may be written now."""
@@ -62,6 +72,7 @@
         self._parser = RequestParser(self)
         self._transport: Transport | None = None
         self._held_bytes = 0
+        self._unparsed = b""
         self.upload: RequestBody | None = None
         self.last_byte_at = loop.time()
         self.is_closed = False
@@ -73,6 +84,8 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
+        self._remaining_body_bytes = 0
+        self._is_begun = False
         self._framing = FramingCounter(self._port.limits().head_bytes)
         self.started_at: float | None = None
         self.is_in_head = True
@@ -94,17 +107,64 @@
         self._transport = transport
 
     def feed(self, data: bytes | memoryview) -> None:
-        """Parse received bytes and check the size of the head.
+        """Parse received bytes, as far as the receiver has room for requests."""
+        self.last_byte_at = self._loop.time()
+        if self.is_closed:
+            return
+        if self.started_at is None:
+            self.started_at = self.last_byte_at
+        if self._unparsed:
+            data = self._unparsed + bytes(data)
+        self._parse_available(data)
+
+    def resume(self) -> None:
+        """Parse what waited until the receiver had room, and read on."""
+        data, self._unparsed = self._unparsed, b""
+        self._parse_available(data)
+        if not (self._unparsed or self._receiver.is_full):
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read from the connection again if reading was paused."""
+        if not self._transport.is_closing() and not self._transport.is_reading():
+            self._transport.resume_reading()
+
+    def _parse_available(self, data: bytes | memoryview) -> None:
+        """Parse some bytes until the receiver has no room; the rest waits."""
+        if len(data) <= self._remaining_body_bytes:
+            self._parse(data)
+            return
+        data, start = bytes(data), 0
+        while start < len(data) and not (self.is_closed or self._receiver.is_full):
+            if not self._is_begun and data[start] in LINE_END:
+                start = self._skip_empty_lines(data, start)
+                continue
+            end = self._slice_end(data, start)
+            self._parse(data[start:end])
+            start = end
+        if start < len(data) and not self.is_closed:
+            self._unparsed = data[start:]
+            self._transport.pause_reading()
+
+    def _slice_end(self, data: bytes, start: int) -> int:
+        """Return the end of the bytes to parse next, which end few requests."""
+        min_end = start + self._remaining_body_bytes + MIN_SLICE_BYTES
+        end = data.find(MESSAGE_END, min_end)
+        return len(data) if end < 0 else end + len(MESSAGE_END)
+
+    def _skip_empty_lines(self, data: bytes, start: int) -> int:
+        """Return where a request begins; the empty lines before it count as a head."""
+        end = len(data) - len(data[start:].lstrip(LINE_END))
+        self._head_bytes += end - start
+        self._check_sizes()
+        return end
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse some bytes and check the sizes of what was read.
 
         The head is limited while it arrives, too, so that an endless one does not
         fill the memory.
         """
-        now = self._loop.time()
-        self.last_byte_at = now
-        if self.is_closed:
-            return
-        if self.started_at is None:
-            self.started_at = now
         if self.is_in_head:
             self._head_bytes += len(data)
         else:
@@ -113,24 +173,28 @@
             self._parser.feed(data)
         except HttpParserError:
             self._receiver.refuse(400)
-            return
         except TunnelRequested:
             self._receiver.refuse(501)
-            return
+        self._check_sizes()
+        if not self.is_closed:
+            self._count_memory()
+
+    def _check_sizes(self) -> None:
+        """Refuse a request whose head or framing is too long."""
         is_too_long = self._head_bytes > self._port.limits().head_bytes
         if (self.is_in_head and is_too_long) or self._framing.is_exceeded():
             self._receiver.refuse(431)
-        elif not self.is_closed:
-            self._count_memory()
 
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
         self._reset_message()
+        self._is_begun = True
         self.started_at = self.last_byte_at
 
     def close(self) -> None:
         """Take no more requests, and drop what was received of the current one."""
         self.is_closed = True
+        self._unparsed = b""
         if self.upload is None:
             self.drop_message()
 
@@ -178,6 +242,7 @@
         if head.content_length > limits.body_bytes:
             self._receiver.refuse(413)
             return
+        self._remaining_body_bytes = head.content_length
         head.resolve_target()
         if self._is_large(head.content_length):
             self._begin_upload()
@@ -213,6 +278,7 @@
             return
         self._framing.add_body(len(data))
         self._body_bytes += len(data)
+        self._remaining_body_bytes = max(0, self._remaining_body_bytes - len(data))
         if self._body_bytes > self._port.limits().body_bytes:
             self._receiver.refuse(413)
             if self.upload is not None:
--- a/damasktally/http1/socket_options.py
+++ b/damasktally/http1/socket_options.py
@@ -28,6 +28,8 @@
 """Bytes of a body that is forwarded as it arrives which the kernel may hold on each
 side. By itself it takes several megabytes from a sender that is faster than its reader.
 """
+PIPELINE_BUFFER_BYTES = 16 * 1024
+"""Bytes of responses to pipelined requests that the kernel may hold."""
 LINGER_FOR_NO_TIME = pack("ii", 1, 0)
 """The option is on, with a time of 0 seconds."""
 
@@ -52,6 +54,12 @@
         sock.setsockopt(SOL_SOCKET, SO_SNDBUF, STREAM_BUFFER_BYTES)
 
 
+def limit_pipelined_responses(sock: socket | None) -> None:
+    """Limit the bytes that the kernel holds of responses that a peer does not read."""
+    if sock is not None:
+        sock.setsockopt(SOL_SOCKET, SO_SNDBUF, PIPELINE_BUFFER_BYTES)
+
+
 def limit_receive_buffer(sock: socket | None) -> None:
     """Limit the bytes that the kernel holds until they are read here."""
     if sock is not None:
--- a/features/entry/caller_memory.feature
+++ b/features/entry/caller_memory.feature
@@ -39,3 +39,39 @@
     When callers 1 to 4 begin bodies of 20000 bytes
     And they disconnect, send bytes that are no HTTP, send too much, and complete it
     Then requests take no memory
+
+  # Guards against a read that holds thousands of requests.
+  Scenario Outline: Of many requests that arrive at once, few are held, and all are answered in order: reads of <size> B
+    Given a port for callers with heads of up to 4096 bytes
+    When a caller sends 300 requests in reads of <size> B before any is handled
+    Then at most 7 requests are held and reading is paused
+    And the caller gets all 300 responses in order
+
+    Examples:
+      | size |
+      | 1    |
+      | 21   |
+      | 4096 |
+
+  Scenario: A caller that sends many requests lets others have their turn
+    Given a port for callers with heads of up to 4096 bytes
+    When a caller sends 100 requests at once, and another one a single request
+    Then the other's request is among the first 3 that are handled
+
+  Scenario: A caller that does not read its responses has no more requests handled
+    Given a port for callers with heads of up to 4096 bytes
+    When a caller that reads nothing sends 100 requests
+    Then 1 request is handled until the caller reads
+    And the connection is aborted after the idle timeout
+
+  Scenario Outline: Empty lines before a request are skipped up to the limit on heads: <line>
+    Given a port for callers with heads of up to 4096 bytes
+    When a caller sends empty lines of <line> for <size> bytes, then a request
+    Then its <outcome>
+
+    Examples:
+      | line  | size | outcome                |
+      | CR LF | 4000 | request is handled     |
+      | LF    | 4000 | request is handled     |
+      | CR LF | 5000 | request is refused     |
+      | LF    | 5000 | request is refused     |
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -1,6 +1,6 @@
 """Steps for the connection of one caller, without a network."""
 
-from asyncio import new_event_loop, sleep
+from asyncio import all_tasks, new_event_loop, sleep
 
 from behave import given, then, when
 from endless_steps import FakeTransport
@@ -60,7 +60,7 @@
 def given_port(context):
     """Create a port whose requests are all answered with status 200."""
     context.loop = new_event_loop()
-    context.cleanups.append(context.loop.close)
+    context.cleanups.append(lambda: end_loop(context.loop))
     context.limits = CallerLimits(head_bytes=HEAD_BYTES)
     context.handled = []
 
@@ -71,10 +71,18 @@
     context.caller_port = CallerPort(handle, lambda: context.limits)
 
 
-async def connect(context) -> CallerConnection:
+def end_loop(loop) -> None:
+    """Cancel what is still handled, and close an event loop."""
+    for task in all_tasks(loop):
+        task.cancel()
+    loop.run_until_complete(sleep(0))
+    loop.close()
+
+
+async def connect(context, transport=None) -> CallerConnection:
     """Connect a caller to the port."""
     conn = context.caller_port.create_protocol()
-    conn.connection_made(ReadingTransport())
+    conn.connection_made(transport or ReadingTransport())
     return conn
 
 
@@ -149,12 +157,6 @@
     """Complete requests whose handling does not end."""
     never = context.loop.create_future()
 
-    def end():
-        never.cancel()
-        run_turns(context)
-
-    context.cleanups.append(end)
-
     async def wait(req) -> Response:
         await never
 
@@ -218,3 +220,109 @@
     """Check that the account is neither more nor less than zero."""
     run_turns(context)
     assert context.caller_port.memory.total_bytes == 0
+
+
+@when("a caller sends {count:d} requests in reads of {size:d} B before any is handled")
+def when_many_sent(context, count, size):
+    """Send pipelined requests as far as the host reads; the rest waits."""
+    context.conn = context.loop.run_until_complete(connect(context))
+    data = b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % number for number in range(count))
+    reads = [data[start : start + size] for start in range(0, len(data), size)]
+    context.unsent = feed_while_read(context.conn, reads)
+
+
+def feed_while_read(conn: CallerConnection, reads: list[bytes]) -> list[bytes]:
+    """Pass reads to a connection until it pauses; return those that are left."""
+    while reads and conn._transport.is_reading():
+        feed(conn, reads[0])
+        reads = reads[1:]
+    return reads
+
+
+@then("at most {count:d} requests are held and reading is paused")
+def then_few_held(context, count):
+    """Check the queue before the event loop runs."""
+    assert len(context.conn._queue) <= count, len(context.conn._queue)
+    assert not context.conn._transport.is_reading()
+
+
+@then("the caller gets all {count:d} responses in order")
+def then_all_in_order(context, count):
+    """Let the host handle and read on until nothing is left."""
+    while len(context.handled) < count:
+        run_turns(context)
+        context.unsent = feed_while_read(context.conn, context.unsent)
+    run_turns(context)
+    targets = [req.target for req in context.handled]
+    assert targets == [b"/%d" % number for number in range(count)], targets
+    assert context.conn._transport.written.count(b"HTTP/1.1 200 ") == count
+    assert context.caller_port.memory.total_bytes == 0
+    assert context.conn._transport.is_reading()
+
+
+@when("a caller sends {count:d} requests at once, and another one a single request")
+def when_other_sends(context, count):
+    """Send all of them before the event loop runs."""
+    first = context.loop.run_until_complete(connect(context))
+    other = context.loop.run_until_complete(connect(context))
+    feed(first, b"GET / HTTP/1.1\r\n\r\n" * count)
+    feed(other, b"GET /other HTTP/1.1\r\n\r\n")
+
+
+@then("the other's request is among the first {count:d} that are handled")
+def then_handled_soon(context, count):
+    """Check the order of handling."""
+    run_turns(context)
+    first = [req.target for req in context.handled[:count]]
+    assert b"/other" in first, first
+
+
+class UnreadTransport(ReadingTransport):
+    """Transport whose peer reads nothing."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return that all that was written waits."""
+        return len(self.written)
+
+
+@when("a caller that reads nothing sends {count:d} requests")
+def when_unread(context, count):
+    """Send pipelined requests with a short idle timeout."""
+    context.limits = CallerLimits(head_bytes=HEAD_BYTES, idle_timeout_s=0.2)
+    context.conn = context.loop.run_until_complete(connect(context, UnreadTransport()))
+    feed(context.conn, b"GET / HTTP/1.1\r\n\r\n" * count)
+
+
+@then("1 request is handled until the caller reads")
+def then_one_handled(context):
+    """Check that the next one waits."""
+    run_turns(context)
+    assert len(context.handled) == 1, len(context.handled)
+
+
+@then("the connection is aborted after the idle timeout")
+def then_aborted(context):
+    """Wait for it."""
+    context.loop.run_until_complete(sleep(0.3))
+    assert context.conn._transport.is_closed
+    assert len(context.handled) == 1, len(context.handled)
+
+
+@when("a caller sends empty lines of {line} for {size:d} bytes, then a request")
+def when_empty_lines(context, line, size):
+    """Send them in reads of 100 bytes."""
+    context.conn = context.loop.run_until_complete(connect(context))
+    ending = {"CR LF": b"\r\n", "LF": b"\n"}[line]
+    for _ in range(size // 100):
+        feed(context.conn, ending * (100 // len(ending)))
+    if not context.conn._transport.written:
+        feed(context.conn, b"\r\nGET / HTTP/1.1\r\n\r\n")
+    run_turns(context)
+
+
+@then("its request is refused")
+def then_refused_too_long(context):
+    """Check that the empty lines were too many."""
+    written = context.conn._transport.written
+    assert written.startswith(b"HTTP/1.1 431 "), written
+    assert not context.handled
