Dropped what waits of a body once its request has ended.

Cause: when a request whose body is forwarded got its response before the body was there, its memory was released in the account, but what waited, 120 KB on average, stayed with the connection until that had ended. Change: the end of the request drops it, and what still arrives. The new scenario failed before. Conclusion: the account of forwarded bodies holds again.

--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -217,6 +217,7 @@
         """Release the memory of a request."""
         self._port.memory.release(req.held_bytes)
         if req.upload is not None:
+            req.upload.discard()
             self._port.uploads.end(req.upload)
 
     def refuse(self, status: int, headers: Headers | None = None) -> None:
--- a/damasktally/http1/request_body.py
+++ b/damasktally/http1/request_body.py
@@ -88,6 +88,11 @@
         """Drop the body, as the host has no memory for it."""
         self.is_refused = True
 
+    def discard(self) -> None:
+        """Drop what waits and what is still to come, as the request has ended."""
+        self.is_refused = True
+        self._waiting = bytearray()
+
     def finish(self) -> None:
         """Record that the whole body was received."""
         self.is_complete = True
--- a/features/entry/caller_memory.feature
+++ b/features/entry/caller_memory.feature
@@ -82,3 +82,9 @@
     When a caller sends a body of 600 bytes in chunks of one byte in one read
     Then the limits were looked up at most 10 times
     And its request is handled with a body of 600 bytes
+
+  Scenario: A body that is still arriving holds nothing once its request has ended
+    Given a port for callers with heads of up to 4096 bytes
+    And bodies are forwarded as they arrive
+    When a caller sends 40000 of 90000 bytes, and gets a response
+    Then 0 bytes of the body wait in the host
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -356,3 +356,40 @@
 def then_whole_body(context, size):
     """Check the body that is handled."""
     assert [req.body for req in context.handled] == [b"x" * size]
+
+
+class EveryUpload:
+    """Admission by which every body is forwarded as it arrives."""
+
+    def is_large(self, byte_count: int, buffered_bytes: int) -> bool:
+        """Return that every body is large."""
+        return True
+
+    def admit(self, body) -> bool:
+        """Return that there is memory."""
+        return True
+
+    def end(self, body) -> None:
+        """Release nothing."""
+
+
+@given("bodies are forwarded as they arrive")
+def given_uploads(context):
+    """Admit all bodies."""
+    context.caller_port.uploads = EveryUpload()
+
+
+@when("a caller sends {part:d} of {size:d} bytes, and gets a response")
+def when_answered_early(context, part, size):
+    """Send a part of a body whose request is answered at once."""
+    context.conn = context.loop.run_until_complete(connect(context))
+    feed(context.conn, b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size)
+    feed(context.conn, b"x" * part)
+    run_turns(context)
+    assert context.conn._transport.written.startswith(b"HTTP/1.1 200 ")
+
+
+@then("{count:d} bytes of the body wait in the host")
+def then_waiting_bytes(context, count):
+    """Check what the connection still holds."""
+    assert context.conn._reader.upload.waiting_bytes == count
