Read less at a time of bodies in tiny chunks.

After 300 connections that send chunks of one byte had gone, an ordinary request got 503 no-server (two trials): a round of the event loop took seconds, and connections to servers timed out. Cause: a read of a body that is received whole takes 256 KiB, which is 43,690 such chunks and some ten milliseconds. Change: while most of a body is framing, a read takes 4 KiB, as of a head.

--- a/damasktally/http1/framing.py
+++ b/damasktally/http1/framing.py
@@ -42,6 +42,11 @@
         self._body_bytes += byte_count
         self._unfinished_bytes = 0
 
+    @property
+    def is_mostly_framing(self) -> bool:
+        """Return whether more framing than body was received, as with tiny chunks."""
+        return self._framing_bytes > self._body_bytes
+
     def is_exceeded(self) -> bool:
         """Return whether the message is beyond a limit."""
         allowed_bytes = self._max_head_bytes + MAX_FRAMING_RATIO * self._body_bytes
--- a/damasktally/http1/request_reader.py
+++ b/damasktally/http1/request_reader.py
@@ -96,11 +96,12 @@
     def max_read_bytes(self) -> int:
         """Return the bytes that the next read takes at most.
 
-        More are read of a body that is received whole, and of what is dropped.
+        More are read of a body that is received whole, and of what is dropped. Tiny
+        chunks take as much time to parse as small headers.
         """
         if self.is_closed:
             return READ_BYTES
-        if self.is_in_head:
+        if self.is_in_head or self._framing.is_mostly_framing:
             return HEAD_READ_BYTES
         return READ_BYTES if self.upload is None else SMALL_READ_BYTES
 
--- a/damasktally/http1/shared_reads.py
+++ b/damasktally/http1/shared_reads.py
@@ -13,7 +13,8 @@
 all of them if its reader is slow."""
 HEAD_READ_BYTES = 4 * 1024
 """Bytes that a read of a caller's request head takes at most. Small headers take many
-times their length in memory, and a read can hold many requests."""
+times their length in memory, and a read can hold many requests. The same holds for
+bodies in tiny chunks."""
 
 
 def make_read_buffer() -> memoryview:
--- a/features/entry/caller_memory.feature
+++ b/features/entry/caller_memory.feature
@@ -88,3 +88,8 @@
     And bodies are forwarded as they arrive
     When a caller sends 40000 of 90000 bytes, and gets a response
     Then 0 bytes of the body wait in the host
+
+  Scenario: Reads of a body in tiny chunks are small, and those of other bodies are not
+    Given a port for callers with heads of up to 4096 bytes
+    When callers send bodies in chunks of 1 and of 1000 bytes
+    Then the next reads take at most 4096 and 262144 bytes
--- a/features/entry/crowds.feature
+++ b/features/entry/crowds.feature
@@ -38,6 +38,7 @@
       | conduct                  | count |
       | chunks of one byte       | 30    |
       | requests without reading | 30    |
+      | chunks of one byte       | 300   |
 
   Scenario Outline: A crowd that takes all connections gives way to others: <port> port
     Given a host process with 100 MB of memory and 300 descriptors
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -393,3 +393,20 @@
 def then_waiting_bytes(context, count):
     """Check what the connection still holds."""
     assert context.conn._reader.upload.waiting_bytes == count
+
+
+@when("callers send bodies in chunks of 1 and of 1000 bytes")
+def when_chunk_sizes(context):
+    """Send a few chunks on one connection each."""
+    context.read_bytes = []
+    for chunk in (b"1\r\nx\r\n", b"3e8\r\n" + b"x" * 1000 + b"\r\n"):
+        conn = context.loop.run_until_complete(connect(context))
+        feed(conn, b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+        feed(conn, chunk * 3)
+        context.read_bytes.append(len(conn.get_buffer(-1)))
+
+
+@then("the next reads take at most {small:d} and {large:d} bytes")
+def then_read_sizes(context, small, large):
+    """Check the buffers."""
+    assert context.read_bytes == [small, large], context.read_bytes
