--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -11,6 +11,7 @@
 from damasktally.http1.request_memory import RequestMemory
 
 HEAD_BYTES = 4096
+READ_BYTES = 1000
 TURNS = 50
 """Turns of the event loop in which a request is handled."""
 REQUEST_LINE = b"GET /read/1 HTTP/1.1\r\n"
@@ -384,7 +385,8 @@
     """Send a part of a body whose request is answered at once."""
     context.conn = context.loop.run_until_complete(connect(context))
     feed(context.conn, b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size)
-    feed(context.conn, b"x" * part)
+    for _ in range(part // READ_BYTES):
+        feed(context.conn, b"x" * READ_BYTES)
     run_turns(context)
     assert context.conn._transport.written.startswith(b"HTTP/1.1 200 ")
 
