Ended connections that their callers have reset without an error of a task.

Hosts logged 'Task exception was never retrieved' with ENOTCONN beside crowds. Cause: after the last response the writing side is closed, which fails if the caller has reset the connection and the reset was not read yet; the connection was then not aborted either. Change: such a connection is aborted at once. Measured: the new scenario failed before. Conclusion: a reset at that moment is an end like any other.

--- a/damasktally/http1/caller_output.py
+++ b/damasktally/http1/caller_output.py
@@ -125,8 +125,13 @@
         if self._transport.is_closing():
             return
         unsent_bytes = self.unsent_bytes
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
+        try:
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, which was not read yet.
+            self._transport.abort()
+            return
         self._check_later(unsent_bytes, 0.0)
 
     def _check_later(self, unsent_bytes: int, stalled_s: float) -> None:
--- a/features/entry/caller_memory.feature
+++ b/features/entry/caller_memory.feature
@@ -93,3 +93,8 @@
     Given a port for callers with heads of up to 4096 bytes
     When callers send bodies in chunks of 1 and of 1000 bytes
     Then the next reads take at most 4096 and 262144 bytes
+
+  Scenario: A connection that its caller has reset ends without an error
+    Given a port for callers with heads of up to 4096 bytes
+    When a caller resets its connection just before its last response
+    Then the connection is aborted and no task has failed
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -1,6 +1,8 @@
 """Steps for the connection of one caller, without a network."""
 
 from asyncio import all_tasks, new_event_loop, sleep
+from errno import ENOTCONN
+from gc import collect
 
 from behave import given, then, when
 from endless_steps import FakeTransport
@@ -412,3 +414,31 @@
 def then_read_sizes(context, small, large):
     """Check the buffers."""
     assert context.read_bytes == [small, large], context.read_bytes
+
+
+class ResetTransport(ReadingTransport):
+    """Transport whose peer has reset the connection, which was not noticed yet."""
+
+    def write_eof(self) -> None:
+        """Fail as the kernel does."""
+        raise OSError(ENOTCONN, "Transport endpoint is not connected")
+
+
+@when("a caller resets its connection just before its last response")
+def when_reset(context):
+    """Ask for the end of the connection."""
+    context.task_errors = []
+    context.loop.set_exception_handler(
+        lambda loop, details: context.task_errors.append(details)
+    )
+    context.conn = context.loop.run_until_complete(connect(context, ResetTransport()))
+    feed(context.conn, b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+    run_turns(context)
+    collect()
+
+
+@then("the connection is aborted and no task has failed")
+def then_ended_quietly(context):
+    """Check the transport, and what the event loop was told."""
+    assert context.conn._transport.is_closed
+    assert not context.task_errors, context.task_errors
