Bounded the connections of each port, and closed the one that is missed least.

Cause: no port bounded what it takes. Change: each port has a part of the descriptors, which are those of the new setting [limits] max_descriptors or of the process. A new connection beyond it closes another one: whose last response was sent, else the one that has waited longest for its first request if many do, else the one that has been idle for longest; never one whose request is handled. 16 connections are accepted in a turn of the event loop, as closing takes some turns, from a backlog of 512 as before. State transfer has such a bound, too. Event callers-evicted and three gauges show it. Conclusion: a crowd can neither lock the door nor take what servers and the store need.

--- a/damasktally/entry/host.py
+++ b/damasktally/entry/host.py
@@ -11,13 +11,14 @@
 from damasktally.decisions.store_calls import StoreCalls
 from damasktally.decisions.store_reach import StoreReach
 from damasktally.entry.body_streams import BodyStreams
-from damasktally.entry.caller_resources import request_memory
+from damasktally.entry.caller_resources import OPERATORS_FRACTION, CallerResources
 from damasktally.entry.candidates import ServerCandidates
 from damasktally.entry.capacity_log import CapacityLog
 from damasktally.entry.confirmations import Confirmations
 from damasktally.entry.connection_pool import ConnectionPool
 from damasktally.entry.crash_protection import CrashProtection
 from damasktally.entry.draining import drain_requests
+from damasktally.entry.eviction_log import EvictionLog
 from damasktally.entry.fleet_gauges import update_fleet_gauges
 from damasktally.entry.follower_role import FollowerRole
 from damasktally.entry.forwarded_requests import ForwardedRequests
@@ -256,6 +257,7 @@
             self._bounds.max_lookup_ttl_s,
             self._rng,
         )
+        self._resources = CallerResources.from_config(settings.limits)
         forwarded = ForwardedRequests(self._requests, self._own.capacity)
         self._ports = HostPorts.from_config(
             settings.listen,
@@ -265,7 +267,10 @@
             handlers,
             self._streams,
             self._streams.unsent,
-            request_memory(settings.limits),
+            self._resources,
+        )
+        self._eviction_log = EvictionLog(
+            self._ports, self._resources.memory, self._metrics
         )
         self._tasks: list[Task] = []
         self._is_stopping = False
@@ -287,7 +292,9 @@
         """Start listening and exchanging state with the store and the other hosts."""
         peer_address = self._own.peer_address
         await self._peer_protocol.start(peer_address)
-        await self._transfer.start(peer_address)
+        await self._transfer.start(
+            peer_address, self._resources.connections(OPERATORS_FRACTION)
+        )
         await self._leases.start(self._settings.listen.leases)
         self._store_sync.start()
         self._blocked_requests.start()
@@ -394,6 +401,7 @@
         self._crash_suspects.remove_expired(now)
         self._time_guard.run_maintenance(now)
         self._capacity_log.log_changes(now)
+        self._eviction_log.log_changes()
         self._update_metrics(now)
 
     def _update_shares(self, now: float) -> None:
--- a/damasktally/entry/listening.py
+++ b/damasktally/entry/listening.py
@@ -1,8 +1,9 @@
-"""Bind ports that another socket may still use for a moment."""
+"""Listen on ports, which another socket may still use for a moment."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import Server, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
 from errno import EADDRINUSE
+from socket import SO_REUSEADDR, SOL_SOCKET, socket
 from typing import TypeVar
 
 from damasktally.errors import DamasktallyError
@@ -12,6 +13,11 @@
 PORT_TIMEOUT_S = 5.0
 """Time for a connection that happens to use the port, or an earlier process, to end."""
 PORT_RETRY_DELAY_S = 0.1
+LISTEN_BACKLOG = 512
+"""Maximum number of connections of a port that wait to be accepted."""
+MAX_ACCEPTED = 16
+"""Connections of a port that are accepted in one turn of the event loop. Those beyond
+the port's limit are closed some turns later, and need a descriptor until then."""
 
 Bound = TypeVar("Bound")
 
@@ -49,3 +55,30 @@
             emit(PORT_IN_USE, address=name)
             is_logged = True
         await sleep(PORT_RETRY_DELAY_S)
+
+
+async def listen_on(
+    address: tuple[str, int], create_server: Callable[..., Awaitable[Server]]
+) -> Server:
+    """Listen on a port.
+
+    :param address: host and port.
+    :param create_server: accepts the connections of a socket, as
+        :func:`asyncio.start_server` does, given ``sock`` and ``backlog``.
+    :raises PortInUse: if the port is in use for :data:`PORT_TIMEOUT_S`.
+    """
+
+    async def bind() -> Server:
+        sock = socket()
+        try:
+            sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+            sock.bind(address)
+            # The event loop also accepts as many connections in a turn.
+            server = await create_server(sock=sock, backlog=MAX_ACCEPTED)
+        except BaseException:
+            sock.close()
+            raise
+        sock.listen(LISTEN_BACKLOG)
+        return server
+
+    return await bind_port(bind, address)
--- a/damasktally/entry/metrics.py
+++ b/damasktally/entry/metrics.py
@@ -157,6 +157,21 @@
             "Responses that had to wait until the host had memory to forward them.",
             registry=self.registry,
         )
+        self.open_connections = Gauge(
+            "damasktally_entry_open_connections",
+            "Connections that are open at all ports for requests.",
+            registry=self.registry,
+        )
+        self.evicted_connections = Gauge(
+            "damasktally_entry_evicted_connections",
+            "Connections that were closed, as a port had too many.",
+            registry=self.registry,
+        )
+        self.evicted_requests = Gauge(
+            "damasktally_entry_evicted_requests",
+            "Requests that were refused while they arrived, for lack of memory.",
+            registry=self.registry,
+        )
         self.log_lines_left_out = Gauge(
             "damasktally_entry_log_lines_left_out",
             "Log lines that were dropped to bound the log volume.",
--- a/damasktally/entry/ports.py
+++ b/damasktally/entry/ports.py
@@ -3,20 +3,25 @@
 from asyncio import Server, get_running_loop, sleep
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from damasktally.addresses import split_address
+from damasktally.entry.caller_resources import (
+    CALLERS_FRACTION,
+    DIRECTORY_FRACTION,
+    FORWARDING_FRACTION,
+    OPERATORS_FRACTION,
+    CallerResources,
+)
 from damasktally.entry.host_handlers import HostHandlers
-from damasktally.entry.listening import bind_port
+from damasktally.entry.listening import listen_on
 from damasktally.entry.settings import ListenSection
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.inbound import CallerPort
 from damasktally.http1.port_state import Handler
 from damasktally.http1.request_body import UploadAdmission
-from damasktally.http1.request_memory import RequestMemory
 from damasktally.http1.unsent_responses import UnsentResponses
 
-LISTEN_BACKLOG = 512
-"""Maximum number of connections of a port that wait to be accepted."""
 STOP_POLL_INTERVAL_S = 0.05
 
 
@@ -48,23 +53,37 @@
         handlers: HostHandlers,
         uploads: UploadAdmission,
         unsent: UnsentResponses,
-        memory: RequestMemory,
+        resources: CallerResources,
     ) -> "HostPorts":
         """Return the ports for a host's settings.
 
         :param limits: returns the limits that hold for callers' requests.
         :param uploads: decides which request bodies are forwarded as they arrive.
         :param unsent: receives the connections at which whole responses wait.
-        :param memory: bounds the memory of all requests.
+        :param resources: what all of them may use.
         """
-        create = partial(CallerPort, memory=memory)
-        callers = create(handle_request, limits, uploads, unsent)
-        forwarding = create(handle_forwarded, CallerLimits, uploads, unsent)
+
+        def create(handle: Handler, fraction: float, *args: Any) -> CallerPort:
+            connections = resources.connections(fraction)
+            memory = resources.memory
+            return CallerPort(handle, *args, memory=memory, connections=connections)
+
+        streaming = (uploads, unsent)
+        callers = create(handle_request, CALLERS_FRACTION, limits, *streaming)
+        forwarding = create(
+            handle_forwarded, FORWARDING_FRACTION, CallerLimits, *streaming
+        )
         others = {
             listen.forwarding: forwarding,
-            listen.readiness: create(handlers.handle_readiness, CallerLimits),
-            listen.directory: create(handlers.handle_lookup, CallerLimits),
-            listen.metrics: create(handlers.handle_metrics, CallerLimits),
+            listen.readiness: create(
+                handlers.handle_readiness, OPERATORS_FRACTION, CallerLimits
+            ),
+            listen.directory: create(
+                handlers.handle_lookup, DIRECTORY_FRACTION, CallerLimits
+            ),
+            listen.metrics: create(
+                handlers.handle_metrics, OPERATORS_FRACTION, CallerLimits
+            ),
         }
         used = {address: port for address, port in others.items() if address}
         return cls((listen.callers, callers), used, [callers, forwarding])
@@ -73,14 +92,8 @@
         """Accept connections on all ports."""
         loop = get_running_loop()
         for name, port in self._by_address.items():
-            address = split_address(name)
-            bind = partial(
-                loop.create_server,
-                port.create_protocol,
-                *address,
-                backlog=LISTEN_BACKLOG,
-            )
-            self._servers.append(await bind_port(bind, address))
+            create = partial(loop.create_server, port.create_protocol)
+            self._servers.append(await listen_on(split_address(name), create))
 
     def drain(self) -> None:
         """Let each response close its connection, so that callers go elsewhere."""
@@ -112,6 +125,16 @@
         """Return the number of connections with a request under way."""
         return sum(port.busy_connection_count for port in self._request_ports)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections at all ports."""
+        return sum(len(port.connections) for port in self._by_address.values())
+
+    @property
+    def evicted_connection_count(self) -> int:
+        """Return how many connections were closed, as a port had too many."""
+        return sum(port.connections.evicted_count for port in self._by_address.values())
+
     def enforce_timeouts(self, now: float) -> None:
         """Close connections that exceeded a timeout.
 
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -70,12 +70,16 @@
         that are forwarded as they arrive take at most a quarter of it, and requests
         that are received whole an eighth; beyond that, those of more than 16 KiB are
         refused with 503, first the one that began first.
+    :param max_descriptors: open files and sockets that this host may have; 0 stands for
+        the limit of the process. Callers' connections may use about a third of them;
+        beyond that, the one that has waited or been idle for longest is closed.
     """
 
     cores: Annotated[float, Meta(gt=0)] = 1.0
     core_share: Annotated[float, Meta(gt=0)] = 1.0
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
     memory_mb: float = 200.0
+    max_descriptors: Annotated[int, Meta(ge=0)] = 0
 
 
 class FleetSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -24,7 +24,7 @@
 import msgspec
 
 from damasktally.decisions.source_selection import choose_source
-from damasktally.entry.listening import bind_port
+from damasktally.entry.listening import listen_on
 from damasktally.entry.state_messages import (
     ResponseFrames,
     StateRequest,
@@ -42,6 +42,7 @@
 from damasktally.fleet.summaries import SummaryTable
 from damasktally.fleet.topics import Topic
 from damasktally.fleet.view import FleetView
+from damasktally.http1.open_connections import OpenConnections
 
 RESPONSE_TIMEOUT_S = 1.5
 """Time in which a connection is established and the response begins, or in which a
@@ -125,14 +126,16 @@
         self._failed_at: dict[str, float] = {}
         self._frames = ResponseFrames()
         self._server = None
+        self._connections: OpenConnections | None = None
 
-    async def start(self, address: Address) -> None:
+    async def start(self, address: Address, connections: OpenConnections) -> None:
         """Listen for requests of peers.
 
         :param address: host and port to bind.
+        :param connections: bounds the connections of peers.
         """
-        bind = partial(start_server, self._serve, *address)
-        self._server = await bind_port(bind, address)
+        self._connections = connections
+        self._server = await listen_on(address, partial(start_server, self._serve))
 
     def close(self) -> None:
         """Stop listening and cancel pending requests."""
@@ -269,6 +272,7 @@
         return self._view.replace(topic, response.revision, specs, host, now)
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._connections.add(writer.transport)
         try:
             frame = await read_frame(reader, RESPONSE_TIMEOUT_S, IDLE_TIMEOUT_S)
             request = msgspec.msgpack.decode(frame, type=StateRequest)
@@ -278,6 +282,7 @@
         except TRANSFER_ERRORS as exc:
             emit(RELAY_FAILED, peer="unknown", reason=repr(exc))
         finally:
+            self._connections.discard(writer.transport)
             writer.close()
 
     def _encode_response(self, request: StateRequest) -> bytes:
--- a/damasktally/events/catalogue.py
+++ b/damasktally/events/catalogue.py
@@ -280,6 +280,14 @@
     "how many were, and for how long.",
     "None.",
 )
+CALLERS_EVICTED = Event(
+    527,
+    "callers-evicted",
+    "Connections were closed or requests refused since the last such line, to bound "
+    "descriptors and memory; first those that waited or took longest.",
+    "Look for callers that open many connections or never end their requests; raise "
+    "[limits] if ordinary callers do.",
+)
 HANDLER_FAILED = Event(
     513,
     "handler-failed",
--- a/damasktally/http1/inbound.py
+++ b/damasktally/http1/inbound.py
@@ -10,6 +10,7 @@
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.caller_output import CallerOutput
 from damasktally.http1.messages import Headers, Request, Response, encode_response
+from damasktally.http1.open_connections import ConnectionState
 from damasktally.http1.port_state import PortState
 from damasktally.http1.request_reader import RequestReader
 from damasktally.http1.response_stream import ResponseStream
@@ -131,6 +132,7 @@
         if self.is_full:
             self._transport.pause_reading()
         if self._queue_task is None:
+            self._port.connections.mark(self, ConnectionState.BUSY)
             self._queue_task = self._loop.create_task(self._process_queue())
 
     async def _process_queue(self) -> None:
@@ -146,6 +148,8 @@
             self._write_refusal()
         finally:
             self._queue_task = None
+            if not self._reader.is_closed:
+                self._port.connections.mark(self, ConnectionState.IDLE)
             self._reader.last_byte_at = self._loop.time()
             self._reader.resume()
 
@@ -245,6 +249,7 @@
     def _close_after_response(self) -> None:
         """Take no more requests, and close the connection."""
         self._reader.close()
+        self._port.connections.mark(self, ConnectionState.ENDED)
         self._output.end()
 
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
--- a/damasktally/http1/port_state.py
+++ b/damasktally/http1/port_state.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from damasktally.fleet.model import CallerLimits
 from damasktally.http1.messages import Request, Response
+from damasktally.http1.open_connections import (
+    DEFAULT_MAX_CONNECTIONS,
+    OpenConnections,
+)
 from damasktally.http1.request_body import UploadAdmission
 from damasktally.http1.request_memory import RequestMemory
 from damasktally.http1.shared_reads import make_read_buffer
@@ -14,6 +17,11 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def default_connections() -> OpenConnections:
+    """Return the connections of a port for which no limit was given."""
+    return OpenConnections(DEFAULT_MAX_CONNECTIONS)
+
+
 @dataclass(slots=True)
 class PortState:
     """State shared by all connections of one listening port.
@@ -27,7 +35,7 @@
         connects to another host.
     :param closed: whether new connections are aborted without being read.
     :param memory: bounds the memory of requests.
-    :param connections: open connections.
+    :param connections: open connections, whose number is limited.
     :param read_buffer: for the reads of all connections.
     """
 
@@ -38,7 +46,7 @@
     draining: bool = False
     closed: bool = False
     memory: RequestMemory = field(default_factory=RequestMemory)
-    connections: set[Any] = field(default_factory=set)
+    connections: OpenConnections = field(default_factory=default_connections)
     read_buffer: memoryview = field(default_factory=make_read_buffer)
 
     def idle_timeout_s(self) -> float:
@@ -51,17 +59,17 @@
         :param now: time of the event loop's clock in seconds.
         """
         limits = self.limits()
-        for conn in list(self.connections):
+        for conn in self.connections:
             conn.check_timeouts(now, limits)
 
     def close_idle(self) -> None:
         """Close the connections that have no request in flight."""
-        for conn in list(self.connections):
+        for conn in self.connections:
             conn.close_if_idle()
 
     def abort_all(self) -> None:
         """Close every connection immediately, whatever its state."""
-        for conn in list(self.connections):
+        for conn in self.connections:
             conn.abort()
 
     @property
