Failed attempts at once whose response has a status that is none.

Callers waited until the route's timeout and got 504 when a server answered with status 000, 001 or 099, and got 600 and 999 as answers (MIXED). Cause: statuses below 200 were all taken for interim responses, which a final one follows, and those from 600 on for final ones. Change: a status outside 100 to 599 (RFC 9110, 15) ends the attempt as other bytes do that are no response, for each kind of request, for the store and other hosts, which use the same connections, and for the threaded host's clients. Conclusion: what is no response reaches no caller, and holds neither a slot nor the caller.

--- a/damasktally/http1/limited_client.py
+++ b/damasktally/http1/limited_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from http.client import HTTPException, HTTPResponse
+from http.client import BadStatusLine, HTTPException, HTTPResponse
 from io import BufferedReader
 from typing import Any
 
@@ -12,6 +12,7 @@
 from urllib3.exceptions import HTTPError
 
 from damasktally.http1.framing import FramingCounter
+from damasktally.http1.messages import VALID_STATUSES
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Longest body that is read into memory."""
@@ -76,9 +77,12 @@
     def _read_status(self) -> tuple[str, int, str]:
         """Read a status line; the base class skips only responses with status 100.
 
-        It would take another interim response for the final one.
+        It would take another interim response for the final one, and a status that is
+        none, from 600 on, for one.
         """
         version, status, reason = super()._read_status()
+        if status not in VALID_STATUSES:
+            raise BadStatusLine(f"{status} is no status")
         is_interim = HTTPStatus.CONTINUE <= status < HTTPStatus.OK
         if is_interim and status != HTTPStatus.SWITCHING_PROTOCOLS:
             status = HTTPStatus.CONTINUE
--- a/damasktally/http1/messages.py
+++ b/damasktally/http1/messages.py
@@ -38,6 +38,8 @@
 LAST_CHUNK = b"0\r\n\r\n"
 """Says that a body in chunks is complete."""
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+VALID_STATUSES = range(100, 600)
+"""Statuses that a response can have (RFC 9110, 15); another one is none."""
 BODYLESS_STATUSES = frozenset({204, 304})
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -9,6 +9,7 @@
 from damasktally.http1.framing import FramingCounter
 from damasktally.http1.messages import (
     BODYLESS_STATUSES,
+    VALID_STATUSES,
     Headers,
     Response,
     find_header,
@@ -229,8 +230,12 @@
 
     def on_headers_complete(self) -> None:
         """Record that the body follows, and begin to forward it if it is large."""
+        status = self._parser.get_status_code()
+        if status not in VALID_STATUSES:
+            self._fail(f"{status:03d} is no status")
+            return
         self._in_body = True
-        if self._head_only and self._parser.get_status_code() >= MIN_FINAL_STATUS:
+        if self._head_only and status >= MIN_FINAL_STATUS:
             self._complete_head()
         self._asked_at_bytes = 0
         length = self._stated_length()
