Looked for the forged customer's name outside of the request's id.

'Hop-by-hop headers and keys are not forwarded' failed once in a run of features/forwarding. Cause: it asks that the text 'bea' is nowhere in the request that the server gets, which has a random id of 32 hexadecimal digits; of 100,000 such ids about 0.7 % contain it (one run). The check is as strict for all other lines, and asks that there is just one line with the id. Measured: features/forwarding passes.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -262,7 +262,11 @@
     assert "authorization" not in context.server_request
     assert "x-kept: yes" in context.server_request
     assert "damasktally-customer: ana" in context.server_request
-    assert "bea" not in context.server_request
+    # The hexadecimal id that the host gives the request may contain the name.
+    lines = context.server_request.split("\r\n")
+    others = [line for line in lines if not line.startswith("damasktally-request-id:")]
+    assert len(others) == len(lines) - 1, lines
+    assert not any("bea" in line for line in others), others
 
 
 @when("a caller without a key expects 100-continue")
