--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -264,7 +264,7 @@
     assert "damasktally-customer: ana" in context.server_request
     # The hexadecimal id that the host gives the request may contain the name.
     lines = context.server_request.split("\r\n")
-    others = [line for line in lines if not line.startswith("damasktally-request-id:")]
+    others = [line for line in lines if not line.startswith("x-request-id:")]
     assert len(others) == len(lines) - 1, lines
     assert not any("bea" in line for line in others), others
 
