Completed responses without a length only once their server has the request.

Cause: the end of the server's side completed the response, and closed the connection on which the reset would have come. Change: while the server's side has not taken all of the request, the connection stays open for the rest of it; the response is complete once all is acknowledged, and fails if a reset comes first. A server that ends its response early and reads on loses nothing. Conclusion: what follows the end tells a whole answer from a part. A request that the kernel of the server's machine has taken whole counts as taken: a reset after that is not awaited.

--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -24,8 +24,10 @@
     SharedReadProtocol,
 )
 from damasktally.http1.socket_options import (
+    has_failed,
     limit_receive_buffer,
     reset_on_close,
+    unacknowledged_bytes,
 )
 
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
@@ -33,6 +35,9 @@
 MAX_SKIPPED_RESPONSES = 16
 """Interim responses, and responses to earlier requests, that may precede the response
 to a request."""
+END_CHECK_INTERVAL_S = 0.02
+"""Time between checks whether a server that ended its side takes the rest of a request.
+No event tells that."""
 MIN_FINAL_STATUS = 200
 """Lower status codes are interim responses, which a final one follows."""
 MAX_SUCCESS_STATUS = 299
@@ -91,6 +96,7 @@
         self._streamed_bytes = 0
         self._is_unsolicited = False
         self._received_eof = False
+        self._is_end_awaited = False
         self.on_closed: Callable[[bool], None] | None = None
         self._is_unanswered = False
         self.idle_since = self._loop.time()
@@ -192,10 +198,44 @@
     def eof_received(self) -> bool:
         """Record that the server closed its side of the connection properly.
 
-        :returns: ``False``, so that the transport closes itself.
+        A response that ends with its connection is not complete yet if the server has
+        not taken all of the request: a reset that follows says that it broke off.
+
+        :returns: whether the connection stays open for the rest of the request.
         """
         self._received_eof = True
-        return False
+        if not self._ends_at_close() or self._is_request_taken():
+            return False
+        self._is_end_awaited = True
+        self._check_end_later()
+        return True
+
+    def _ends_at_close(self) -> bool:
+        """Return whether the end of the connection ends the pending response."""
+        is_in_response = self._pending_response is not None and self._in_body
+        return is_in_response and not self._has_known_length()
+
+    def _is_request_taken(self) -> bool:
+        """Return whether the server's side has taken all of the request."""
+        if self._upload is not None and not self._upload.is_forwarded:
+            return False
+        sock = self._transport.get_extra_info("socket")
+        unsent_bytes = self._transport.get_write_buffer_size()
+        return unsent_bytes + unacknowledged_bytes(sock) == 0
+
+    def _check_end_later(self) -> None:
+        self._loop.call_later(END_CHECK_INTERVAL_S, self._check_end)
+
+    def _check_end(self) -> None:
+        """Complete the response once the server has taken all of the request."""
+        if self._pending_response is None or self._transport.is_closing():
+            return
+        if has_failed(self._transport.get_extra_info("socket")):
+            self._fail("the connection was reset")
+        elif self._is_request_taken():
+            self._complete_response()
+        else:
+            self._check_end_later()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete the pending response if its body ends at the close, or fail it."""
@@ -204,8 +244,8 @@
             self.on_closed(exc is not None)
         if self._pending_response is None:
             return
-        ends_at_close = self._in_body and not self._has_known_length()
-        if ends_at_close and self._received_eof and exc is None:
+        is_end = self._received_eof and exc is None and not self._is_end_awaited
+        if is_end and self._ends_at_close():
             self._complete_response()
             return
         self._fail("the connection was closed early")
--- a/damasktally/http1/socket_options.py
+++ b/damasktally/http1/socket_options.py
@@ -4,6 +4,7 @@
 from fcntl import ioctl
 from socket import (
     IPPROTO_TCP,
+    SO_ERROR,
     SO_KEEPALIVE,
     SO_LINGER,
     SO_RCVBUF,
@@ -66,6 +67,11 @@
         sock.setsockopt(SOL_SOCKET, SO_RCVBUF, STREAM_BUFFER_BYTES)
 
 
+def has_failed(sock: socket) -> bool:
+    """Return whether the connection of a socket was reset or timed out."""
+    return sock.getsockopt(SOL_SOCKET, SO_ERROR) != 0
+
+
 def unacknowledged_bytes(sock: socket | None) -> int:
     """Return the sent bytes that the peer's side has not taken yet.
 
--- a/features/entry/streaming_unknown_length.feature
+++ b/features/entry/streaming_unknown_length.feature
@@ -89,3 +89,22 @@
       | 540000  | 11900000 | no        |
       | 540000  | 12000000 | yes       |
       | 60000   | 90000000 | no        |
+
+  # Guards against a part of a response that looks complete, as its end came before the
+  # reset that the rest of the request met.
+  Scenario Outline: A response that ends before its request is complete only if no reset follows: <case>
+    Given every server ends a response of <part> bytes without a length at once, and then <fault>
+    When an upload of <size> bytes <framing> to /bigpay/1 is sent in <seconds> s while the response is read
+    Then it gets <outcome>
+    And the servers got 1 request together
+
+    Examples:
+      | case                        | part    | fault                 | size    | framing       | seconds | outcome                                         |
+      | reset, small response       | 100     | resets the connection | 8000000 | with a length | 1.0     | no response that is complete                    |
+      | reset, long response        | 200000  | resets the connection | 8000000 | with a length | 1.0     | no response that is complete                    |
+      | reset, upload in chunks     | 100     | resets the connection | 8000000 | in chunks     | 1.0     | no response that is complete                    |
+      | reset, upload pauses        | 100     | resets the connection | 400000  | with a length | 3.0     | no response that is complete                    |
+      | the rest is read, small     | 100     | reads on              | 8000000 | with a length | 1.0     | 100 bytes in a complete response with a length   |
+      | the rest is read, long      | 200000  | reads on              | 8000000 | with a length | 1.0     | 200000 bytes in a complete response in chunks   |
+      | the rest is read, in chunks | 200000  | reads on              | 8000000 | in chunks     | 1.0     | 200000 bytes in a complete response in chunks   |
+      | the request was there       | 200000  | reads on              | 5000    | with a length | 0.0     | 200000 bytes in a complete response in chunks   |
--- a/features/steps/streaming_servers.py
+++ b/features/steps/streaming_servers.py
@@ -12,6 +12,8 @@
 
 
 PART_BYTES = 64 * 1024
+END_PAUSE_S = 0.05
+"""Seconds from the end of a response to what follows on the connection."""
 
 
 def body_of(size: int) -> bytes:
@@ -245,6 +247,25 @@
 
         return converse
 
+    def end_early(self, part: int, fault: str) -> Converse:
+        """Send a body without a length before the request is there, and end it.
+
+        The server then reads the rest of the request, or resets the connection.
+        """
+
+        async def converse(request, reader, writer) -> bool:
+            await self._send(writer, head_of(request, None) + body_of(part))
+            writer.write_eof()
+            await sleep(END_PAUSE_S)
+            if fault == "resets the connection":
+                reset_on_close(writer.get_extra_info("socket"))
+                writer.transport.abort()
+                return False
+            self.bodies.append(await self._receive_whole(request, reader))
+            return False
+
+        return converse
+
     def leave(self, first: int) -> Converse:
         """Reset the connection after a part of the body."""
 
--- a/features/steps/streaming_unknown_length_steps.py
+++ b/features/steps/streaming_unknown_length_steps.py
@@ -1,6 +1,6 @@
 """Steps for large responses of unknown length."""
 
-from asyncio import IncompleteReadError, wait_for
+from asyncio import IncompleteReadError, create_task, gather, sleep, wait_for
 from dataclasses import dataclass
 
 from behave import given, then, when
@@ -14,6 +14,7 @@
 from features.steps.streaming_servers import body_of
 
 READ_TIMEOUT_S = 15.0
+UPLOAD_PARTS = 20
 MIB = 1024 * 1024
 
 
@@ -90,6 +91,57 @@
     let_servers(context, context.conversations.endless())
 
 
+@given(
+    "every server ends a response of {part:d} bytes without a length at once, and then "
+    "{fault}"
+)
+def given_early_end(context, part, fault):
+    """Let the servers end their responses before they have the request."""
+    let_servers(context, context.conversations.end_early(part, fault))
+
+
+@when(
+    "an upload of {size:d} bytes {framing} to {path:S} is sent in {seconds:g} s while "
+    "the response is read"
+)
+def when_uploaded(context, size, framing, path, seconds):
+    """Send parts of a body evenly until the response has ended."""
+
+    async def send_parts(writer):
+        for start in range(0, size, size // UPLOAD_PARTS):
+            part = body_of(size)[start : start + size // UPLOAD_PARTS]
+            if framing == "in chunks":
+                part = b"%x\r\n%b\r\n" % (len(part), part)
+            writer.write(part)
+            await writer.drain()
+            await sleep(seconds / UPLOAD_PARTS)
+        if framing == "in chunks":
+            writer.write(b"0\r\n\r\n")
+
+    async def send():
+        is_chunked = framing == "in chunks"
+        length = (
+            "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {size}"
+        )
+        head = make_request(path, method="POST", extra=length + "\r\n")
+        caller = await begin_request(context.port, head)
+        sending = create_task(send_parts(caller.writer))
+        context.received = await read_response(caller.reader)
+        sending.cancel()
+        await gather(sending, return_exceptions=True)
+        caller.writer.close()
+
+    context.loop_thread.run(send())
+
+
+@then("it gets no response that is complete")
+def then_none_complete(context):
+    """Check that the server's response does not look complete."""
+    received = context.received
+    is_success = received.head.startswith("http/1.1 200 ")
+    assert not (is_success and received.is_complete), received.head
+
+
 @when("the whole response to {path:S} is read")
 def when_asked(context, path):
     """Send a request, and read its response."""
