Read requests for state of up to 4 KiB, not of 16 MiB.

60 connections to the peers' port that announce messages of 16 MiB took a host to 1,367 MB. Cause: requests had the limit of the responses, which hold whole lists. Change: a request, which names a topic and a revision, has a limit of its own. Measured: the crowd is a new row of crowds.feature; it failed before (100 MB are allowed) and passes now, as does state_transfer.feature. Conclusion: strangers at that port hold little, and the bound on its connections does the rest.

--- a/damasktally/entry/state_messages.py
+++ b/damasktally/entry/state_messages.py
@@ -18,6 +18,8 @@
 """Size of the big-endian length that precedes each message."""
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 """Longest message that is read; a longer one ends the transfer."""
+MAX_REQUEST_BYTES = 4 * 1024
+"""Longest request for state that is read. It names a topic and a revision."""
 READ_BYTES = 64 * 1024
 MIN_COMPRESSED_BYTES = 4096
 """Shorter responses are sent as they are."""
@@ -110,12 +112,16 @@
 
 
 async def read_frame(
-    reader: StreamReader, first_timeout_s: float, idle_timeout_s: float
+    reader: StreamReader,
+    first_timeout_s: float,
+    idle_timeout_s: float,
+    max_bytes: int = MAX_FRAME_BYTES,
 ) -> bytes:
     """Read a message, however long it takes, as long as bytes arrive.
 
     :param first_timeout_s: time until the length of the message has arrived.
     :param idle_timeout_s: time in which further bytes have to arrive.
+    :param max_bytes: limit on the length of the message.
     :raises TimeoutError: if they do not.
     :raises IncompleteReadError: if the connection ends within the length.
     :raises ValueError: if the message is too long, or the connection ends within it.
@@ -123,7 +129,7 @@
     async with timeout(first_timeout_s):
         header = await reader.readexactly(FRAME_HEADER_BYTES)
     length = int.from_bytes(header, "big")
-    if length > MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise ValueError(f"a frame of {length} bytes is too long")
     frame = bytearray()
     while len(frame) < length:
--- a/damasktally/entry/state_transfer.py
+++ b/damasktally/entry/state_transfer.py
@@ -26,6 +26,7 @@
 from damasktally.decisions.source_selection import choose_source
 from damasktally.entry.listening import listen_on
 from damasktally.entry.state_messages import (
+    MAX_REQUEST_BYTES,
     ResponseFrames,
     StateRequest,
     StateResponse,
@@ -274,7 +275,9 @@
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         self._connections.add(writer.transport)
         try:
-            frame = await read_frame(reader, RESPONSE_TIMEOUT_S, IDLE_TIMEOUT_S)
+            frame = await read_frame(
+                reader, RESPONSE_TIMEOUT_S, IDLE_TIMEOUT_S, MAX_REQUEST_BYTES
+            )
             request = msgspec.msgpack.decode(frame, type=StateRequest)
             write_frame(writer, self._encode_response(request))
             async with timeout(RESPONSE_TIMEOUT_S):
--- a/features/entry/crowds.feature
+++ b/features/entry/crowds.feature
@@ -25,6 +25,7 @@
       | one header without end                      | 300   | callers   |
       | a line without end                          | 300   | callers   |
       | trailers without end                        | 300   | callers   |
+      | frames of 16 MiB                            | 60    | peers     |
 
   Scenario Outline: A crowd that costs time leaves some to others: <count> x <conduct>
     Given a host process with 100 MB of memory and 4100 descriptors
--- a/features/steps/crowd.py
+++ b/features/steps/crowd.py
@@ -89,6 +89,7 @@
     ),
     "empty lines": Conduct(b"", b"\r\n"),
     "empty lines of one byte": Conduct(b"", b"\n"),
+    "frames of 16 MiB": Conduct((16 * 1024 * 1024).to_bytes(4, "big"), b"x"),
     "trailers without end": Conduct(
         b"POST /pay/1 HTTP/1.1\r\n"
         + OWNER
