Gave callers half of the descriptors, and described what bounds them.

Callers may use half of the descriptors now instead of 35 %: connections to servers are fewer, as the servers have few slots.

--- a/damasktally/entry/caller_resources.py
+++ b/damasktally/entry/caller_resources.py
@@ -14,9 +14,9 @@
 """Descriptors for files, the store, peers, and connections that are being closed."""
 MAX_RESERVED_FRACTION = 1 / 4
 """Part of all descriptors that are reserved at most."""
-CALLERS_FRACTION = 0.35
-"""Part of the other descriptors for callers' requests. Each may need one more for a
-connection to a server; the rest is for look-ups and the operators' ports."""
+CALLERS_FRACTION = 0.5
+"""Part of the other descriptors for callers' requests. What is left beside all ports is
+for connections to servers, which are fewer, as the servers have few slots."""
 FORWARDING_FRACTION = 0.08
 DIRECTORY_FRACTION = 0.08
 OPERATORS_FRACTION = 0.02
--- a/damasktally/entry/settings.py
+++ b/damasktally/entry/settings.py
@@ -71,7 +71,7 @@
         that are received whole an eighth; beyond that, those of more than 16 KiB are
         refused with 503, first the one that began first.
     :param max_descriptors: open files and sockets that this host may have; 0 stands for
-        the limit of the process. Callers' connections may use about a third of them;
+        the limit of the process. Callers' connections may use about half of them;
         beyond that, the one that has waited or been idle for longest is closed.
     """
 
