--- a/benchmarks/entry_process.py
+++ b/benchmarks/entry_process.py
@@ -24,7 +24,7 @@
 readiness = 127.0.0.1:{readiness}
 directory = 127.0.0.1:{directory}
 peers = 127.0.0.1:{peers}
-metrics_port = 0
+metrics_port = {metrics}
 [fleet]
 data_centres = {{"dc-1": "north"}}
 first_start = true
@@ -33,10 +33,24 @@
 [bounds]
 agreed = {bounds}
 [limits]
-link_mbps = {link_mbps}
+{limits}
 """
 
 
+def format_settings(ports: dict[str, int], store_port: int, limits: str) -> str:
+    """Return the settings of a host on the loopback address.
+
+    :param ports: ports by name; metrics are disabled without one.
+    :param limits: lines of the section with the limits.
+    """
+    return SETTINGS.format(
+        **{"metrics": 0, **ports},
+        store=store_port,
+        bounds=json.dumps(BOUNDS),
+        limits=limits,
+    )
+
+
 async def start_host(directory: str, store_port: int, link_mbps: int):
     """Start a host and wait until it is ready.
 
@@ -44,9 +58,7 @@
     """
     names = ("callers", "readiness", "directory", "peers")
     ports = {name: free_port() for name in names}
-    text = SETTINGS.format(
-        **ports, store=store_port, bounds=json.dumps(BOUNDS), link_mbps=link_mbps
-    )
+    text = format_settings(ports, store_port, f"link_mbps = {link_mbps}")
     path = Path(directory) / f"host-{link_mbps}.ini"
     path.write_text(text, encoding="utf-8")
     log = (Path(directory) / f"host-{link_mbps}.log").open("wb")
--- a/damasktally/http1/request_memory.py
+++ b/damasktally/http1/request_memory.py
@@ -42,7 +42,7 @@
         self.total_bytes = 0
         self.evicted_count = 0
 
-    def grow(self, holder: RequestHolder, byte_count: int, delta: int) -> None:
+    def add_received(self, holder: RequestHolder, byte_count: int, delta: int) -> None:
         """Count more memory of a request that is being received.
 
         :param byte_count: memory that the request takes now.
@@ -53,11 +53,11 @@
             self._evictable.setdefault(holder)
         while self.total_bytes > self._max_bytes and self._evictable:
             longest = next(iter(self._evictable))
-            self.settle(longest)
+            self.end_receiving(longest)
             self.evicted_count += 1
             longest.evict()
 
-    def settle(self, holder: RequestHolder) -> None:
+    def end_receiving(self, holder: RequestHolder) -> None:
         """Record that no request is being received on a connection any more."""
         self._evictable.pop(holder, None)
 
--- a/damasktally/http1/request_reader.py
+++ b/damasktally/http1/request_reader.py
@@ -200,11 +200,11 @@
         self.is_closed = True
         self._unparsed = b""
         if self.upload is None:
-            self.drop_message()
+            self._drop_message()
 
-    def drop_message(self) -> None:
+    def _drop_message(self) -> None:
         """Drop what was received of the current request."""
-        self._port.memory.settle(self._receiver)
+        self._port.memory.end_receiving(self._receiver)
         self._port.memory.release(self._held_bytes)
         self._held_bytes = 0
         self._reset_message()
@@ -214,7 +214,7 @@
         held_bytes = self._head.memory_bytes + len(self._body)
         delta = held_bytes - self._held_bytes
         self._held_bytes = held_bytes
-        self._port.memory.grow(self._receiver, held_bytes, delta)
+        self._port.memory.add_received(self._receiver, held_bytes, delta)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -332,5 +332,5 @@
         )
         self._head, self._body = RequestHead(), bytearray()
         self._held_bytes = 0
-        self._port.memory.settle(self._receiver)
+        self._port.memory.end_receiving(self._receiver)
         self._receiver.queue_request(req)
--- a/features/steps/limited_host.py
+++ b/features/steps/limited_host.py
@@ -1,6 +1,5 @@
 """An entry host in a process of its own that has little memory and few descriptors."""
 
-import json
 import resource
 import signal
 import subprocess
@@ -8,33 +7,10 @@
 from asyncio import sleep
 from pathlib import Path
 
-from benchmarks.entry_process import is_ready
+from benchmarks.entry_process import format_settings, is_ready
 from damasktally.standins.ports import free_port
-from features.steps.entry_harness import BOUNDS
 
-SETTINGS = """
-[host]
-name = host-1
-region = north
-data_centre = dc-1
-[listen]
-callers = 127.0.0.1:{callers}
-readiness = 127.0.0.1:{readiness}
-directory = 127.0.0.1:{directory}
-peers = 127.0.0.1:{peers}
-forwarding = 127.0.0.1:{forwarding}
-metrics_port = {metrics}
-[fleet]
-data_centres = {{"dc-1": "north"}}
-first_start = true
-[store]
-address = 127.0.0.1:{store}
-[bounds]
-agreed = {bounds}
-[limits]
-memory_mb = {memory_mb}
-"""
-PORTS = ("callers", "readiness", "directory", "peers", "forwarding", "metrics")
+PORTS = ("callers", "readiness", "directory", "peers", "metrics")
 BYTES_PER_KIB = 1024
 BYTES_PER_MB = 1_000_000
 START_TIMEOUT_S = 15.0
@@ -60,12 +36,7 @@
         self.max_descriptors = max_descriptors
         self.peak_descriptors = 0
         self._path = Path(directory) / "host.ini"
-        text = SETTINGS.format(
-            **self.ports,
-            store=store_port,
-            bounds=json.dumps(BOUNDS),
-            memory_mb=memory_mb,
-        )
+        text = format_settings(self.ports, store_port, f"memory_mb = {memory_mb}")
         self._path.write_text(text, encoding="utf-8")
         self._process: subprocess.Popen | None = None
 
