Bounded the heads and bodies of requests to the threaded host's operators' port.

A client of that port could send a head or a body without end, all of which was kept or read. Cause: its server has no limits by default. Change: heads of up to 32 KiB, as at the callers' port, and bodies of up to 64 KiB, which no page reads. Measured: the three new scenarios failed before (32 MiB were taken each time), all pass now. Conclusion: one client cannot fill the memory of that process any more.

--- a/damasktally/host/admin_port.py
+++ b/damasktally/host/admin_port.py
@@ -12,6 +12,9 @@
 
 WORKER_THREADS = 4
 """Requests that are served at the same time."""
+MAX_HEAD_BYTES = 32_768
+MAX_BODY_BYTES = 65_536
+"""No page reads a body."""
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -57,6 +60,8 @@
         self._hooks = hooks
         self._token = token
         self._server = Server(address, self._handle_wsgi, numthreads=WORKER_THREADS)
+        self._server.max_request_header_size = MAX_HEAD_BYTES
+        self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.shutdown_timeout = 1
 
     def start(self) -> None:
--- a/features/entry/endless_messages.feature
+++ b/features/entry/endless_messages.feature
@@ -109,3 +109,15 @@
     Given a caller's connection with a limit of 4 KiB on the head
     When the caller sends one byte of the body each second for 61 s
     Then the caller gets status 408
+
+  Scenario Outline: The operators' port of the threaded host takes a bounded part of <kind>
+    Given the operators' port of a threaded host
+    When a client sends it up to 32 MiB of <kind>
+    Then the port ends the connection before
+    And it answers an ordinary request
+
+    Examples:
+      | kind                   |
+      | headers without end    |
+      | one header without end |
+      | a body in a GET        |
