Sent datagrams of strangers to a host's port for peers.

Three crowds of crowds.feature send noise, empty datagrams and nested lists. They pass on the code as it is, so that nothing was changed for them: a turn of the event loop reads one datagram.

--- a/features/entry/crowds.feature
+++ b/features/entry/crowds.feature
@@ -41,6 +41,20 @@
       | requests without reading | 30    |
       | chunks of one byte       | 300   |
 
+  Scenario Outline: A crowd of strangers at the peers' port is ignored: <conduct>
+    Given a host process with 100 MB of memory and 4100 descriptors
+    When 10 clients send <conduct> to its peers port for 6 s, beside ordinary requests
+    Then the host process lives
+    And it stayed within its memory and its descriptors
+    And an ordinary request was answered beside the crowd
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | conduct                   |
+      | datagrams of noise        |
+      | empty datagrams           |
+      | datagrams of nested lists |
+
   Scenario Outline: A crowd that takes all connections gives way to others: <port> port
     Given a host process with 100 MB of memory and 300 descriptors
     When 400 clients send nothing to its <port> port for 6 s, beside ordinary requests
--- a/features/steps/crowd.py
+++ b/features/steps/crowd.py
@@ -4,6 +4,7 @@
 opened again when the host has closed it. Nothing that the host sends is read.
 """
 
+import socket
 import sys
 from asyncio import Event as AsyncEvent
 from asyncio import (
@@ -15,6 +16,7 @@
     sleep,
     wait_for,
 )
+from collections.abc import Coroutine
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -99,6 +101,15 @@
 }
 """Conducts of a crowd by name."""
 
+DATAGRAMS = {
+    "datagrams of noise": bytes(range(256)) * 4,
+    "empty datagrams": b"",
+    "datagrams of nested lists": b"\x91" * 60_000,
+}
+"""Contents of the datagrams that a crowd sends, by name."""
+DATAGRAMS_AT_A_TIME = 20
+DATAGRAM_INTERVAL_S = 0.01
+
 
 class CrowdConnection(Protocol):
     """Protocol of one connection of the crowd.
@@ -165,9 +176,27 @@
         await sleep(RECONNECT_DELAY_S)
 
 
+async def send_datagrams(port: int, data: bytes) -> None:
+    """Send the same datagram over and over, some at a time."""
+    sock = socket.socket(type=socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    while True:
+        for _ in range(DATAGRAMS_AT_A_TIME):
+            with suppress(OSError):
+                sock.sendto(data, ("127.0.0.1", port))
+        await sleep(DATAGRAM_INTERVAL_S)
+
+
+def act(port: int, name: str) -> Coroutine[None, None, None]:
+    """Return what one client does until it is cancelled."""
+    if name in DATAGRAMS:
+        return send_datagrams(port, DATAGRAMS[name])
+    return keep_connecting(port, CONDUCTS[name])
+
+
 async def main(port: int, count: int, seconds: float, name: str) -> None:
     """Keep all clients connected for some seconds, then end, which closes them."""
-    crowd = gather(*(keep_connecting(port, CONDUCTS[name]) for _ in range(count)))
+    crowd = gather(*(act(port, name) for _ in range(count)))
     with suppress(TimeoutError):
         await wait_for(crowd, seconds)
 
