--- a/features/fault_soak/fleet.py
+++ b/features/fault_soak/fleet.py
@@ -156,6 +156,7 @@
             "Limits.CpuShare": 1.0,
             "Limits.LinkMbps": 1000,
             "Limits.MemoryMb": 200,
+            "Limits.MaxFds": 4100,
         }
 
     @property
