--- a/damasktally/http1/outbound.py
+++ b/damasktally/http1/outbound.py
@@ -37,7 +37,7 @@
 to a request."""
 END_CHECK_INTERVAL_S = 0.02
 """Time between checks whether a server that ended its side takes the rest of a request.
-No event tells that."""
+No event reports that."""
 MIN_FINAL_STATUS = 200
 """Lower status codes are interim responses, which a final one follows."""
 MAX_SUCCESS_STATUS = 299
@@ -199,7 +199,7 @@
         """Record that the server closed its side of the connection properly.
 
         A response that ends with its connection is not complete yet if the server has
-        not taken all of the request: a reset that follows says that it broke off.
+        not taken all of the request: a reset may follow, which means that it broke off.
 
         :returns: whether the connection stays open for the rest of the request.
         """
--- a/features/entry/connection_limits.feature
+++ b/features/entry/connection_limits.feature
@@ -27,5 +27,5 @@
   Scenario: A flood of connections closes the oldest of them
     Given room for 4 connections
     When the port sees: a is answered
-    And 50 strangers connect one after the other
-    Then 47 strangers are closed, and a is not
+    And 50 new connections are opened one after the other
+    Then 47 of them are closed, and a is not
--- a/features/entry/crowds.feature
+++ b/features/entry/crowds.feature
@@ -41,7 +41,7 @@
       | requests without reading | 30    |
       | chunks of one byte       | 300   |
 
-  Scenario Outline: A crowd of strangers at the peers' port is ignored: <conduct>
+  Scenario Outline: A crowd at the peers' port that sends no messages of hosts is ignored: <conduct>
     Given a host process with 100 MB of memory and 4100 descriptors
     When 10 clients send <conduct> to its peers port for 6 s, beside ordinary requests
     Then the host process lives
@@ -51,7 +51,7 @@
 
     Examples:
       | conduct                   |
-      | datagrams of noise        |
+      | datagrams of other bytes  |
       | empty datagrams           |
       | datagrams of nested lists |
 
--- a/features/steps/connection_limit_steps.py
+++ b/features/steps/connection_limit_steps.py
@@ -61,11 +61,11 @@
     play(context, history)
 
 
-@when("{count:d} strangers connect one after the other")
+@when("{count:d} new connections are opened one after the other")
 def when_flood(context, count):
     """Open many connections that send nothing."""
     for number in range(count):
-        open_connection(context, f"stranger {number}")
+        open_connection(context, f"new {number}")
 
 
 def closed_names(context) -> list[str]:
@@ -86,10 +86,10 @@
     assert closed_names(context) == ["a", "b"], closed_names(context)
 
 
-@then("{count:d} strangers are closed, and a is not")
+@then("{count:d} of them are closed, and a is not")
 def then_strangers_closed(context, count):
     """Check that the newest ones are left."""
     closed = closed_names(context)
     assert len(closed) == count and "a" not in closed, closed
     assert context.connections.evicted_count == count
-    assert not context.by_name["stranger 49"].is_closed
+    assert not context.by_name["new 49"].is_closed
--- a/features/steps/crowd.py
+++ b/features/steps/crowd.py
@@ -1,4 +1,4 @@
-"""Process of many clients that keep to no limit, for tests of what a host bears.
+"""Process of many clients that keep to no limit, for tests of the limits of a host.
 
 Usage: ``python -m features.steps.crowd PORT COUNT SECONDS CONDUCT``. Each connection is
 opened again when the host has closed it. Nothing that the host sends is read.
@@ -102,7 +102,7 @@
 """Conducts of a crowd by name."""
 
 DATAGRAMS = {
-    "datagrams of noise": bytes(range(256)) * 4,
+    "datagrams of other bytes": bytes(range(256)) * 4,
     "empty datagrams": b"",
     "datagrams of nested lists": b"\x91" * 60_000,
 }
--- a/features/steps/limited_host.py
+++ b/features/steps/limited_host.py
@@ -21,7 +21,7 @@
 class LimitedHost:
     """An entry host process with limits on memory and descriptors.
 
-    The limit on descriptors is enforced by the kernel, that on memory is only told to
+    The limit on descriptors is enforced by the kernel, that on memory only stated to
     the host. ``ports`` holds its ports by their names in the settings, and
     ``peak_descriptors`` the most that were open when :meth:`watch` looked.
 
